--- /dev/null
+++ b/cmd/ravenport/main.go
@@ -0,0 +1,108 @@
+// Command ravenport runs one controller of the cluster scheduler.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"ravenport/constants"
+	"ravenport/node"
+	"ravenport/settings"
+)
+
+// version is the release; a build may set it.
+var version = "0.1.0"
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "ravenport:", err)
+		var bad *settings.Error
+		if errors.As(err, &bad) {
+			os.Exit(2)
+		}
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var config, props string
+	root := &cobra.Command{
+		Use:   "ravenport --config PATH",
+		Short: "Run one controller of the ravenport cluster scheduler",
+		Long: "ravenport schedules arrays and services on rented machines.\n" +
+			"It runs until it is ended. LOG_LEVEL (error, info, debug) sets how much it logs to standard error.",
+		Version:       version,
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			set, err := settings.Load(config, props)
+			if err != nil {
+				return err
+			}
+			if err := logging(); err != nil {
+				return err
+			}
+			limitMemory(set)
+			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			return node.Run(ctx, set)
+		},
+	}
+	root.PersistentFlags().StringVar(&config, "config", "", "path of the platform's settings file (TOML)")
+	root.PersistentFlags().StringVar(&props, "properties", "", "path of the operators' own settings (Java-style properties;\ndefault: "+settings.PropertiesName+" beside the settings file, if there)")
+	if err := root.MarkPersistentFlagRequired("config"); err != nil {
+		panic(err) // the flag was defined one line above
+	}
+	root.AddCommand(&cobra.Command{
+		Use:   "check --config PATH",
+		Short: "Check the settings files and end",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			set, err := settings.Load(config, props)
+			if err != nil {
+				return err
+			}
+			d, short := set.Authority()
+			fmt.Fprintf(cmd.OutOrStdout(), "settings are good: node %s in %s, %d controllers, authority %s\n", set.Node, set.Zone, len(set.Nodes()), d)
+			if short {
+				fmt.Fprintln(cmd.OutOrStdout(), "warning: cancel_s leaves little room after the workers' lease; the authority was shortened")
+			}
+			return nil
+		},
+	})
+	root.SetContext(context.Background())
+	return root
+}
+
+func logging() error {
+	level := slog.LevelInfo
+	switch v := os.Getenv("LOG_LEVEL"); v {
+	case "", "info":
+	case "error":
+		level = slog.LevelError
+	case "warn":
+		level = slog.LevelWarn
+	case "debug":
+		level = slog.LevelDebug
+	default:
+		return &settings.Error{Field: "LOG_LEVEL", Problem: fmt.Sprintf("%q is not error, info or debug", v)}
+	}
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+	return nil
+}
+
+// limitMemory keeps the heap well within the machine's memory.
+func limitMemory(set *settings.Settings) {
+	if mb := set.Params.Limits.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(mb * constants.HeapShare * (1 << 20)))
+	}
+}
--- /dev/null
+++ b/constants/constants.go
@@ -0,0 +1,175 @@
+// Package constants holds every constant of ravenport, each with its unit and
+// reason. What belongs to a deployment comes from its settings file instead,
+// and what operators may wish to change is a default of package settings.
+package constants
+
+import "time"
+
+// Front: connections of users, workers and health checks.
+const (
+	// MaxBody is the protocol's limit on a request's body (bytes).
+	MaxBody = 64 << 10
+	// MaxHeader bounds a message's first line and headers (bytes); real ones
+	// take a few hundred.
+	MaxHeader = 8 << 10
+	// ServerReadBuffer is what the event loop reads at once (bytes): a whole
+	// usual report, without holding much memory.
+	ServerReadBuffer = 16 << 10
+	// ServerTick is how often idle connections are looked for.
+	ServerTick = time.Second
+	// ServerIdle ends connections without a request: twenty report periods
+	// of a slow deployment, so that no worker or poller is cut off.
+	ServerIdle = 60 * time.Second
+	// ServerSlowRequest ends connections that sent part of a request and
+	// stopped: users give up after 5 s themselves.
+	ServerSlowRequest = 10 * time.Second
+	// ReservedSockets are kept from the front for state service, cloud,
+	// workers and peers (sockets).
+	ReservedSockets = 256
+)
+
+// Clients of the state service, the cloud and workers.
+const (
+	// DialTimeout bounds setting up a connection: a silent host must not
+	// hold a call, and a lost first packet is sent again within a second.
+	DialTimeout = 1500 * time.Millisecond
+	// IdleConns are connections kept open to one server (connections).
+	IdleConns = 8
+	// ClientMaxBody bounds an answer (bytes): a page of keys has at most 512 KiB.
+	ClientMaxBody = 4 << 20
+	// StateTimeout bounds a call to the state service; usual answers take
+	// 10 ms, slow ones a few hundred.
+	StateTimeout = 2 * time.Second
+	// StatePage is how many keys are read at once (keys).
+	StatePage = 200
+	// WatchWait is how long a watch stays open. Short enough that a hung
+	// connection is noticed soon.
+	WatchWait = 5 * time.Second
+	// WatchGap is the least time between two watches, so that a burst of
+	// changes comes in few answers and the request allowance holds.
+	WatchGap = 10 * time.Millisecond
+	// RetryMin and RetryMax bound the wait before a failed call is repeated.
+	RetryMin = 100 * time.Millisecond
+	RetryMax = 2 * time.Second
+	// StateShare is the part of the state service's allowance that one
+	// controller may use by itself (share); a refusal for rate is harmless.
+	StateShare = 0.5
+	// CloudTimeout bounds a call to the cloud.
+	CloudTimeout = 5 * time.Second
+	// CommandTimeout bounds a direct command: the next report carries the
+	// same commands anyway.
+	CommandTimeout = 2 * time.Second
+	// CommandFanout bounds direct commands under way at once (calls).
+	CommandFanout = 32
+)
+
+// Membership, authority and leases.
+const (
+	// ClockDrift is the protocol's bound on how far two steady clocks drift
+	// apart (share), doubled for safety.
+	ClockDrift = 0.001
+	// AuthorityMargin is taken off an authority and added to every waiting
+	// time, for steps of timers and for the moment between check and act.
+	AuthorityMargin = 250 * time.Millisecond
+	// LeaseMargin is waited beyond a worker's lease before its tasks count
+	// as killed.
+	LeaseMargin = time.Second
+	// RenewalsPerLife is how often a lease is renewed within its life, so that
+	// a few lost or slow renewals do no harm (renewals).
+	RenewalsPerLife = 4
+	// TypesEvery is how often the machine types, and with them the spot
+	// prices, are read.
+	TypesEvery = 60 * time.Second
+	// HeapShare is the part of the machine's memory that the heap may take
+	// before the collector works harder (share).
+	HeapShare = 0.6
+	// MemberTick is how often membership looks at its deadlines.
+	MemberTick = 100 * time.Millisecond
+	// ClaimStep separates the claims of candidates of different rank.
+	ClaimStep = 400 * time.Millisecond
+	// FirstClaimWait is how long a fresh controller leaves what it is not
+	// the first choice for, so that controllers started together share out.
+	FirstClaimWait = 2 * time.Second
+	// HandBackAfter is how long a better-placed controller must have been
+	// up before it is given its part back.
+	HandBackAfter = 5 * time.Second
+)
+
+// Controllers among themselves.
+const (
+	// PeerMaxMessage bounds a message (bytes); counts of many jobs may be long.
+	PeerMaxMessage = 4 << 20
+	// PeerBuffer is gRPC's buffer per connection and direction (bytes).
+	PeerBuffer = 8 << 10
+	// PeerTimeout bounds a call to another controller.
+	PeerTimeout = 1500 * time.Millisecond
+	// StateSilence is when a controller that heard nothing from the state
+	// service counts as cut off from it.
+	StateSilence = 3 * time.Second
+)
+
+// Front door.
+const (
+	// BarrierWait is how long a poll waits for the feed to reach the
+	// revision read for it before the key itself is read.
+	BarrierWait = 150 * time.Millisecond
+	// AnswerLimit is when a request that could not be decided is refused;
+	// polls allow 2 s, submissions 5 s.
+	AnswerLimit = 1500 * time.Millisecond
+	// MaxWaiting bounds requests that wait for the state service (requests).
+	MaxWaiting = 512
+	// RetryAfterS is what a refused user is told to wait (s).
+	RetryAfterS = 1
+)
+
+// Leader.
+const (
+	// LeaderTick is how often the leader looks at its queue without events.
+	LeaderTick = 200 * time.Millisecond
+	// LeaderBudget bounds one round of decisions; the next goes on where it
+	// stopped.
+	LeaderBudget = 5 * time.Millisecond
+	// StaleAggregate is when a part that pushes nothing is ranked last.
+	StaleAggregate = 4 * time.Second
+	// MaxAssignments bounds assignments under way at once (transactions).
+	MaxAssignments = 16
+)
+
+// Part owner.
+const (
+	// PartTick is how often an owner looks at its deadlines without events.
+	PartTick = 250 * time.Millisecond
+	// PartBudget bounds one round of placing.
+	PartBudget = 5 * time.Millisecond
+	// PushEvery is how often an owner pushes its aggregate when nothing
+	// changes; changes are pushed after PushGap.
+	PushEvery = time.Second
+	PushGap   = 100 * time.Millisecond
+	// RepeatCommand is when a direct command without effect is sent again.
+	RepeatCommand = time.Second
+	// SilentProbe and SilentPeriods: a machine unheard for that many report
+	// periods is suspected.
+	SilentPeriods = 3.0
+	// AttemptBits is the part of an attempt number that counts within a
+	// term (bits).
+	AttemptBits = 24
+	// MaxRosterWrites bounds writes of machine records under way (writes).
+	MaxRosterWrites = 8
+	// CloudListEvery is how often an owner reads the cloud's list.
+	CloudListEvery = 10 * time.Second
+	// RefusedPause is how long a refused kind of machine is not asked for.
+	RefusedPause = 10 * time.Second
+	// BootPatience is how many nominal boot times a machine may take before
+	// it is returned; some take several times as long.
+	BootPatience = 4.0
+	// ExitedBump is how many exited attempts that must not be forgotten yet
+	// a machine may hold before the owner raises its own term (attempts).
+	ExitedBump = 150
+	// KeepWait is how long tasks wait in a part that gets no more machines
+	// before they are sent back to the leader.
+	KeepWait = 5 * time.Second
+	// FaultPause is how long a machine that failed a task is avoided.
+	FaultPause = 60 * time.Second
+	// JobFaultRetry is the longest wait before a failing task is tried again.
+	JobFaultRetry = 30 * time.Second
+)
--- /dev/null
+++ b/leader/core.go
@@ -0,0 +1,516 @@
+// Package leader decides which part takes which tasks. It is pure: the parts'
+// aggregates, records and time in, changed records out.
+package leader
+
+import (
+	"fmt"
+	"log/slog"
+	"math"
+	"sort"
+	"time"
+
+	"ravenport/constants"
+	"ravenport/settings"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// Room is the free room of one kind of machines of a part, as the paper's
+// aggregates: sum, mean and standard deviation over the machines.
+type Room struct {
+	Machines int     `json:"n"`
+	CPUs     Moments `json:"c"`
+	GPUs     Moments `json:"g"`
+	Memory   Moments `json:"m"`
+}
+
+// Moments are the aggregate of one resource.
+type Moments struct {
+	Sum  float64 `json:"s"`
+	Mean float64 `json:"e"`
+	Dev  float64 `json:"d"`
+}
+
+// Add counts one machine's free amount; Finish must follow the last.
+func (m *Moments) Add(v float64) { m.Sum += v; m.Dev += v * v }
+
+// Finish turns sums into mean and standard deviation over n machines.
+func (m *Moments) Finish(n int) {
+	if n == 0 {
+		return
+	}
+	m.Mean = m.Sum / float64(n)
+	m.Dev = math.Sqrt(max(0, m.Dev/float64(n)-m.Mean*m.Mean))
+}
+
+// Aggregate is what an owner pushes.
+type Aggregate struct {
+	Part     string  `json:"part"`
+	Term     uint64  `json:"term"`
+	Revision uint64  `json:"rev"` // the records that the figures reflect
+	Ordinary Room    `json:"ord"` // coming machines included
+	Spot     Room    `json:"spot"`
+	Waiting  float64 `json:"wait"` // CPUs that wait for room
+	// Rentable says whether the part may still get machines of the kind.
+	RentOrdinary bool `json:"ro"`
+	RentSpot     bool `json:"rs"`
+	// Yielding is ordinary room (CPUs) held by work that production work may
+	// stop.
+	Yielding float64 `json:"y"`
+}
+
+// fits estimates how many tasks of the given size the room takes. The sum
+// alone hides that no single machine may have room: tasks per machine are
+// counted at one deviation above the mean.
+func (r Room) fits(s *wire.Submission) int {
+	if r.Machines == 0 {
+		return 0
+	}
+	n := math.MaxInt32
+	for _, x := range []struct {
+		need float64
+		m    Moments
+	}{{s.CPUs, r.CPUs}, {s.GPUs, r.GPUs}, {s.MemoryGB, r.Memory}} {
+		if x.need <= 0 {
+			continue
+		}
+		if x.m.Mean+2*x.m.Dev+1e-6 < x.need && x.m.Sum < x.need {
+			return 0
+		}
+		n = min(n, int(x.m.Sum/x.need+1e-6))
+	}
+	return n
+}
+
+// booking is an assignment that a part's figures do not show yet.
+type booking struct {
+	revision        uint64 // 0: under way
+	cpus, gpus, mem float64
+	spot            bool
+	job             string
+}
+
+type partState struct {
+	agg      Aggregate
+	at       time.Time
+	bookings []booking
+}
+
+type jobState struct {
+	rec     *state.Job
+	version uint64
+	busy    bool
+	wrote   uint64
+	tries   int
+	notAt   time.Time
+	asked   map[string]bool // parts that sent tasks back since the last round
+}
+
+// Core is the leader in one term.
+type Core struct {
+	set       *settings.Settings
+	termVer   uint64
+	parts     map[string]*partState
+	jobs      map[string]*jobState // all that are not over
+	flying    int
+	authority time.Time
+	from      int
+	reserved  map[string][2]float64 // by job: CPUs and GPUs of assignments under way
+	began     time.Time
+}
+
+// Commit is a changed record to be written.
+type Commit struct {
+	ID  string
+	Txn wire.Txn
+}
+
+// New makes the core at the moment when the feed showed the claim.
+func New(set *settings.Settings, termVersion uint64, now time.Time, jobs map[string]*state.Job, versions map[string]uint64) *Core {
+	c := &Core{set: set, termVer: termVersion, began: now, parts: map[string]*partState{}, jobs: map[string]*jobState{}, reserved: map[string][2]float64{}}
+	for _, z := range set.Params.Zones {
+		c.parts[z] = &partState{}
+	}
+	for id, rec := range jobs {
+		c.ApplyJob(now, id, rec, versions[id])
+	}
+	return c
+}
+
+// SetAuthority says until when the leader may assign.
+func (c *Core) SetAuthority(until time.Time) { c.authority = until }
+
+// Pushed takes in a part's aggregate.
+func (c *Core) Pushed(now time.Time, a Aggregate) {
+	p := c.parts[a.Part]
+	if p == nil || a.Term < p.agg.Term {
+		return
+	}
+	p.agg, p.at = a, now
+	kept := p.bookings[:0]
+	for _, b := range p.bookings {
+		if b.revision == 0 || b.revision > a.Revision {
+			kept = append(kept, b)
+		}
+	}
+	p.bookings = kept
+}
+
+// ApplyJob takes in a record from the feed. A job counts until it is over and
+// all its chunks are closed: until then its tasks may be somewhere.
+func (c *Core) ApplyJob(now time.Time, id string, rec *state.Job, version uint64) {
+	over := rec.End != "" && rec.AllOver()
+	j := c.jobs[id]
+	if over {
+		delete(c.jobs, id)
+		delete(c.reserved, id)
+		return
+	}
+	if j == nil {
+		j = &jobState{}
+		c.jobs[id] = j
+	}
+	if version <= j.version {
+		return
+	}
+	if j.busy && version > j.wrote {
+		j.busy = false
+		delete(c.reserved, id)
+	}
+	if j.rec != nil && len(rec.Unassigned()) > 0 && len(j.rec.Unassigned()) == 0 {
+		// Sent back: other parts are asked, a little later each time.
+		j.tries++
+		j.notAt = now.Add(time.Duration(min(j.tries-1, 8)) * 500 * time.Millisecond)
+	}
+	j.rec, j.version = rec, version
+}
+
+// teamUse sums what a team's open chunks may take, assignments of other jobs
+// under way included. Only durable evidence frees room: a chunk counts until
+// it is closed.
+func (c *Core) teamUse(team, except string) (cpus, gpus float64) {
+	for id, j := range c.jobs {
+		s := &j.rec.Spec
+		if s.Team != team {
+			continue
+		}
+		n := 0
+		for _, ch := range j.rec.Chunks {
+			if !ch.Closed {
+				n += ch.Tasks()
+			}
+		}
+		cpus += float64(n) * s.CPUs
+		gpus += float64(n) * s.GPUs
+		if id == except {
+			continue
+		}
+		r := c.reserved[id]
+		cpus += r[0]
+		gpus += r[1]
+	}
+	return cpus, gpus
+}
+
+// admit says how many of n more tasks a team's limit allows.
+func (c *Core) admit(s *wire.Submission, n int) int {
+	t := c.set.Team(s.Team)
+	if t == nil || t.CPUsMax <= 0 && t.GPUsMax <= 0 {
+		return n
+	}
+	cpus, gpus := c.teamUse(s.Team, s.ID)
+	if t.CPUsMax > 0 && s.CPUs > 0 {
+		n = min(n, int((t.CPUsMax-cpus)/s.CPUs+1e-9))
+	}
+	if t.GPUsMax > 0 && s.GPUs > 0 {
+		n = min(n, int((t.GPUsMax-gpus)/s.GPUs+1e-9))
+	}
+	return max(n, 0)
+}
+
+// withinGuarantee says whether a team's open work fits its guarantee.
+func (c *Core) withinGuarantee(s *wire.Submission, n int) bool {
+	t := c.set.Team(s.Team)
+	if t == nil || t.CPUs <= 0 && t.GPUs <= 0 {
+		return false
+	}
+	cpus, gpus := c.teamUse(s.Team, s.ID)
+	return cpus+float64(n)*s.CPUs <= t.CPUs+1e-9 && gpus+float64(n)*s.GPUs <= t.GPUs+1e-9
+}
+
+// Step assigns what waits, within a budget of time.
+func (c *Core) Step(now time.Time) []Commit {
+	if !now.Before(c.authority) {
+		return nil
+	}
+	var q []*jobState
+	for _, j := range c.jobs {
+		if j.rec.End == "" && !j.busy && !now.Before(j.notAt) && len(j.rec.Unassigned()) > 0 {
+			q = append(q, j)
+		}
+	}
+	sort.Slice(q, func(a, b int) bool {
+		x, y := q[a].rec, q[b].rec
+		if p, r := wire.PriorityLevel(x.Spec.Priority), wire.PriorityLevel(y.Spec.Priority); p != r {
+			return p > r
+		}
+		if x.AcceptedMS != y.AcceptedMS {
+			return x.AcceptedMS < y.AcceptedMS
+		}
+		return x.ID < y.ID
+	})
+	began := time.Now()
+	start := 0
+	if c.from < len(q) {
+		start = c.from
+	}
+	c.from = 0
+	var out []Commit
+	for i := start; i < len(q); i++ {
+		if c.flying >= constants.MaxAssignments || time.Since(began) > constants.LeaderBudget {
+			c.from = i
+			break
+		}
+		if cm, ok := c.assign(now, q[i]); ok {
+			out = append(out, cm)
+		}
+	}
+	return out
+}
+
+// assign decides on a job's unassigned tasks.
+func (c *Core) assign(now time.Time, j *jobState) (Commit, bool) {
+	s := &j.rec.Spec
+	rec := j.rec.Clone()
+	want := 0
+	ranges := rec.Unassigned()
+	for _, r := range ranges {
+		want += r[1] - r[0]
+	}
+	n := c.admit(s, want)
+	if s.IsService() && n < want || n == 0 {
+		return Commit{}, false
+	}
+	guaranteed := c.withinGuarantee(s, n)
+	plan := c.plan(now, j, n)
+	type booked struct {
+		part string
+		n    int
+	}
+	var books []booked
+	given := 0
+	for _, p := range plan {
+		left := p.n
+		for left > 0 && len(ranges) > 0 {
+			r := &ranges[0]
+			k := min(left, r[1]-r[0])
+			rec.Chunks = append(rec.Chunks, state.Chunk{From: r[0], To: r[0] + k, Part: p.part, Keep: p.keep, Guaranteed: guaranteed})
+			r[0] += k
+			left -= k
+			given += k
+			if r[0] == r[1] {
+				ranges = ranges[1:]
+			}
+		}
+		books = append(books, booked{p.part, p.n - left})
+	}
+	if given == 0 {
+		j.notAt = now.Add(constants.LeaderTick)
+		return Commit{}, false
+	}
+	rec.Normalize()
+	for _, b := range books {
+		p := c.parts[b.part]
+		p.bookings = append(p.bookings, booking{job: rec.ID, spot: s.Spot,
+			cpus: float64(b.n) * s.CPUs, gpus: float64(b.n) * s.GPUs, mem: float64(b.n) * s.MemoryGB})
+	}
+	j.busy, j.wrote = true, j.version
+	c.flying++
+	// An earlier assignment without an answer may still be applied instead of
+	// this one, so the larger of the two counts.
+	r := c.reserved[rec.ID]
+	c.reserved[rec.ID] = [2]float64{max(r[0], float64(given)*s.CPUs), max(r[1], float64(given)*s.GPUs)}
+	slog.Debug("assigning", "job", rec.ID, "plan", fmt.Sprint(plan))
+	return Commit{ID: rec.ID, Txn: wire.Txn{
+		If:   []wire.Condition{{Key: state.KeyLeader, Version: c.termVer}, {Key: state.KeyJob(rec.ID), Version: j.version}},
+		Then: []wire.Change{{Put: state.KeyJob(rec.ID), Value: state.Encode(rec)}},
+	}}, true
+}
+
+// Committed takes in what came of a commit; revision is 0 when it failed.
+func (c *Core) Committed(now time.Time, id string, revision uint64) {
+	c.flying--
+	for _, p := range c.parts {
+		kept := p.bookings[:0]
+		for _, b := range p.bookings {
+			if b.job == id && b.revision == 0 {
+				if revision == 0 || revision <= p.agg.Revision {
+					continue
+				}
+				b.revision = revision
+			}
+			kept = append(kept, b)
+		}
+		p.bookings = kept
+	}
+	j := c.jobs[id]
+	if revision != 0 || j == nil {
+		return
+	}
+	// Not known to have been written: if the feed brings a newer record, it
+	// decides; if not, the same is tried again. The reservation stays until
+	// then, since a late transaction may still be applied.
+	j.busy = false
+	j.notAt = now.Add(constants.LeaderTick)
+}
+
+// share is a number of tasks for a part.
+type share struct {
+	part string
+	n    int
+	keep bool
+}
+
+// plan spreads n tasks over the parts in the order of the design: of the
+// parts that take all, the one left with the least summed room; what does not
+// fit goes on to the next. What fits nowhere is kept by the part that waits
+// least and can still rent.
+func (c *Core) plan(now time.Time, j *jobState, n int) []share {
+	s := &j.rec.Spec
+	caps := c.caps(j)
+	type cand struct {
+		name        string
+		fit, cap    int
+		sum, queued float64
+		rent, fresh bool
+	}
+	var cs []*cand
+	for _, z := range c.set.Params.Zones {
+		limit, ok := caps[z]
+		if !ok || limit <= 0 {
+			continue
+		}
+		p := c.parts[z]
+		k := &cand{name: z, cap: limit, fresh: now.Sub(p.at) < constants.StaleAggregate}
+		if k.fresh {
+			ord, spot := p.agg.Ordinary, p.agg.Spot
+			k.queued = p.agg.Waiting
+			for _, b := range p.bookings {
+				sub(&ord, &spot, b)
+				k.queued += b.cpus
+			}
+			k.fit = ord.fits(s)
+			k.sum = ord.CPUs.Sum
+			if s.Spot {
+				k.fit += spot.fits(s)
+				k.sum += spot.CPUs.Sum
+			}
+			if s.Priority == wire.PriorityProduction && s.CPUs > 0 {
+				k.fit += int(p.agg.Yielding / s.CPUs)
+			}
+			k.rent = p.agg.RentOrdinary || s.Spot && p.agg.RentSpot
+		}
+		k.fit = min(k.fit, limit)
+		cs = append(cs, k)
+	}
+	fresh := false
+	for _, k := range cs {
+		fresh = fresh || k.fresh
+	}
+	if len(cs) == 0 || !fresh && now.Sub(c.began) < constants.StaleAggregate {
+		return nil // a new leader waits for the first figures
+	}
+	var out []share
+	left := n
+	need := s.CPUs * float64(n)
+	// Ranked: parts that take everything by least room left after it, then
+	// the others by what they take.
+	sort.SliceStable(cs, func(a, b int) bool {
+		x, y := cs[a], cs[b]
+		if (x.fit >= n) != (y.fit >= n) {
+			return x.fit >= n
+		}
+		if x.fit >= n {
+			return x.sum-need < y.sum-need
+		}
+		return x.fit > y.fit
+	})
+	for _, k := range cs {
+		if s.OneZone && k.fit < left {
+			continue
+		}
+		if t := min(k.fit, left); t > 0 {
+			out = append(out, share{k.name, t, j.tries > 2})
+			k.cap -= t
+			left -= t
+		}
+	}
+	if left == 0 {
+		return out
+	}
+	// No room in sight: whoever can rent and has the shortest queue.
+	sort.SliceStable(cs, func(a, b int) bool {
+		x, y := cs[a], cs[b]
+		if x.fresh != y.fresh {
+			return x.fresh
+		}
+		if x.rent != y.rent {
+			return x.rent
+		}
+		return x.queued < y.queued
+	})
+	for _, k := range cs {
+		if s.OneZone && k.cap < left || len(out) > 0 && s.OneZone {
+			continue
+		}
+		if !k.rent && k.fresh && !s.IsService() {
+			continue // refused for now: the tasks wait here for the first room
+		}
+		if t := min(k.cap, left); t > 0 {
+			out = append(out, share{k.name, t, true})
+			left -= t
+		}
+	}
+	return out
+}
+
+func sub(ord, spot *Room, b booking) {
+	r := ord
+	if b.spot && spot.CPUs.Sum >= b.cpus {
+		r = spot
+	}
+	r.CPUs.Sum -= b.cpus
+	r.GPUs.Sum -= b.gpus
+	r.Memory.Sum -= b.mem
+}
+
+// caps says how many more tasks of a job each allowed part may take, by the
+// job's zone rules, counting every task that may be running.
+func (c *Core) caps(j *jobState) map[string]int {
+	s := &j.rec.Spec
+	held := map[string]int{}
+	for _, ch := range j.rec.Chunks {
+		if !ch.Closed {
+			held[ch.Part] += ch.Tasks()
+		}
+	}
+	out := map[string]int{}
+	for _, z := range c.set.Params.Zones {
+		if s.Zone != "" && s.Zone != z {
+			continue
+		}
+		limit := s.Tasks
+		if s.Spread {
+			limit = (s.Tasks + 1) / 2
+		}
+		if s.OneZone {
+			for other, n := range held {
+				if other != z && n > 0 {
+					limit = 0
+				}
+			}
+		}
+		out[z] = limit - held[z]
+	}
+	return out
+}
--- /dev/null
+++ b/member/core.go
@@ -0,0 +1,243 @@
+// Package member decides which controller leads and which owns which part.
+// It is pure: state and time in, claims out.
+package member
+
+import (
+	"slices"
+	"time"
+
+	"ravenport/constants"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// Controller is one of the deployment's controllers.
+type Controller struct{ Name, Zone string }
+
+// Core mirrors the terms and the live controllers.
+type Core struct {
+	me          string
+	controllers []Controller
+	parts       []string
+	started     time.Time
+	nodes       map[string]node
+	terms       map[string]term // by key
+	vacantSince map[string]time.Time
+}
+
+type node struct {
+	incarnation, version uint64
+	since                time.Time
+}
+
+type term struct {
+	state.Term
+	version uint64
+}
+
+// New makes the core of the controller named me.
+func New(me string, controllers []Controller, parts []string, now time.Time) *Core {
+	c := &Core{me: me, controllers: slices.Clone(controllers), parts: parts, started: now,
+		nodes: map[string]node{}, terms: map[string]term{}, vacantSince: map[string]time.Time{}}
+	slices.SortFunc(c.controllers, func(a, b Controller) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return c
+}
+
+// Apply takes in a change from the feed.
+func (c *Core) Apply(now time.Time, ch state.Change) {
+	switch r := ch.Record.(type) {
+	case *state.Node:
+		old, ok := c.nodes[r.Name]
+		n := node{incarnation: r.Incarnation, version: ch.Version, since: now}
+		if ok && old.incarnation == r.Incarnation {
+			n.since = old.since
+		}
+		c.nodes[r.Name] = n
+	case *state.Term:
+		c.terms[ch.Key] = term{*r, ch.Version}
+	case nil:
+		if kind, name := state.KeyKind(ch.Key); kind == "node" {
+			delete(c.nodes, name)
+		}
+	}
+}
+
+// Term returns the term under key and the key's version.
+func (c *Core) Term(key string) (state.Term, uint64) {
+	t := c.terms[key]
+	return t.Term, t.version
+}
+
+// Alive says whether a controller's lease is known to live.
+func (c *Core) Alive(name string) bool { _, ok := c.nodes[name]; return ok }
+
+// NodeKey returns the incarnation and version under a controller's key.
+func (c *Core) NodeKey(name string) (incarnation, version uint64) {
+	n := c.nodes[name]
+	return n.incarnation, n.version
+}
+
+// Holder returns the live controller that holds the term under key.
+func (c *Core) Holder(key string) (string, bool) {
+	t, ok := c.terms[key]
+	if !ok {
+		return "", false
+	}
+	n, ok := c.nodes[t.Node]
+	return t.Node, ok && n.incarnation == t.Incarnation
+}
+
+// Claim is a transaction that takes or hands on a term.
+type Claim struct {
+	Key string
+	To  string // the new holder
+	Txn wire.Txn
+}
+
+// keys lists everything that wants a holder.
+func (c *Core) keys() []string {
+	out := []string{state.KeyLeader}
+	for _, p := range c.parts {
+		out = append(out, state.KeyPart(p))
+	}
+	return out
+}
+
+// order lists the controllers by their fitness to hold key: a part's own zone
+// first; the leader, where possible, on a controller that is no part's first
+// choice, so that one failure costs one role. What is left is spread by name.
+func (c *Core) order(key string) []Controller {
+	first := map[string]bool{}
+	for _, p := range c.parts {
+		for _, k := range c.controllers {
+			if k.Zone == p {
+				first[k.Name] = true
+				break
+			}
+		}
+	}
+	out := slices.Clone(c.controllers)
+	if key == state.KeyLeader {
+		slices.SortStableFunc(out, func(a, b Controller) int { return rank(first[a.Name]) - rank(first[b.Name]) })
+		return out
+	}
+	i := slices.IndexFunc(c.parts, func(p string) bool { return state.KeyPart(p) == key })
+	// Rotated, so that two orphaned parts go to different controllers.
+	out = append(out[i%len(out):], out[:i%len(out)]...)
+	slices.SortStableFunc(out, func(a, b Controller) int {
+		if d := rank(a.Zone != c.parts[i]) - rank(b.Zone != c.parts[i]); d != 0 {
+			return d
+		}
+		if a.Zone == c.parts[i] { // in its zone, by name
+			return rank(!first[a.Name]) - rank(!first[b.Name])
+		}
+		return rank(first[a.Name]) - rank(first[b.Name])
+	})
+	return out
+}
+
+func rank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Step returns the claims to make now. mine is this process's incarnation;
+// settled says whether its own key is known to stand and it holds authority.
+func (c *Core) Step(now time.Time, mine uint64, settled bool) []Claim {
+	me, ok := c.nodes[c.me]
+	if !ok || me.incarnation != mine || !settled {
+		return nil
+	}
+	var out []Claim
+	for _, key := range c.keys() {
+		if holder, held := c.Holder(key); held {
+			delete(c.vacantSince, key)
+			if holder == c.me {
+				if cl, ok := c.handBack(now, key); ok {
+					out = append(out, cl)
+				}
+			}
+			continue
+		}
+		if _, seen := c.vacantSince[key]; !seen {
+			c.vacantSince[key] = now
+		}
+		if cl, ok := c.claim(now, key, me); ok {
+			out = append(out, cl)
+		}
+	}
+	return out
+}
+
+func (c *Core) claim(now time.Time, key string, me node) (Claim, bool) {
+	position, missing := 0, false
+	for _, k := range c.order(key) {
+		if k.Name == c.me {
+			break
+		}
+		if c.Alive(k.Name) {
+			position++
+		} else {
+			missing = true
+		}
+	}
+	if now.Sub(c.vacantSince[key]) < time.Duration(position)*constants.ClaimStep {
+		return Claim{}, false
+	}
+	t := c.terms[key]
+	if missing && t.version == 0 && now.Sub(c.started) < constants.FirstClaimWait {
+		return Claim{}, false
+	}
+	return c.ClaimOf(key, c.me, me.incarnation, me.version), true
+}
+
+// ClaimOf makes the transaction that gives key to a controller. It holds only
+// while the new holder's key stands and the old one's is as known.
+func (c *Core) ClaimOf(key, to string, incarnation, version uint64) Claim {
+	t := c.terms[key]
+	next := state.Term{Node: to, Incarnation: incarnation, Number: t.Number + 1}
+	txn := wire.Txn{
+		If:   []wire.Condition{{Key: key, Version: t.version}, {Key: state.KeyNode(to), Version: version}},
+		Then: []wire.Change{{Put: key, Value: state.Encode(next)}},
+	}
+	if t.version != 0 && t.Node != to {
+		if _, alive := c.nodes[t.Node]; !alive {
+			txn.If = append(txn.If, wire.Condition{Key: state.KeyNode(t.Node), Version: 0})
+		}
+	}
+	return Claim{Key: key, To: to, Txn: txn}
+}
+
+// handBack gives a held term to a controller that is better placed, once that
+// one has been up for a while.
+func (c *Core) handBack(now time.Time, key string) (Claim, bool) {
+	if key == state.KeyLeader {
+		return Claim{}, false // the leader's place matters little; moving it costs
+	}
+	for _, k := range c.order(key) {
+		if k.Name == c.me {
+			return Claim{}, false
+		}
+		n, ok := c.nodes[k.Name]
+		if !ok || now.Sub(n.since) < constants.HandBackAfter {
+			continue
+		}
+		// Only its own zone is worth a second disturbance.
+		if state.KeyPart(k.Zone) != key {
+			return Claim{}, false
+		}
+		mine := slices.IndexFunc(c.controllers, func(x Controller) bool { return x.Name == c.me })
+		if state.KeyPart(c.controllers[mine].Zone) == key {
+			return Claim{}, false
+		}
+		return c.ClaimOf(key, k.Name, n.incarnation, n.version), true
+	}
+	return Claim{}, false
+}
--- /dev/null
+++ b/node/actors.go
@@ -0,0 +1,255 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"ravenport/actor"
+	"ravenport/cloud"
+	"ravenport/constants"
+	"ravenport/httpwire"
+	"ravenport/leader"
+	"ravenport/part"
+	"ravenport/state"
+	"ravenport/wire"
+	"ravenport/worker"
+)
+
+// Messages to leader and owners.
+type (
+	authority time.Time // may act until then
+	raise     struct{ term, version uint64 }
+	committed struct {
+		id       string
+		revision uint64 // 0: not known to have been written
+	}
+	commandDone struct {
+		machine string
+		result  worker.Result
+	}
+	rented struct {
+		request string
+		names   []string
+		refused bool
+	}
+	returned struct{ names []string }
+	listed   struct {
+		machines []wire.CloudMachine
+		err      error
+	}
+	wake struct{}
+)
+
+// commit carries out a transaction and returns its revision, 0 if it is not
+// known to have been written. One without an answer is repeated: its
+// conditions make that safe.
+func commit(ctx context.Context, store *state.Client, txn wire.Txn, what string) uint64 {
+	ctx, cancel := context.WithTimeout(ctx, 2*constants.StateTimeout)
+	defer cancel()
+	var rev uint64
+	err := state.Retry(ctx, func() (err error) {
+		rev, err = store.Commit(ctx, txn)
+		return err
+	})
+	if err != nil {
+		var conflict *state.Conflict
+		if errors.As(err, &conflict) {
+			slog.Debug("overtaken", "what", what, "err", err)
+		} else if ctx.Err() == nil {
+			slog.Info("not written", "what", what, "err", err)
+		}
+		return 0
+	}
+	return rev
+}
+
+// leaderActor runs the leader's decisions.
+type leaderActor struct {
+	core  *leader.Core
+	store *state.Client
+	self  *actor.Ref
+	ticks bool
+}
+
+func (a *leaderActor) Receive(ctx context.Context, msg any) {
+	now := time.Now()
+	switch m := msg.(type) {
+	case state.Update:
+		for _, ch := range m.Changes {
+			if j, ok := ch.Record.(*state.Job); ok {
+				a.core.ApplyJob(now, j.ID, j, ch.Version)
+			}
+		}
+	case leader.Aggregate:
+		a.core.Pushed(now, m)
+	case authority:
+		a.core.SetAuthority(time.Time(m))
+	case committed:
+		a.core.Committed(now, m.id, m.revision)
+	case wake:
+		a.ticks = false
+	}
+	for _, cm := range a.core.Step(now) {
+		go func() {
+			a.self.Tell(committed{cm.ID, commit(ctx, a.store, cm.Txn, "assignment of "+cm.ID)})
+		}()
+	}
+	if !a.ticks {
+		a.ticks = true
+		time.AfterFunc(constants.LeaderTick, func() { a.self.Tell(wake{}) })
+	}
+}
+
+// partActor runs one owner's decisions and does its calls.
+type partActor struct {
+	core     *part.Core
+	part     string
+	store    *state.Client
+	cloud    *cloud.Client
+	self     *actor.Ref
+	control  *actor.Ref
+	workers  *worker.Commander
+	revision uint64
+	ticks    bool
+	pushAt   time.Time
+	listAt   time.Time
+	listing  bool
+	asked    bool // for a new term
+}
+
+func newPartActor(c *control, name string, term, version uint64, now time.Time, roster map[string]*state.Machine, rosterV map[string]uint64) *partActor {
+	set := c.set
+	cfg := part.Config{
+		Part: name, Node: set.Node, Report: set.Report(), LeaseEnd: set.LeaseEnd(),
+		IdleSpot: set.Operator.IdleSpot, IdleOrdinary: set.Operator.IdleOrdinary, UseSpot: set.Operator.UseSpot,
+		SparePercent: set.Operator.SparePercent, ListLag: time.Duration(set.Params.Cloud.ListLagS * float64(time.Second)),
+		TxnOps: set.Params.State.TxnOps, ValueBytes: int(set.Params.State.ValueKB * 1024),
+	}
+	a := &partActor{part: name, store: c.store, cloud: c.cloud, self: actor.NewRef(), control: c.self,
+		workers: worker.NewCommander(), revision: c.revision}
+	a.core = part.New(cfg, term, version, now, c.types, c.jobs, c.versions, roster, rosterV)
+	a.core.SetAuthority(c.until())
+	a.self.Tell(wake{})
+	return a
+}
+
+func (a *partActor) Receive(ctx context.Context, msg any) {
+	now := time.Now()
+	switch m := msg.(type) {
+	case state.Update:
+		for _, ch := range m.Changes {
+			a.core.Apply(now, ch)
+		}
+		a.revision = m.Revision
+	case beat:
+		a.beat(now, m)
+	case authority:
+		a.core.SetAuthority(time.Time(m))
+	case raise:
+		a.asked = false
+		a.core.Raise(m.term, m.version)
+	case committed:
+		a.core.Committed(now, m.id, m.revision)
+	case commandDone:
+		if m.result.Err != nil {
+			slog.Debug("direct command unanswered", "machine", m.machine, "err", m.result.Err)
+		}
+		a.core.CommandResult(now, m.machine, m.result.Report)
+	case rented:
+		a.core.Rented(now, m.request, m.names, m.refused)
+	case returned:
+		a.core.Returned(now, m.names)
+	case listed:
+		a.listing = false
+		if m.err == nil {
+			a.core.Listed(now, m.machines)
+		}
+	case typesRead:
+		a.core.SetTypes(m.types)
+	case wake:
+		a.ticks = false
+	}
+	for _, act := range a.core.Step(now) {
+		a.do(ctx, act)
+	}
+	a.after(ctx, now)
+}
+
+func (a *partActor) beat(now time.Time, m beat) {
+	reply, ok := a.core.Report(now, m.report)
+	if !ok {
+		m.req.Answer(&httpwire.Response{Status: 503, Body: []byte(`{"error":"not entitled"}`), RetryAfterS: constants.RetryAfterS})
+		return
+	}
+	m.req.Answer(&httpwire.Response{Status: 200, Body: state.Encode(reply)})
+}
+
+// after does what is not the core's: ticks, pushes and the cloud's list.
+func (a *partActor) after(ctx context.Context, now time.Time) {
+	if a.core.WantsNewTerm() && !a.asked {
+		a.asked = true
+		a.control.Tell(wantTerm{a.part})
+	}
+	due := now.Sub(a.pushAt) > constants.PushEvery
+	if due || now.Sub(a.pushAt) > constants.PushGap && a.core.PushDue() {
+		a.pushAt = now
+		a.control.Tell(partStatus{a.part, a.core.Aggregate(now, a.revision), a.core.Counts()})
+	}
+	if !a.listing && now.Sub(a.listAt) > constants.CloudListEvery {
+		a.listing, a.listAt = true, now
+		go func() {
+			l, err := a.cloud.List(ctx)
+			a.self.Tell(listed{l, err})
+		}()
+	}
+	if !a.ticks {
+		a.ticks = true
+		time.AfterFunc(constants.PartTick, func() { a.self.Tell(wake{}) })
+	}
+}
+
+func (a *partActor) do(ctx context.Context, act part.Action) {
+	switch act := act.(type) {
+	case part.SendCommands:
+		a.workers.Send(ctx, act.Addr, act.Request, func(r worker.Result) { a.self.Tell(commandDone{act.Machine, r}) })
+	case part.Commit:
+		go func() {
+			a.self.Tell(committed{act.ID, commit(ctx, a.store, act.Txn, act.ID)})
+		}()
+	case part.Rent:
+		go func() {
+			var names []string
+			err := insist(ctx, "rental", func() (err error) { names, err = a.cloud.Rent(ctx, act.Request); return err })
+			a.self.Tell(rented{act.Request.Request, names, err != nil})
+		}()
+	case part.Return:
+		go func() {
+			if err := insist(ctx, "return", func() error { return a.cloud.Return(ctx, act.Names) }); err == nil {
+				a.self.Tell(returned{act.Names})
+			}
+		}()
+	}
+}
+
+// insist repeats a call to the cloud until it is answered or ctx ends.
+func insist(ctx context.Context, what string, call func() error) error {
+	wait := constants.RetryMin
+	for {
+		err := call()
+		if !errors.Is(err, cloud.ErrTrouble) {
+			return err
+		}
+		slog.Info("cloud call failed", "what", what, "err", err)
+		t := time.NewTimer(wait/2 + rand.N(wait))
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return ctx.Err()
+		case <-t.C:
+		}
+		wait = min(2*wait, constants.RetryMax)
+	}
+}
--- /dev/null
+++ b/node/control.go
@@ -0,0 +1,583 @@
+// Package node puts a controller together: its actors, their inputs and
+// outputs, and the servers that users, workers and peers call.
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"ravenport/actor"
+	"ravenport/cloud"
+	"ravenport/constants"
+	"ravenport/frontdoor"
+	"ravenport/httpwire"
+	"ravenport/leader"
+	"ravenport/member"
+	"ravenport/peer"
+	"ravenport/settings"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// Messages to the control actor.
+type (
+	tick time.Time
+	beat struct {
+		req    request
+		report *wire.Report
+	}
+	health     struct{ req request }
+	peerStatus peer.Status
+	peerReply  struct {
+		node  string
+		reply peer.Reply
+		err   error
+	}
+	leased struct { // a lease and its key were obtained
+		lease, incarnation uint64
+		sent               time.Time
+		err                error
+	}
+	renewed struct {
+		lease uint64
+		sent  time.Time
+		err   error
+	}
+	revisionRead struct {
+		revision uint64
+		sent     time.Time
+		err      error
+	}
+	claimed struct {
+		claim member.Claim
+		err   error
+	}
+	typesRead struct {
+		types []wire.MachineType
+		err   error
+	}
+	partStatus struct { // from a part's actor
+		part      string
+		aggregate leader.Aggregate
+		counts    map[string][2]int
+	}
+	wantTerm struct{ part string }
+)
+
+// request is one HTTP request's way back.
+type request interface {
+	Answer(*httpwire.Response)
+}
+
+// control keeps the lease, makes claims, starts and stops the leader and the
+// owners, and routes reports.
+type control struct {
+	set    *settings.Settings
+	store  *state.Client
+	cloud  *cloud.Client
+	self   *actor.Ref
+	door   *actor.Ref
+	peers  map[string]*peer.Client
+	member *member.Core
+
+	jobs     map[string]*state.Job // not over, or with open chunks
+	versions map[string]uint64
+	roster   map[string]*state.Machine // by key
+	rosterV  map[string]uint64
+	revision uint64
+	synced   bool
+	heardAt  time.Time // last answer of the state service
+
+	incarnation uint64
+	lease       uint64
+	leaseSent   time.Time
+	leaseBusy   bool
+	nextLease   time.Time
+	fresh       time.Time // the feed held all changes made before
+	reads       []revisionRead
+	authority   time.Duration
+	claiming    map[string]time.Time
+	yielded     map[string]uint64 // term given up while handing on
+	types       []wire.MachineType
+	typesAt     time.Time
+	typesBusy   bool
+
+	owners     map[string]*child
+	leaderRef  *child
+	status     map[string]partStatus
+	pushAt     time.Time
+	pushNow    bool
+	pushing    map[string]bool
+	peersState map[string]peerView
+}
+
+type peerView struct {
+	stateOK bool
+	at      time.Time
+}
+
+type child struct {
+	ref    *actor.Ref
+	cancel context.CancelFunc
+	term   uint64
+}
+
+func newControl(set *settings.Settings, store *state.Client, cl *cloud.Client, self, door *actor.Ref) (*control, error) {
+	c := &control{
+		set: set, store: store, cloud: cl, self: self, door: door, peers: map[string]*peer.Client{},
+		jobs: map[string]*state.Job{}, versions: map[string]uint64{}, roster: map[string]*state.Machine{}, rosterV: map[string]uint64{},
+		claiming: map[string]time.Time{}, yielded: map[string]uint64{}, owners: map[string]*child{},
+		status: map[string]partStatus{}, pushing: map[string]bool{}, peersState: map[string]peerView{},
+	}
+	var short bool
+	if c.authority, short = set.Authority(); short {
+		slog.Warn("cancel_s leaves little room: authority shortened", "authority", c.authority)
+	}
+	var all []member.Controller
+	for _, n := range set.Nodes() {
+		all = append(all, member.Controller{Name: n.Node, Zone: n.Zone})
+	}
+	c.member = member.New(set.Node, all, set.Params.Zones, time.Now())
+	for _, p := range set.Peers {
+		cl, err := peer.Dial(p.Addr)
+		if err != nil {
+			return nil, err
+		}
+		c.peers[p.Node] = cl
+	}
+	return c, nil
+}
+
+// Receive implements actor.Handler.
+func (c *control) Receive(ctx context.Context, msg any) {
+	now := time.Now()
+	switch m := msg.(type) {
+	case state.Update:
+		c.update(ctx, now, m)
+	case beat:
+		c.beat(now, m)
+	case health:
+		c.health(now, m)
+	case tick:
+		c.tick(ctx, now)
+	case peerStatus:
+		c.peerStatus(now, peer.Status(m))
+	case peerReply:
+		c.pushing[m.node] = false
+		if m.err == nil {
+			c.peersState[m.node] = peerView{m.reply.StateOK, now}
+		}
+	case leased:
+		c.leased(now, m)
+	case renewed:
+		c.renewed(now, m)
+	case revisionRead:
+		if m.err == nil {
+			c.heardAt = now
+			c.reads = append(c.reads, m)
+			c.freshen(now)
+		}
+	case claimed:
+		c.claimed(now, m)
+	case typesRead:
+		c.typesBusy = false
+		if m.err != nil {
+			slog.Info("machine types not read", "err", m.err)
+			c.typesAt = now.Add(constants.RetryMax - constants.TypesEvery)
+			return
+		}
+		c.typesAt = now
+		c.types = m.types
+		c.door.Tell(frontdoor.Types(m.types))
+		for _, o := range c.owners {
+			o.ref.Tell(m)
+		}
+	case partStatus:
+		c.status[m.part] = m
+		c.pushNow = true
+		c.door.Tell(frontdoor.Counts{Part: m.part, Jobs: m.counts})
+		if c.leaderRef != nil {
+			c.leaderRef.ref.Tell(m.aggregate)
+		}
+	case wantTerm:
+		key := state.KeyPart(m.part)
+		if c.owners[m.part] != nil && c.settled(now) {
+			inc, version := c.member.NodeKey(c.set.Node)
+			c.send(ctx, now, c.member.ClaimOf(key, c.set.Node, inc, version))
+		}
+	}
+}
+
+func (c *control) update(ctx context.Context, now time.Time, up state.Update) {
+	for _, ch := range up.Changes {
+		c.member.Apply(now, ch)
+		switch r := ch.Record.(type) {
+		case *state.Job:
+			if r.End != "" && r.AllOver() {
+				delete(c.jobs, r.ID)
+				delete(c.versions, r.ID)
+			} else {
+				c.jobs[r.ID], c.versions[r.ID] = r, ch.Version
+			}
+		case *state.Machine:
+			c.roster[ch.Key], c.rosterV[ch.Key] = r, ch.Version
+		case nil:
+			delete(c.roster, ch.Key)
+			delete(c.rosterV, ch.Key)
+		}
+	}
+	c.revision = up.Revision
+	c.heardAt = now
+	if !c.synced {
+		c.synced = true
+		slog.Info("feed has read the state service", "revision", up.Revision, "jobs", len(c.jobs))
+	}
+	c.door.Tell(up)
+	for _, o := range c.owners {
+		o.ref.Tell(up)
+	}
+	if c.leaderRef != nil {
+		c.leaderRef.ref.Tell(up)
+	}
+	c.roles(ctx, now)
+	c.freshen(now)
+}
+
+// freshen notes up to when the feed is known to hold every change.
+func (c *control) freshen(now time.Time) {
+	kept := c.reads[:0]
+	for _, r := range c.reads {
+		if r.revision > c.revision {
+			kept = append(kept, r)
+		} else if r.sent.After(c.fresh) {
+			c.fresh = r.sent
+		}
+	}
+	c.reads = kept
+	c.spreadAuthority(now)
+}
+
+// until is when this controller's authority ends: its lease, and its
+// knowledge of cancellations, both counted from before they were asked for.
+func (c *control) until() time.Time {
+	if c.lease == 0 || c.leaseSent.IsZero() || c.fresh.IsZero() {
+		return time.Time{}
+	}
+	t := c.leaseSent
+	if c.fresh.Before(t) {
+		t = c.fresh
+	}
+	return t.Add(c.authority)
+}
+
+func (c *control) settled(now time.Time) bool { return c.synced && now.Before(c.until()) }
+
+func (c *control) spreadAuthority(now time.Time) {
+	u := authority(c.until())
+	for _, o := range c.owners {
+		o.ref.Tell(u)
+	}
+	if c.leaderRef != nil {
+		c.leaderRef.ref.Tell(u)
+	}
+}
+
+// roles starts and stops the leader and the owners as the terms say.
+func (c *control) roles(ctx context.Context, now time.Time) {
+	for _, part := range c.set.Params.Zones {
+		key := state.KeyPart(part)
+		t, version := c.member.Term(key)
+		mine := version != 0 && t.Node == c.set.Node && t.Incarnation == c.incarnation && c.incarnation != 0
+		o := c.owners[part]
+		if o != nil && !mine {
+			slog.Info("part lost", "part", part, "term", o.term, "to", t.Node)
+			c.stopOwner(part)
+		}
+		if !mine || c.yielded[key] >= t.Number {
+			continue
+		}
+		if o = c.owners[part]; o != nil {
+			if o.term != t.Number {
+				o.term = t.Number
+				o.ref.Tell(raise{t.Number, version})
+			}
+			continue
+		}
+		slog.Info("part owned", "part", part, "term", t.Number)
+		c.startOwner(ctx, now, part, t.Number, version)
+	}
+	t, version := c.member.Term(state.KeyLeader)
+	mine := version != 0 && t.Node == c.set.Node && t.Incarnation == c.incarnation && c.incarnation != 0
+	if c.leaderRef != nil && (!mine || c.leaderRef.term != t.Number) {
+		slog.Info("leadership lost", "term", c.leaderRef.term)
+		c.leaderRef.cancel()
+		c.leaderRef = nil
+	}
+	if mine && c.leaderRef == nil {
+		slog.Info("leading", "term", t.Number)
+		ctx, cancel := context.WithCancel(ctx)
+		a := &leaderActor{core: leader.New(c.set, version, now, c.jobs, c.versions), store: c.store, self: actor.NewRef()}
+		a.core.SetAuthority(c.until())
+		c.leaderRef = &child{ref: a.self, cancel: cancel, term: t.Number}
+		for _, s := range c.status {
+			a.self.Tell(s.aggregate)
+		}
+		go a.self.Run(ctx, a)
+	}
+}
+
+func (c *control) startOwner(ctx context.Context, now time.Time, part string, term, version uint64) {
+	ctx, cancel := context.WithCancel(ctx)
+	roster, rosterV := map[string]*state.Machine{}, map[string]uint64{}
+	for k, r := range c.roster {
+		if r.Part == part {
+			roster[k], rosterV[k] = r, c.rosterV[k]
+		}
+	}
+	a := newPartActor(c, part, term, version, now, roster, rosterV)
+	c.owners[part] = &child{ref: a.self, cancel: cancel, term: term}
+	go a.self.Run(ctx, a)
+}
+
+func (c *control) stopOwner(part string) {
+	if o := c.owners[part]; o != nil {
+		o.ref.Tell(authority(time.Time{}))
+		o.cancel()
+		delete(c.owners, part)
+		delete(c.status, part)
+	}
+}
+
+func (c *control) tick(ctx context.Context, now time.Time) {
+	c.keepLease(ctx, now)
+	if len(c.types) == 0 || now.Sub(c.typesAt) > constants.TypesEvery {
+		c.readTypes(ctx, now)
+	}
+	c.roles(ctx, now)
+	for _, cl := range c.member.Step(now, c.incarnation, c.settled(now)) {
+		if at, ok := c.claiming[cl.Key]; ok && now.Sub(at) < constants.StateTimeout+time.Second {
+			continue
+		}
+		if cl.To != c.set.Node {
+			// What this owner does must have ended before another begins.
+			t, _ := c.member.Term(cl.Key)
+			c.yielded[cl.Key] = t.Number
+			for _, part := range c.set.Params.Zones {
+				if state.KeyPart(part) == cl.Key {
+					c.stopOwner(part)
+				}
+			}
+			slog.Info("handing on", "key", cl.Key, "to", cl.To)
+		}
+		c.send(ctx, now, cl)
+	}
+	// A hand-over that failed leaves a term without an owner: take a new one.
+	for key, term := range c.yielded {
+		t, _ := c.member.Term(key)
+		if t.Number != term {
+			delete(c.yielded, key)
+			continue
+		}
+		if _, busy := c.claiming[key]; !busy && c.settled(now) {
+			inc, version := c.member.NodeKey(c.set.Node)
+			c.send(ctx, now, c.member.ClaimOf(key, c.set.Node, inc, version))
+		}
+	}
+	c.push(ctx, now)
+}
+
+func (c *control) send(ctx context.Context, now time.Time, cl member.Claim) {
+	if at, ok := c.claiming[cl.Key]; ok && now.Sub(at) < constants.StateTimeout+time.Second {
+		return
+	}
+	c.claiming[cl.Key] = now
+	go func() {
+		_, err := c.store.Commit(ctx, cl.Txn)
+		c.self.Tell(claimed{cl, err})
+	}()
+}
+
+func (c *control) claimed(now time.Time, m claimed) {
+	if m.err == nil || errors.Is(m.err, state.ErrUnknown) {
+		// The feed tells what came of it; until then nothing else is tried,
+		// for a little while.
+		c.claiming[m.claim.Key] = now.Add(-constants.StateTimeout)
+		return
+	}
+	delete(c.claiming, m.claim.Key)
+	slog.Info("claim failed", "key", m.claim.Key, "to", m.claim.To, "err", m.err)
+}
+
+// keepLease renews the lease, or gets one and puts this controller's key.
+func (c *control) keepLease(ctx context.Context, now time.Time) {
+	if c.leaseBusy || now.Before(c.nextLease) || !c.synced {
+		return
+	}
+	c.leaseBusy = true
+	life := c.set.Operator.LeaseLife
+	c.nextLease = now.Add(life / constants.RenewalsPerLife)
+	sent := now
+	if c.lease == 0 {
+		inc := rand.Uint64()>>1 | 1
+		_, version := c.member.NodeKey(c.set.Node)
+		go func() {
+			lease, err := c.store.Grant(ctx, life)
+			if err == nil {
+				// Conditional, so that a late copy from an earlier process can
+				// never replace this one's.
+				key := state.KeyNode(c.set.Node)
+				_, err = c.store.Commit(ctx, wire.Txn{
+					If:   []wire.Condition{{Key: key, Version: version}},
+					Then: []wire.Change{{Put: key, Value: state.Encode(state.Node{Incarnation: inc}), Lease: lease}},
+				})
+			}
+			c.self.Tell(leased{lease, inc, sent, err})
+		}()
+		return
+	}
+	lease := c.lease
+	go func() {
+		err := c.store.Renew(ctx, lease)
+		c.self.Tell(renewed{lease, sent, err})
+		if err == nil {
+			at := time.Now()
+			rev, err := c.store.Revision(ctx)
+			c.self.Tell(revisionRead{rev, at, err})
+		}
+	}()
+}
+
+func (c *control) leased(now time.Time, m leased) {
+	c.leaseBusy = false
+	if m.err != nil {
+		slog.Info("no lease yet", "err", m.err)
+		c.nextLease = now.Add(constants.RetryMin + rand.N(constants.RetryMin))
+		return
+	}
+	c.heardAt = now
+	c.lease, c.incarnation, c.leaseSent = m.lease, m.incarnation, m.sent
+	c.nextLease = now
+	slog.Info("lease obtained", "lease", m.lease)
+	c.spreadAuthority(now)
+}
+
+func (c *control) renewed(now time.Time, m renewed) {
+	c.leaseBusy = false
+	switch {
+	case m.err == nil:
+		c.heardAt = now
+		if m.lease == c.lease && m.sent.After(c.leaseSent) {
+			c.leaseSent = m.sent
+		}
+		c.spreadAuthority(now)
+	case errors.Is(m.err, state.ErrNoLease):
+		// Others may hold this controller's terms by now. It begins anew.
+		slog.Warn("lease ended", "lease", m.lease)
+		c.lease, c.incarnation = 0, 0
+		c.leaseSent = time.Time{}
+		for part := range c.owners {
+			c.stopOwner(part)
+		}
+		if c.leaderRef != nil {
+			c.leaderRef.cancel()
+			c.leaderRef = nil
+		}
+		c.nextLease = now
+	default:
+		slog.Info("renewal failed", "err", m.err)
+		c.nextLease = now.Add(constants.RetryMin + rand.N(constants.RetryMin))
+	}
+}
+
+func (c *control) readTypes(ctx context.Context, now time.Time) {
+	if c.typesBusy || now.Sub(c.typesAt) < 0 || len(c.types) > 0 && now.Sub(c.typesAt) < constants.TypesEvery {
+		return
+	}
+	c.typesBusy = true
+	go func() {
+		t, err := c.cloud.Types(ctx)
+		c.self.Tell(typesRead{t, err})
+	}()
+}
+
+// beat hands a worker's report to the owner of its part, or points the worker
+// to the controller that owns it.
+func (c *control) beat(now time.Time, m beat) {
+	if o := c.owners[m.report.Zone]; o != nil {
+		o.ref.Tell(m)
+		return
+	}
+	to := ""
+	if holder, ok := c.member.Holder(state.KeyPart(m.report.Zone)); ok && holder != c.set.Node {
+		to = holder
+	}
+	body, err := json.Marshal(wire.Redirect{ReportTo: to})
+	if err != nil {
+		slog.Error("encoding an answer", "err", err)
+	}
+	m.req.Answer(&httpwire.Response{Status: 421, Body: body})
+}
+
+// health says whether this controller can serve users. While the state
+// service is away for all, it can do as much as any other and stays healthy:
+// it answers at once when to come back, and is there the moment it returns.
+func (c *control) health(now time.Time, m health) {
+	ok := c.synced && len(c.types) > 0
+	if ok && now.Sub(c.heardAt) > constants.StateSilence+constants.WatchWait/2 {
+		for _, p := range c.peersState {
+			if p.stateOK && now.Sub(p.at) < constants.StateSilence {
+				ok = false
+			}
+		}
+	}
+	if !ok {
+		m.req.Answer(&httpwire.Response{Status: 503, Body: []byte(`{"status":"unready"}`)})
+		return
+	}
+	m.req.Answer(&httpwire.Response{Status: 200, Body: []byte(`{"status":"ok"}`)})
+}
+
+func (c *control) stateOK(now time.Time) bool { return now.Sub(c.heardAt) < constants.StateSilence }
+
+// push tells the other controllers this one's aggregates.
+func (c *control) push(ctx context.Context, now time.Time) {
+	due := now.Sub(c.pushAt) > constants.PushEvery
+	if !due && !(c.pushNow && now.Sub(c.pushAt) >= constants.PushGap) {
+		return
+	}
+	c.pushAt, c.pushNow = now, false
+	s := peer.Status{Node: c.set.Node, StateOK: c.stateOK(now), Counts: map[string]map[string][2]int{}}
+	for part, st := range c.status {
+		s.Aggregates = append(s.Aggregates, st.aggregate)
+		s.Counts[part] = st.counts
+	}
+	lead, _ := c.member.Holder(state.KeyLeader)
+	for name, p := range c.peers {
+		if c.pushing[name] || !due && name != lead {
+			continue
+		}
+		c.pushing[name] = true
+		go func() {
+			r, err := p.Push(ctx, s)
+			c.self.Tell(peerReply{name, r, err})
+		}()
+	}
+}
+
+func (c *control) peerStatus(now time.Time, s peer.Status) {
+	c.peersState[s.Node] = peerView{s.StateOK, now}
+	for _, a := range s.Aggregates {
+		if c.leaderRef != nil {
+			c.leaderRef.ref.Tell(a)
+		}
+	}
+	for part, jobs := range s.Counts {
+		if c.owners[part] == nil {
+			c.door.Tell(frontdoor.Counts{Part: part, Jobs: jobs})
+		}
+	}
+}
--- /dev/null
+++ b/part/place.go
@@ -0,0 +1,648 @@
+package part
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"log/slog"
+
+	"ravenport/constants"
+	"ravenport/leader"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// usable says whether new tasks may go to a machine now.
+func (c *Core) usable(now time.Time, m *machine) bool {
+	return m.verified(c.term) && m.rosterVersion != 0 && m.rosterAddr == m.addr && m.typ != nil &&
+		!m.returning && m.notice.IsZero() && !c.silent(now, m) && !now.Before(m.avoidUntil)
+}
+
+func (c *Core) silent(now time.Time, m *machine) bool {
+	return now.Sub(m.heard) > time.Duration(constants.SilentPeriods*float64(c.cfg.Report))
+}
+
+// allowed says whether a job's tasks may run on a kind of machine.
+func allowed(s *wire.Submission, typ string, spot bool) bool {
+	return (s.Spot || !spot) && (len(s.Types) == 0 || slices.Contains(s.Types, typ))
+}
+
+// queue lists the jobs with waiting tasks: by priority, then guaranteed work,
+// then in the order of acceptance.
+func (c *Core) queue(now time.Time) []*job {
+	var q []*job
+	for _, j := range c.jobs {
+		if j.rec.End != "" {
+			continue
+		}
+		for _, t := range j.tasks {
+			if t.waiting() {
+				q = append(q, j)
+				break
+			}
+		}
+	}
+	sort.Slice(q, func(a, b int) bool {
+		x, y := q[a], q[b]
+		if p, r := wire.PriorityLevel(x.rec.Spec.Priority), wire.PriorityLevel(y.rec.Spec.Priority); p != r {
+			return p > r
+		}
+		if x.rec.AcceptedMS != y.rec.AcceptedMS {
+			return x.rec.AcceptedMS < y.rec.AcceptedMS
+		}
+		return x.rec.ID < y.rec.ID
+	})
+	return q
+}
+
+func (j *job) waitingTasks(now time.Time) []*task {
+	var out []*task
+	for _, t := range j.tasks {
+		if t.waiting() && !now.Before(t.notBefore) {
+			out = append(out, t)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].index < out[b].index })
+	return out
+}
+
+// place gives waiting tasks to machines, best fit first, within a budget of
+// time; the next round goes on where this one stopped.
+func (c *Core) place(now time.Time) {
+	c.dirty = false
+	c.lastPlace = now
+	q := c.queue(now)
+	began := time.Now()
+	start := 0
+	if c.queueFrom < len(q) {
+		start = c.queueFrom
+	}
+	c.queueFrom = 0
+	for i := start; i < len(q); i++ {
+		if time.Since(began) > constants.PartBudget {
+			c.queueFrom = i
+			c.dirty = true
+			return
+		}
+		j := q[i]
+		for _, t := range j.waitingTasks(now) {
+			m := c.bestFit(now, &j.rec.Spec)
+			if m == nil {
+				m = c.preempt(now, &j.rec.Spec)
+			}
+			if m == nil {
+				break // the job's other tasks need the same
+			}
+			c.start(now, t, m)
+		}
+	}
+}
+
+// bestFit is the paper's Resource-Only Match: of the machines that have room,
+// the one that is left with the least. Machines that hold the image already
+// come first, and spot machines before ordinary ones where both are allowed:
+// ordinary room is the only room for those that may not use spot.
+func (c *Core) bestFit(now time.Time, s *wire.Submission) *machine {
+	n := need(s)
+	var best *machine
+	var bestScore float64
+	for _, m := range c.machines {
+		if !c.usable(now, m) || !allowed(s, m.typeName, m.spot) {
+			continue
+		}
+		free := m.free()
+		if !n.fits(free) {
+			continue
+		}
+		score := c.left(m, free.minus(n))
+		if !m.images[s.Image] {
+			score += 10
+		}
+		if s.Spot && !m.spot {
+			score += 5
+		}
+		if best == nil || score < bestScore || score == bestScore && m.name < best.name {
+			best, bestScore = m, score
+		}
+	}
+	return best
+}
+
+// Aggregate is what the owner pushes to the leader: the free room of the
+// machines that take tasks, those that are coming included.
+func (c *Core) Aggregate(now time.Time, revision uint64) leader.Aggregate {
+	a := leader.Aggregate{Part: c.cfg.Part, Term: c.term, Revision: revision, Waiting: c.unplaced.cpus,
+		RentOrdinary: !now.Before(c.refused[false]), RentSpot: c.cfg.UseSpot && !now.Before(c.refused[true])}
+	add := func(free resources, spot bool) {
+		r := &a.Ordinary
+		if spot {
+			r = &a.Spot
+		}
+		r.Machines++
+		r.CPUs.Add(free.cpus)
+		r.GPUs.Add(free.gpus)
+		r.Memory.Add(free.mem)
+	}
+	for _, m := range c.machines {
+		coming := !m.up && !m.inherited && !m.returning && m.typ != nil && now.Sub(m.rentedAt) < c.bootLimit(m)
+		if !coming && !c.usable(now, m) {
+			continue
+		}
+		add(m.free(), m.spot)
+		if m.spot {
+			continue
+		}
+		for _, h := range m.holds {
+			if t := c.taskOf(h); !h.exited() && !h.stop && h.instant && t != nil &&
+				wire.PriorityLevel(t.job.rec.Spec.Priority) < wire.PriorityLevel(wire.PriorityProduction) {
+				a.Yielding += h.needs.cpus
+			}
+		}
+	}
+	for _, r := range c.pendingRents {
+		if t := c.types[r.req.Type]; t != nil {
+			for range r.req.Count {
+				add(resources{t.CPUs, t.GPUs, t.MemoryGB}, r.req.Spot)
+			}
+		}
+	}
+	for _, r := range []*leader.Room{&a.Ordinary, &a.Spot} {
+		r.CPUs.Finish(r.Machines)
+		r.GPUs.Finish(r.Machines)
+		r.Memory.Finish(r.Machines)
+	}
+	return a
+}
+
+// PushDue says whether the aggregate has changed since it was last taken.
+func (c *Core) PushDue() bool { d := c.pushDirty; c.pushDirty = false; return d }
+
+// Counts returns the tasks of each job that run here, and those that are done
+// in chunks not closed yet, for display.
+func (c *Core) Counts() map[string][2]int {
+	out := map[string][2]int{}
+	for id, j := range c.jobs {
+		var n [2]int
+		for _, t := range j.tasks {
+			switch {
+			case t.done:
+				n[1]++
+			case t.hold != nil && (t.hold.state == wire.TaskRunning || t.hold.state == wire.TaskSaving):
+				n[0]++
+			}
+		}
+		if n[0]+n[1] > 0 {
+			out[id] = n
+		}
+	}
+	return out
+}
+
+// left is the share of a machine that stays free, from 0 to 2.
+func (c *Core) left(m *machine, free resources) float64 {
+	l := 0.0
+	if m.capacity.cpus > 0 {
+		l += free.cpus / m.capacity.cpus
+	}
+	if m.capacity.mem > 0 {
+		l += free.mem / m.capacity.mem
+	}
+	return l
+}
+
+// preempt makes room on a machine by stopping work of lower priority: the
+// machine on which the least is lost. It returns nil where none can be made.
+func (c *Core) preempt(now time.Time, s *wire.Submission) *machine {
+	level := wire.PriorityLevel(s.Priority)
+	n := need(s)
+	var best *machine
+	var bestVictims []*hold
+	bestCost := math.Inf(1)
+	for _, m := range c.machines {
+		if !c.usable(now, m) || !allowed(s, m.typeName, m.spot) {
+			continue
+		}
+		var can []*hold
+		for _, h := range m.holds {
+			t := c.taskOf(h)
+			if !h.exited() && h.instant && !h.stop && t != nil && t.hold == h &&
+				wire.PriorityLevel(t.job.rec.Spec.Priority) < level {
+				can = append(can, h)
+			}
+		}
+		// The youngest lose the least.
+		sort.Slice(can, func(a, b int) bool {
+			if !can[a].sentAt.Equal(can[b].sentAt) {
+				return can[a].sentAt.After(can[b].sentAt)
+			}
+			return can[a].key.attempt > can[b].key.attempt
+		})
+		free := m.free()
+		cost := 0.0
+		var victims []*hold
+		for _, h := range can {
+			if n.fits(free) {
+				break
+			}
+			free = free.plus(h.needs)
+			victims = append(victims, h)
+			cost += h.needs.cpus * (1 + now.Sub(h.sentAt).Seconds())
+		}
+		if !n.fits(free) || len(victims) == 0 {
+			continue
+		}
+		if !m.images[s.Image] {
+			cost += 100
+		}
+		if cost < bestCost || cost == bestCost && m.name < best.name {
+			best, bestVictims, bestCost = m, victims, cost
+		}
+	}
+	for _, h := range bestVictims {
+		h.stop = true
+		slog.Debug("task makes room", "task", h.key.task, "machine", best.name)
+	}
+	return best
+}
+
+// start decides an attempt. From here on the task counts as maybe there.
+func (c *Core) start(now time.Time, t *task, m *machine) {
+	c.counter++
+	h := &hold{
+		key:   holdKey{wire.TaskName(t.job.rec.ID, t.index), c.term<<constants.AttemptBits | c.counter},
+		jobID: t.job.rec.ID, index: t.index, m: m, state: stateSent, sentAt: now,
+	}
+	c.fillHold(h, t.job)
+	m.holds[h.key] = h
+	m.idleSince = time.Time{}
+	m.wantCommand = true
+	t.hold = h
+	c.pushDirty = true
+}
+
+// rent asks for machines for what waits and fits on nothing that is coming.
+func (c *Core) rent(now time.Time) {
+	c.unplaced = resources{}
+	if len(c.types) == 0 || !c.rebuilt {
+		return
+	}
+	type bin struct {
+		free resources
+		typ  string
+		spot bool
+	}
+	var bins []*bin
+	for _, m := range c.machines {
+		if !m.up && !m.returning && m.typ != nil && m.notice.IsZero() && now.Sub(m.rentedAt) < c.bootLimit(m) {
+			bins = append(bins, &bin{m.capacity, m.typeName, m.spot})
+		} else if m.up && !m.verified(c.term) && !m.returning && m.typ != nil && !c.silent(now, m) {
+			bins = append(bins, &bin{m.free(), m.typeName, m.spot})
+		}
+	}
+	for _, r := range c.pendingRents {
+		if t := c.types[r.req.Type]; t != nil {
+			for range r.req.Count {
+				bins = append(bins, &bin{resources{t.CPUs, t.GPUs, t.MemoryGB}, t.Name, r.req.Spot})
+			}
+		}
+	}
+	type kind struct {
+		typ  string
+		spot bool
+	}
+	want := map[kind]int{}
+	total := 0
+	for _, j := range c.queue(now) {
+		s := &j.rec.Spec
+		n := need(s)
+		for _, t := range j.waitingTasks(now) {
+			c.unplaced = c.unplaced.plus(n)
+			if total >= wire.MaxRent {
+				continue
+			}
+			placed := false
+			for _, b := range bins {
+				if allowed(s, b.typ, b.spot) && n.fits(b.free) {
+					b.free = b.free.minus(n)
+					placed = true
+					break
+				}
+			}
+			if placed {
+				continue
+			}
+			if !t.keep {
+				c.sendBack(j, t) // it does not fit: the next part is asked
+				continue
+			}
+			typ, spot, ok := c.pick(now, s)
+			if !ok {
+				if now.Sub(t.waitSince) > constants.KeepWait && !s.IsService() {
+					c.sendBack(j, t)
+				}
+				continue
+			}
+			bins = append(bins, &bin{resources{typ.CPUs, typ.GPUs, typ.MemoryGB}.minus(n), typ.Name, spot})
+			want[kind{typ.Name, spot}]++
+			total++
+		}
+	}
+	for k, n := range want {
+		c.rentSeq++
+		req := wire.RentRequest{
+			// The term makes the name this owner's alone, for ever.
+			Request: fmt.Sprintf("rv-%s-%d-%d", c.cfg.Part, c.term, c.rentSeq),
+			Type:    k.typ, Zone: c.cfg.Part, Spot: k.spot, Count: n,
+		}
+		c.pendingRents[req.Request] = &rental{req: req, at: now}
+		c.actions = append(c.actions, Rent{req})
+		slog.Info("renting", "part", c.cfg.Part, "type", k.typ, "spot", k.spot, "count", n)
+	}
+}
+
+// sendBack marks a waiting task to be sent back to the leader. From here on
+// it is not placed, until a newer record says what became of it.
+func (c *Core) sendBack(j *job, t *task) {
+	if !j.writing {
+		t.leaving = true
+	}
+}
+
+// pick chooses the cheapest kind of machine for a task that can be had.
+func (c *Core) pick(now time.Time, s *wire.Submission) (*wire.MachineType, bool, bool) {
+	var best *wire.MachineType
+	bestSpot, bestPrice := false, math.Inf(1)
+	for _, t := range c.types {
+		if !need(s).fits(resources{t.CPUs, t.GPUs, t.MemoryGB}) || !allowed(s, t.Name, false) || !slices.Contains(t.Zones, c.cfg.Part) {
+			continue
+		}
+		for _, spot := range []bool{false, true} {
+			if spot && (!s.Spot || !c.cfg.UseSpot) || now.Before(c.refused[spot]) {
+				continue
+			}
+			price := t.Price
+			if spot {
+				price = t.SpotPrice
+			}
+			price /= max(t.CPUs, 1)
+			if price < bestPrice || price == bestPrice && t.Name < best.Name {
+				best, bestSpot, bestPrice = t, spot, price
+			}
+		}
+	}
+	return best, bestSpot, best != nil
+}
+
+func (c *Core) bootLimit(m *machine) time.Duration {
+	boot := 60.0
+	if m.typ != nil {
+		boot = m.typ.BootS
+	}
+	return time.Duration(constants.BootPatience*boot+10) * time.Second
+}
+
+// Rented takes in the answer to a rental: the machines, or that none is to be
+// had. An unanswered rental is repeated by the actor under the same name.
+func (c *Core) Rented(now time.Time, request string, names []string, refused bool) {
+	r := c.pendingRents[request]
+	if r == nil {
+		return
+	}
+	delete(c.pendingRents, request)
+	if refused || len(names) < r.req.Count {
+		slog.Info("cloud has no more machines", "part", c.cfg.Part, "spot", r.req.Spot, "asked", r.req.Count, "got", len(names))
+		c.refused[r.req.Spot] = now.Add(constants.RefusedPause)
+	}
+	for _, name := range names {
+		m := c.machine(name)
+		if m.typeName == "" {
+			m.typeName, m.spot, m.rentedAt = r.req.Type, r.req.Spot, r.at
+			c.size(m)
+		}
+	}
+	c.dirty, c.pushDirty = true, true
+}
+
+// giveBack returns machines that are idle, never came up, or are silent
+// beyond hope.
+func (c *Core) giveBack(now time.Time) {
+	var names []string
+	heard, up := 0, 0
+	for _, m := range c.machines {
+		if m.up && !m.returning {
+			up++
+			if !c.silent(now, m) {
+				heard++
+			}
+		}
+	}
+	for _, m := range c.machines {
+		if !m.dropAt.IsZero() && now.After(m.dropAt) {
+			m.dropAt = time.Time{}
+			c.dropRoster(m)
+		}
+		if m.returning || len(names) >= wire.MaxReturn {
+			continue
+		}
+		why := ""
+		idle := c.cfg.IdleOrdinary
+		if m.spot {
+			idle = c.cfg.IdleSpot
+		}
+		switch {
+		case !m.up && !m.inherited && now.Sub(m.rentedAt) > c.bootLimit(m):
+			why = "did not come up"
+		case m.up && !m.busy() && !m.idleSince.IsZero() && now.Sub(m.idleSince) > idle && m.verified(c.term):
+			why = "idle"
+		case m.up && now.Sub(m.heard) > time.Duration((constants.SilentPeriods+1)*float64(c.cfg.Report)) && heard*2 > up:
+			// Returning it makes what was on it surely gone, long before its
+			// lease ends. When most are silent, the owner is cut off itself.
+			why = "silent"
+		case m.inherited && !m.up && now.Sub(c.claimed) > time.Duration((constants.SilentPeriods+1)*float64(c.cfg.Report)) && heard*2 > up:
+			why = "silent since the takeover"
+		}
+		if why != "" {
+			slog.Info("returning machine", "machine", m.name, "why", why, "spot", m.spot)
+			m.returning = true
+			names = append(names, m.name)
+		}
+	}
+	if len(names) > 0 {
+		c.actions = append(c.actions, Return{names})
+	}
+}
+
+// Returned takes in the cloud's word that machines and all on them are gone.
+func (c *Core) Returned(now time.Time, names []string) {
+	for _, name := range names {
+		m := c.machines[name]
+		if m == nil {
+			continue
+		}
+		for _, h := range m.holds {
+			c.release(now, h)
+		}
+		m.up, m.inherited = false, false
+		m.leaseUntil = time.Time{}
+		if m.rosterVersion == 0 && !m.rosterBusy {
+			delete(c.machines, name)
+			continue
+		}
+		c.dropRoster(m)
+	}
+	c.checkRebuilt(now)
+}
+
+func (c *Core) dropRoster(m *machine) {
+	c.commit("gone/"+m.name, wire.Change{Delete: state.KeyMachine(c.cfg.Part, m.name)},
+		wire.Condition{Key: state.KeyMachine(c.cfg.Part, m.name), Version: m.rosterVersion})
+}
+
+// Listed takes in the cloud's list, which lags: it brings unexpected machines
+// to light and those that failed, and proves nothing else.
+func (c *Core) Listed(now time.Time, list []wire.CloudMachine) {
+	for _, l := range list {
+		if l.Zone != c.cfg.Part {
+			continue
+		}
+		m := c.machines[l.Name]
+		if l.State == wire.MachineFailed {
+			if m == nil {
+				c.actions = append(c.actions, Return{[]string{l.Name}})
+			} else if !m.returning {
+				m.returning = true
+				c.actions = append(c.actions, Return{[]string{l.Name}})
+			}
+			continue
+		}
+		// A machine returned a moment ago may still be listed.
+		if m == nil && l.State == wire.MachineBooting && time.Duration(l.AgeS*float64(time.Second)) > 2*c.cfg.ListLag {
+			m = c.machine(l.Name)
+			m.typeName, m.spot = l.Type, l.Spot
+			m.rentedAt = now.Add(-time.Duration(l.AgeS * float64(time.Second)))
+			c.size(m)
+			slog.Info("unexpected machine found in the cloud's list", "machine", l.Name)
+		}
+	}
+}
+
+// closeChunks records what is finished.
+func (c *Core) closeChunks(now time.Time) {
+	for id, j := range c.jobs {
+		if j.writing || now.Before(j.retryAt) {
+			continue
+		}
+		rec := j.rec.Clone()
+		changed := false
+		for i := range rec.Chunks {
+			ch := &rec.Chunks[i]
+			if ch.Part != c.cfg.Part || ch.Closed {
+				continue
+			}
+			over := true
+			for k := ch.From; k < ch.To; k++ {
+				t := j.tasks[k]
+				if t == nil {
+					over = false
+					break
+				}
+				if rec.End != "" {
+					over = over && !t.uncertain && !c.somewhere(id, k)
+				} else {
+					over = over && t.done && !c.somewhere(id, k)
+				}
+				if !over {
+					break
+				}
+			}
+			if over {
+				ch.Closed = true
+				changed = true
+			}
+		}
+		for k, t := range j.tasks {
+			if t.leaving && rec.End == "" {
+				cutOut(rec, k)
+				changed = true
+			}
+		}
+		if !changed {
+			continue
+		}
+		rec.Normalize()
+		if rec.End == "" && !rec.Spec.IsService() && rec.AllClosed() {
+			rec.End = wire.JobDone
+		}
+		c.writeJob(id, j, rec)
+	}
+}
+
+// cutOut takes one task out of its chunk.
+func cutOut(rec *state.Job, index int) {
+	for i := range rec.Chunks {
+		ch := &rec.Chunks[i]
+		if ch.Closed || index < ch.From || index >= ch.To {
+			continue
+		}
+		rest := *ch
+		rest.From = index + 1
+		ch.To = index
+		rec.Chunks = append(rec.Chunks, rest)
+		return
+	}
+}
+
+func (c *Core) writeJob(id string, j *job, rec *state.Job) {
+	j.writing = true
+	c.commit("job/"+id, wire.Change{Put: state.KeyJob(id), Value: state.Encode(rec)},
+		wire.Condition{Key: state.KeyJob(id), Version: j.version})
+}
+
+// somewhere says whether any attempt of a task may be on any machine.
+func (c *Core) somewhere(jobID string, index int) bool {
+	for _, m := range c.machines {
+		for _, h := range m.holds {
+			if h.jobID == jobID && h.index == index && !h.exited() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Committed takes in what came of a transaction. A conflict needs nothing: the
+// feed brings the change that caused it.
+func (c *Core) Committed(now time.Time, id string, revision uint64) {
+	ok := revision != 0
+	kind, rest, _ := strings.Cut(id, "/")
+	switch kind {
+	case "machine":
+		c.rosterWrites--
+		if m := c.machines[rest]; m != nil {
+			m.rosterBusy = false
+			if ok {
+				m.rosterVersion, m.rosterAddr = revision, m.rosterSent
+				c.dirty = true
+			}
+		}
+	case "gone":
+		if m := c.machines[rest]; m != nil {
+			if ok {
+				delete(c.machines, rest)
+			} else {
+				m.dropAt = now.Add(constants.RetryMax)
+			}
+		}
+	case "job":
+		if j := c.jobs[rest]; j != nil && !ok {
+			// Either the feed will bring a newer version, or the write is
+			// tried again.
+			j.writing = false
+			j.retryAt = now.Add(constants.RetryMax)
+		}
+	}
+}
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,108 @@
+// Package peer carries messages between controllers over gRPC. Nothing
+// depends on them: they only make faster what the records bring anyway.
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/encoding"
+
+	"ravenport/constants"
+	"ravenport/leader"
+)
+
+// Status is what a controller tells another of itself.
+type Status struct {
+	Node       string             `json:"node"`
+	StateOK    bool               `json:"state_ok"` // it reaches the state service
+	Aggregates []leader.Aggregate `json:"agg,omitempty"`
+	// Counts are tasks running, and done in open chunks, by part and job.
+	Counts map[string]map[string][2]int `json:"counts,omitempty"`
+}
+
+// Reply answers a status.
+type Reply struct {
+	Node    string `json:"node"`
+	StateOK bool   `json:"state_ok"`
+}
+
+// Handler takes in a status; it must not block.
+type Handler func(Status) Reply
+
+const method = "/ravenport.Peer/Push"
+
+// codec writes the messages as JSON, like every other interface here.
+type codec struct{}
+
+func (codec) Name() string                       { return "json" }
+func (codec) Marshal(v any) ([]byte, error)      { return json.Marshal(v) }
+func (codec) Unmarshal(data []byte, v any) error { return json.Unmarshal(data, v) }
+
+func init() { encoding.RegisterCodec(codec{}) }
+
+type service interface{}
+
+var desc = grpc.ServiceDesc{
+	ServiceName: "ravenport.Peer",
+	HandlerType: (*service)(nil),
+	Methods: []grpc.MethodDesc{{
+		MethodName: "Push",
+		Handler: func(srv any, _ context.Context, dec func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+			var s Status
+			if err := dec(&s); err != nil {
+				return nil, err
+			}
+			r := srv.(Handler)(s)
+			return &r, nil
+		},
+	}},
+}
+
+// Serve listens on addr until ctx ends.
+func Serve(ctx context.Context, addr string, h Handler) error {
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return fmt.Errorf("peer: %w", err)
+	}
+	s := grpc.NewServer(grpc.MaxRecvMsgSize(constants.PeerMaxMessage), grpc.NumStreamWorkers(1),
+		grpc.ReadBufferSize(constants.PeerBuffer), grpc.WriteBufferSize(constants.PeerBuffer))
+	s.RegisterService(&desc, h)
+	context.AfterFunc(ctx, s.Stop)
+	return s.Serve(l)
+}
+
+// Client speaks to one other controller.
+type Client struct{ conn *grpc.ClientConn }
+
+// Dial prepares a connection; it is set up in the background.
+func Dial(addr string) (*Client, error) {
+	conn, err := grpc.NewClient("passthrough:///"+addr,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(grpc.ForceCodec(codec{})),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithReadBufferSize(constants.PeerBuffer), grpc.WithWriteBufferSize(constants.PeerBuffer),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 200 * time.Millisecond, Multiplier: 1.5, Jitter: 0.2, MaxDelay: constants.RetryMax},
+			MinConnectTimeout: constants.DialTimeout,
+		}))
+	if err != nil {
+		return nil, fmt.Errorf("peer: %w", err)
+	}
+	return &Client{conn}, nil
+}
+
+// Push tells a status and returns the other's answer.
+func (c *Client) Push(ctx context.Context, s Status) (Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, constants.PeerTimeout)
+	defer cancel()
+	var r Reply
+	err := c.conn.Invoke(ctx, method, &s, &r)
+	return r, err
+}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,189 @@
+// Package server takes HTTP requests from users, workers and health checks on
+// gnet and hands them to a handler.
+package server
+
+import (
+	"errors"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+
+	"ravenport/constants"
+	"ravenport/httpwire"
+)
+
+// Request is one request and the way to answer it. Answer may be called from
+// any goroutine, once.
+type Request struct {
+	*httpwire.Message
+	conn gnet.Conn
+	done atomic.Bool
+}
+
+// Answer sends the response.
+func (r *Request) Answer(resp *httpwire.Response) {
+	if r.done.Swap(true) {
+		return
+	}
+	resp.Close = resp.Close || r.Close
+	buf := httpwire.AppendResponse(make([]byte, 0, 192+len(resp.Body)), resp)
+	closing := resp.Close
+	// The callback runs on the event loop, which owns the connection's state.
+	err := r.conn.AsyncWrite(buf, func(c gnet.Conn, err error) error {
+		if s, ok := c.Context().(*session); ok {
+			s.busy = false
+			s.since = time.Now()
+		}
+		if closing || err != nil {
+			return c.Close()
+		}
+		if c.InboundBuffered() > 0 {
+			return c.Wake(nil)
+		}
+		return nil
+	})
+	if err != nil {
+		slog.Debug("answer not sent", "err", err)
+	}
+}
+
+// Handler is called on the event loop and must not block.
+type Handler func(*Request)
+
+// Server listens on one address.
+type Server struct {
+	gnet.BuiltinEventEngine
+	addr    string
+	maxConn int
+	handle  Handler
+	eng     gnet.Engine
+	conns   map[gnet.Conn]*session // owned by the event loop
+	ready   chan struct{}
+}
+
+// session is the event loop's record of one connection.
+type session struct {
+	busy  bool // a request waits for its answer
+	since time.Time
+}
+
+// New makes a server for addr with at most maxConn open connections.
+func New(addr string, maxConn int, h Handler) *Server {
+	return &Server{addr: addr, maxConn: maxConn, handle: h, conns: map[gnet.Conn]*session{}, ready: make(chan struct{})}
+}
+
+// Run serves until the process ends or listening fails.
+func (s *Server) Run() error {
+	return gnet.Run(s, "tcp4://"+s.addr,
+		gnet.WithNumEventLoop(1),
+		gnet.WithTicker(true),
+		gnet.WithReuseAddr(true),
+		gnet.WithReadBufferCap(constants.ServerReadBuffer),
+		gnet.WithLogger(quiet{}),
+		gnet.WithLogLevel(logging.ErrorLevel))
+}
+
+// OnBoot implements gnet.EventHandler.
+func (s *Server) OnBoot(eng gnet.Engine) gnet.Action {
+	s.eng = eng
+	close(s.ready)
+	return gnet.None
+}
+
+// Ready is closed once the server listens.
+func (s *Server) Ready() <-chan struct{} { return s.ready }
+
+// OnOpen implements gnet.EventHandler.
+func (s *Server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	if len(s.conns) >= s.maxConn {
+		return nil, gnet.Close
+	}
+	ses := &session{since: time.Now()}
+	s.conns[c] = ses
+	c.SetContext(ses)
+	return nil, gnet.None
+}
+
+// OnClose implements gnet.EventHandler.
+func (s *Server) OnClose(c gnet.Conn, _ error) gnet.Action {
+	delete(s.conns, c)
+	return gnet.None
+}
+
+// OnTick closes connections that idle or trickle too long, so that slow or
+// forgotten clients cannot hold all sockets.
+func (s *Server) OnTick() (time.Duration, gnet.Action) {
+	now := time.Now()
+	for c, ses := range s.conns {
+		limit := constants.ServerIdle
+		if c.InboundBuffered() > 0 {
+			limit = constants.ServerSlowRequest
+		}
+		if !ses.busy && now.Sub(ses.since) > limit {
+			if err := c.Close(); err != nil {
+				slog.Debug("closing an idle connection", "err", err)
+			}
+		}
+	}
+	return constants.ServerTick, gnet.None
+}
+
+// OnTraffic implements gnet.EventHandler. Requests of one connection are
+// handled one at a time: nobody pipelines, and answers must not overtake.
+func (s *Server) OnTraffic(c gnet.Conn) gnet.Action {
+	ses, ok := c.Context().(*session)
+	if !ok {
+		return gnet.Close
+	}
+	if ses.busy {
+		if c.InboundBuffered() > constants.MaxBody+constants.MaxHeader {
+			return gnet.Close
+		}
+		return gnet.None
+	}
+	if c.InboundBuffered() == 0 {
+		return gnet.None
+	}
+	buf, err := c.Peek(-1)
+	if err != nil {
+		return gnet.Close
+	}
+	m, n, err := httpwire.ParseRequest(buf, httpwire.Limits{Header: constants.MaxHeader, Body: constants.MaxBody})
+	if err != nil {
+		status := 400
+		if errors.Is(err, httpwire.ErrTooLarge) {
+			status = 400 // the protocol knows no 413: a body over the limit is malformed
+		}
+		resp := httpwire.AppendResponse(nil, &httpwire.Response{Status: status, Close: true, Body: []byte(`{"error":"malformed request"}`)})
+		if _, err := c.Write(resp); err != nil {
+			slog.Debug("refusing a malformed request", "err", err)
+		}
+		return gnet.Close
+	}
+	if n == 0 {
+		return gnet.None
+	}
+	if _, err := c.Discard(n); err != nil {
+		return gnet.Close
+	}
+	ses.busy = true
+	ses.since = time.Now()
+	s.handle(&Request{Message: m, conn: c})
+	return gnet.None
+}
+
+// quiet passes only gnet's errors on to our log.
+type quiet struct{}
+
+func (quiet) Debugf(string, ...any) {}
+func (quiet) Infof(string, ...any)  {}
+func (quiet) Warnf(string, ...any)  {}
+func (quiet) Errorf(format string, args ...any) {
+	slog.Debug("gnet", "msg", format, "args", args)
+}
+func (quiet) Fatalf(format string, args ...any) {
+	slog.Error("gnet", "msg", format, "args", args)
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,327 @@
+// Package settings reads and checks the platform's settings file (TOML) and
+// the operators' own settings (Java-style properties).
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/magiconair/properties"
+	"github.com/pelletier/go-toml/v2"
+
+	"ravenport/constants"
+)
+
+// Settings is the platform's file.
+type Settings struct {
+	Node     string `toml:"node"`
+	Zone     string `toml:"domain"`
+	Listen   string `toml:"bind"`
+	PeerAddr string `toml:"back"`
+	Peers    []Peer `toml:"siblings"`
+	Services struct {
+		Cloud string `toml:"cloud"`
+		State string `toml:"state"`
+	} `toml:"outside"`
+	Params Params `toml:"facts"`
+
+	Operator Operator `toml:"-"`
+}
+
+// Peer is another controller.
+type Peer struct {
+	Node string `toml:"node"`
+	Zone string `toml:"domain"`
+	Addr string `toml:"peer_addr"`
+}
+
+// Params are the deployment's facts.
+type Params struct {
+	Nodes      int         `toml:"size"`
+	Zones      []string    `toml:"zones"`
+	ClockOffMS float64     `toml:"clock_off_ms"`
+	Teams      []Team      `toml:"teams"`
+	Objectives []Objective `toml:"objectives"`
+	Workers    struct {
+		ReportS float64 `toml:"report_s"`
+		LeaseS  float64 `toml:"lease_s"`
+		CancelS float64 `toml:"cancel_s"`
+	} `toml:"workers"`
+	State struct {
+		RPS      float64 `toml:"rps"`
+		WriteRPS float64 `toml:"write_rps"`
+		ValueKB  float64 `toml:"value_kb"`
+		TxnOps   int     `toml:"txn_ops"`
+	} `toml:"state"`
+	Cloud struct {
+		RPS      float64 `toml:"rps"`
+		ListLagS float64 `toml:"list_lag_s"`
+	} `toml:"cloud"`
+	Limits struct {
+		CPU            float64 `toml:"cpu"`
+		MemoryMB       float64 `toml:"memory_mb"`
+		MaxConnections int     `toml:"max_connections"`
+	} `toml:"machine_limits"`
+}
+
+// Team is a team's guarantee and limit; a limit of 0 means none.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective repeats one aim on starting or finishing.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+}
+
+// Operator holds the operators' own settings.
+type Operator struct {
+	LeaseLife    time.Duration // membership.lease.ms
+	IdleSpot     time.Duration // rent.idle.spot.s
+	IdleOrdinary time.Duration // rent.idle.ordinary.s
+	SparePercent float64       // rent.spare.percent
+	UseSpot      bool          // rent.spot
+	MinRoster    int           // rent.least.machines
+}
+
+func defaults() Operator {
+	return Operator{
+		LeaseLife: 3500 * time.Millisecond, IdleSpot: 30 * time.Second, IdleOrdinary: 60 * time.Second,
+		SparePercent: 10, UseSpot: true,
+	}
+}
+
+// PropertiesName is looked for beside the settings file.
+const PropertiesName = "ravenport.properties"
+
+// Error names the field of a settings file that is wrong.
+type Error struct{ Field, Problem string }
+
+func (e *Error) Error() string { return "settings: " + e.Field + ": " + e.Problem }
+
+// Load reads the settings file at path and the properties file; an empty
+// props means PropertiesName beside it, which may be missing.
+func Load(path, props string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{path, err.Error()}
+	}
+	s, err := Parse(data)
+	if err != nil {
+		return nil, err
+	}
+	given := props != ""
+	if !given {
+		props = filepath.Join(filepath.Dir(path), PropertiesName)
+	}
+	text, err := os.ReadFile(props)
+	switch {
+	case err == nil:
+		if s.Operator, err = ParseOperator(text); err != nil {
+			return nil, err
+		}
+	case given || !errors.Is(err, fs.ErrNotExist):
+		if given {
+			return nil, &Error{props, err.Error()}
+		}
+	}
+	return s, nil
+}
+
+// Parse reads and checks a settings file's text.
+func Parse(data []byte) (*Settings, error) {
+	var s Settings
+	if err := toml.Unmarshal(data, &s); err != nil {
+		var de *toml.DecodeError
+		if errors.As(err, &de) {
+			return nil, &Error{strings.Join(de.Key(), "."), de.Error()}
+		}
+		return nil, &Error{"file", err.Error()}
+	}
+	s.Operator = defaults()
+	return &s, s.check()
+}
+
+func (s *Settings) check() error {
+	if s.Node == "" {
+		return &Error{"node", "is missing"}
+	}
+	for _, f := range []struct{ name, addr string }{
+		{"bind", s.Listen}, {"back", s.PeerAddr},
+		{"outside.cloud", s.Services.Cloud}, {"outside.state", s.Services.State},
+	} {
+		if err := checkAddr(f.name, f.addr); err != nil {
+			return err
+		}
+	}
+	p := &s.Params
+	if len(p.Zones) == 0 {
+		return &Error{"facts.zones", "is missing"}
+	}
+	zones := map[string]bool{}
+	for _, z := range p.Zones {
+		if err := checkName("facts.zones", z); err != nil {
+			return err
+		}
+		zones[z] = true
+	}
+	if !zones[s.Zone] {
+		return &Error{"domain", fmt.Sprintf("%q is not one of facts.zones", s.Zone)}
+	}
+	if err := checkName("node", s.Node); err != nil {
+		return err
+	}
+	seen := map[string]bool{s.Node: true}
+	for _, peer := range s.Peers {
+		if err := checkName("siblings.node", peer.Node); err != nil {
+			return err
+		}
+		if seen[peer.Node] {
+			return &Error{"siblings.node", fmt.Sprintf("%q is named twice", peer.Node)}
+		}
+		seen[peer.Node] = true
+		if err := checkAddr("siblings.peer_addr", peer.Addr); err != nil {
+			return err
+		}
+	}
+	for _, f := range []struct {
+		name string
+		v    float64
+	}{
+		{"facts.workers.report_s", p.Workers.ReportS}, {"facts.workers.lease_s", p.Workers.LeaseS},
+		{"facts.workers.cancel_s", p.Workers.CancelS}, {"facts.state.rps", p.State.RPS},
+		{"facts.state.write_rps", p.State.WriteRPS}, {"facts.state.value_kb", p.State.ValueKB},
+		{"facts.state.txn_ops", float64(p.State.TxnOps)}, {"facts.cloud.rps", p.Cloud.RPS},
+	} {
+		if !(f.v > 0) {
+			return &Error{f.name, "must be larger than 0"}
+		}
+	}
+	if !(p.Cloud.ListLagS >= 0) {
+		return &Error{"facts.cloud.list_lag_s", "must not be negative"}
+	}
+	for _, t := range p.Teams {
+		if t.Name == "" {
+			return &Error{"facts.teams.name", "is missing"}
+		}
+		if t.CPUs < 0 || t.CPUsMax < 0 || t.GPUs < 0 || t.GPUsMax < 0 {
+			return &Error{"facts.teams", fmt.Sprintf("%q has a negative amount", t.Name)}
+		}
+	}
+	return nil
+}
+
+func checkAddr(field, addr string) error {
+	if addr == "" {
+		return &Error{field, "is missing"}
+	}
+	if _, err := netip.ParseAddrPort(addr); err != nil {
+		return &Error{field, "is not an IP address with a port"}
+	}
+	return nil
+}
+
+// checkName accepts what can stand in a key of the state service.
+func checkName(field, name string) error {
+	if name == "" || len(name) > 64 {
+		return &Error{field, "must have 1 to 64 bytes"}
+	}
+	for _, r := range name {
+		if !(r >= '0' && r <= '9' || r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || strings.ContainsRune("-_.", r)) {
+			return &Error{field, fmt.Sprintf("%q has a character other than letters, digits and -_.", name)}
+		}
+	}
+	return nil
+}
+
+// ParseOperator reads the operators' own settings.
+func ParseOperator(text []byte) (Operator, error) {
+	o := defaults()
+	p, err := properties.Load(text, properties.UTF8)
+	if err != nil {
+		return o, &Error{"properties", err.Error()}
+	}
+	var bad error
+	number := func(key string, def, lo, hi float64) float64 {
+		if _, ok := p.Get(key); !ok {
+			return def
+		}
+		var v float64
+		if _, err := fmt.Sscanf(p.GetString(key, ""), "%g", &v); err != nil || !(v >= lo && v <= hi) {
+			if bad == nil {
+				bad = &Error{key, fmt.Sprintf("must be a number from %g to %g", lo, hi)}
+			}
+			return def
+		}
+		return v
+	}
+	o.LeaseLife = time.Duration(number("membership.lease.ms", float64(o.LeaseLife.Milliseconds()), 2000, 60000)) * time.Millisecond
+	o.IdleSpot = time.Duration(number("rent.idle.spot.s", o.IdleSpot.Seconds(), 0, 86400) * float64(time.Second))
+	o.IdleOrdinary = time.Duration(number("rent.idle.ordinary.s", o.IdleOrdinary.Seconds(), 0, 86400) * float64(time.Second))
+	o.SparePercent = number("rent.spare.percent", o.SparePercent, 0, 1000)
+	o.MinRoster = int(number("rent.least.machines", float64(o.MinRoster), 0, 10000))
+	if v, ok := p.Get("rent.spot"); ok {
+		switch v {
+		case "true", "false":
+			o.UseSpot = v == "true"
+		default:
+			bad = &Error{"rent.spot", "must be true or false"}
+		}
+	}
+	return o, bad
+}
+
+// Team finds a team by name.
+func (s *Settings) Team(name string) *Team {
+	for i := range s.Params.Teams {
+		if s.Params.Teams[i].Name == name {
+			return &s.Params.Teams[i]
+		}
+	}
+	return nil
+}
+
+// Nodes lists all controllers, this one included, with their zones.
+func (s *Settings) Nodes() []Peer {
+	return append([]Peer{{Node: s.Node, Zone: s.Zone, Addr: s.PeerAddr}}, s.Peers...)
+}
+
+// WorkerLease is how long a worker keeps its tasks without an answer.
+func (s *Settings) WorkerLease() time.Duration { return Seconds(s.Params.Workers.LeaseS) }
+
+// Report is a worker's report period.
+func (s *Settings) Report() time.Duration { return Seconds(s.Params.Workers.ReportS) }
+
+// LeaseEnd is how long after the last moment at which an answer could have
+// counted a worker's lease has surely ended, whatever the clocks' drift.
+func (s *Settings) LeaseEnd() time.Duration {
+	return time.Duration(float64(s.WorkerLease())*(1+constants.ClockDrift)) + constants.LeaseMargin
+}
+
+// Authority is how long a controller may act after it last heard from the
+// state service. It is shortened where a cancellation might otherwise come
+// too late; short is true when it was.
+func (s *Settings) Authority() (d time.Duration, short bool) {
+	d = time.Duration(float64(s.Operator.LeaseLife)*(1-constants.ClockDrift)) - constants.AuthorityMargin
+	room := Seconds(s.Params.Workers.CancelS) - s.LeaseEnd() - 2*constants.LeaseMargin
+	if d > room {
+		return max(room, 500*time.Millisecond), true
+	}
+	return d, false
+}
+
+// Seconds turns a number of seconds into a duration.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/state/client.go
@@ -0,0 +1,244 @@
+package state
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"ravenport/constants"
+	"ravenport/httpwire"
+	"ravenport/wire"
+)
+
+// Errors of calls to the state service.
+var (
+	// ErrRefused: the call was surely not carried out.
+	ErrRefused = errors.New("state: refused")
+	// ErrUnknown: the call may have been, or may yet be, carried out.
+	ErrUnknown = errors.New("state: no answer")
+	// ErrNoLease: the lease has ended.
+	ErrNoLease = errors.New("state: no such lease")
+	// ErrCompacted: a watch asked for changes that are no longer kept.
+	ErrCompacted = errors.New("state: changes no longer kept")
+)
+
+// Conflict says that a transaction's conditions did not hold.
+type Conflict struct{ Failed []string }
+
+func (c *Conflict) Error() string { return fmt.Sprintf("state: conditions failed: %v", c.Failed) }
+
+// Client calls the state service within this controller's share of the
+// allowance.
+type Client struct {
+	calls   *httpwire.Client
+	watches *httpwire.Client
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+}
+
+// NewClient makes a client of the service at addr with the settings' limits.
+func NewClient(addr string, rps, writeRPS float64) *Client {
+	lim := httpwire.Limits{Header: constants.MaxHeader, Body: constants.ClientMaxBody}
+	share := func(r float64) *rate.Limiter {
+		r *= constants.StateShare
+		return rate.NewLimiter(rate.Limit(r), max(1, int(r)))
+	}
+	return &Client{
+		calls:   httpwire.NewClient(addr, constants.IdleConns, constants.DialTimeout, lim),
+		watches: httpwire.NewClient(addr, 1, constants.DialTimeout, lim),
+		reads:   share(rps),
+		writes:  share(writeRPS),
+	}
+}
+
+// do makes one call and sorts what came of it.
+func (c *Client) do(ctx context.Context, method, path string, body any) (*httpwire.Message, error) {
+	var data []byte
+	if body != nil {
+		data = Encode(body)
+	}
+	ctx, cancel := context.WithTimeout(ctx, constants.StateTimeout)
+	defer cancel()
+	m, err := c.calls.Do(ctx, method, path, data)
+	switch {
+	case err == nil && (m.Status == 429 || m.Status == 503):
+		return nil, fmt.Errorf("%w: status %d", ErrRefused, m.Status)
+	case err == nil:
+		return m, nil
+	case httpwire.Unsent(err):
+		return nil, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	return nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+}
+
+// Commit carries out a transaction. After ErrUnknown the caller must read
+// what came of it before it concludes anything.
+func (c *Client) Commit(ctx context.Context, t wire.Txn) (uint64, error) {
+	if n := len(t.Then); n > 0 {
+		if err := c.writes.WaitN(ctx, min(n, c.writes.Burst())); err != nil {
+			return 0, fmt.Errorf("%w: own allowance: %w", ErrRefused, err)
+		}
+	}
+	if t.If == nil {
+		t.If = []wire.Condition{}
+	}
+	if t.Then == nil {
+		t.Then = []wire.Change{}
+	}
+	m, err := c.do(ctx, "POST", wire.PathTxn, t)
+	if err != nil {
+		return 0, err
+	}
+	var r wire.TxnReply
+	if err := json.Unmarshal(m.Body, &r); err != nil && m.Status != 400 {
+		return 0, fmt.Errorf("%w: unreadable answer: %w", ErrUnknown, err)
+	}
+	switch m.Status {
+	case 200:
+		return r.Revision, nil
+	case 409:
+		return 0, &Conflict{r.Failed}
+	case 400:
+		var p wire.Problem
+		if json.Unmarshal(m.Body, &p) == nil && p.Error == "no such lease" {
+			return 0, ErrNoLease
+		}
+		return 0, fmt.Errorf("%w: status 400: %.200s", ErrRefused, m.Body)
+	}
+	return 0, fmt.Errorf("%w: status %d", ErrUnknown, m.Status)
+}
+
+// Retry repeats call while it is refused, with backoff and jitter, until ctx
+// ends.
+func Retry(ctx context.Context, call func() error) error {
+	wait := constants.RetryMin
+	for {
+		err := call()
+		if !errors.Is(err, ErrRefused) {
+			return err
+		}
+		t := time.NewTimer(wait/2 + rand.N(wait))
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return err
+		case <-t.C:
+		}
+		wait = min(2*wait, constants.RetryMax)
+	}
+}
+
+// Get reads one key; found is false when it does not exist.
+func (c *Client) Get(ctx context.Context, key string) (kv wire.KeyValue, found bool, err error) {
+	m, err := c.do(ctx, "GET", wire.KeyPath(key), nil)
+	if err != nil {
+		return kv, false, err
+	}
+	switch m.Status {
+	case 200:
+		if err := json.Unmarshal(m.Body, &kv); err != nil {
+			return kv, false, fmt.Errorf("%w: unreadable answer: %w", ErrUnknown, err)
+		}
+		return kv, true, nil
+	case 404:
+		return kv, false, nil
+	}
+	return kv, false, fmt.Errorf("%w: status %d", ErrUnknown, m.Status)
+}
+
+// Revision reads the current revision.
+func (c *Client) Revision(ctx context.Context) (uint64, error) {
+	m, err := c.do(ctx, "GET", wire.KeyPath(KeyBarrier), nil)
+	if err != nil {
+		return 0, err
+	}
+	var r wire.TxnReply
+	if err := json.Unmarshal(m.Body, &r); err != nil || m.Status != 404 {
+		return 0, fmt.Errorf("%w: status %d for the revision", ErrUnknown, m.Status)
+	}
+	return r.Revision, nil
+}
+
+// List reads all keys under prefix. The revision is one at which every change
+// up to it is contained; later ones may be, too.
+func (c *Client) List(ctx context.Context, prefix string) (items []wire.KeyValue, revision uint64, err error) {
+	after := ""
+	for {
+		if err := c.reads.Wait(ctx); err != nil {
+			return nil, 0, err
+		}
+		m, err := c.do(ctx, "GET", wire.ListPath(prefix, after, constants.StatePage), nil)
+		if err != nil {
+			return nil, 0, err
+		}
+		var page wire.KeyList
+		if err := json.Unmarshal(m.Body, &page); err != nil || m.Status != 200 {
+			return nil, 0, fmt.Errorf("%w: listing: status %d: %v", ErrUnknown, m.Status, err)
+		}
+		if after == "" {
+			revision = page.Revision
+		}
+		items = append(items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return items, revision, nil
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+}
+
+// Watch waits for changes under prefix after a revision.
+func (c *Client) Watch(ctx context.Context, prefix string, from uint64, wait time.Duration) (*wire.Events, error) {
+	if err := c.reads.Wait(ctx); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+constants.StateTimeout)
+	defer cancel()
+	m, err := c.watches.Do(ctx, "GET", wire.WatchPath(prefix, from, wait.Milliseconds()), nil)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	switch m.Status {
+	case 200:
+		var ev wire.Events
+		if err := json.Unmarshal(m.Body, &ev); err != nil {
+			return nil, fmt.Errorf("%w: unreadable events: %w", ErrRefused, err)
+		}
+		return &ev, nil
+	case 410:
+		return nil, ErrCompacted
+	}
+	return nil, fmt.Errorf("%w: watch: status %d", ErrRefused, m.Status)
+}
+
+// Grant obtains a lease.
+func (c *Client) Grant(ctx context.Context, life time.Duration) (uint64, error) {
+	m, err := c.do(ctx, "POST", wire.PathLeases, wire.LeaseRequest{TTLMS: life.Milliseconds()})
+	if err != nil {
+		return 0, err
+	}
+	var r wire.LeaseReply
+	if err := json.Unmarshal(m.Body, &r); err != nil || m.Status != 200 || r.Lease == 0 {
+		return 0, fmt.Errorf("%w: lease: status %d", ErrUnknown, m.Status)
+	}
+	return r.Lease, nil
+}
+
+// Renew renews a lease.
+func (c *Client) Renew(ctx context.Context, lease uint64) error {
+	m, err := c.do(ctx, "POST", wire.LeasePath(lease)+"/"+wire.RenewSuffix, struct{}{})
+	if err != nil {
+		return err
+	}
+	switch m.Status {
+	case 200:
+		return nil
+	case 404:
+		return ErrNoLease
+	}
+	return fmt.Errorf("%w: renewal: status %d", ErrUnknown, m.Status)
+}
--- /dev/null
+++ b/state/records.go
@@ -0,0 +1,202 @@
+// Package state speaks to the state service: a client, the records that
+// ravenport keeps there, and a feed that mirrors them.
+package state
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"ravenport/wire"
+)
+
+// Keys. Everything stands under one prefix so that one watch sees it all.
+const (
+	Prefix        = "rv/"
+	KeyLeader     = Prefix + "leader"
+	KeyBarrier    = Prefix + "barrier" // never written; reading it tells the revision
+	nodePrefix    = Prefix + "node/"
+	partPrefix    = Prefix + "part/"
+	machinePrefix = Prefix + "machine/"
+	jobPrefix     = Prefix + "job/"
+)
+
+// KeyNode is the key that lives as long as a controller's lease.
+func KeyNode(node string) string { return nodePrefix + node }
+
+// KeyPart is the key of a part's term.
+func KeyPart(part string) string { return partPrefix + part }
+
+// KeyMachine is the roster entry of a machine.
+func KeyMachine(part, name string) string { return machinePrefix + part + "/" + name }
+
+// KeyJob is the key of a job.
+func KeyJob(id string) string { return jobPrefix + id }
+
+// Node says that a controller is alive; the key is attached to its lease.
+type Node struct {
+	Name        string `json:"-"`
+	Incarnation uint64 `json:"inc"`
+}
+
+// Term says who leads or owns, and under which token. Terms are never
+// deleted, so that they only rise.
+type Term struct {
+	Part        string `json:"-"` // empty: the leader's
+	Node        string `json:"node"`
+	Incarnation uint64 `json:"inc"`
+	Number      uint64 `json:"term"`
+}
+
+// Machine is a roster entry: a machine that may hold tasks.
+type Machine struct {
+	Part string `json:"-"`
+	Name string `json:"-"`
+	Type string `json:"type"`
+	Spot bool   `json:"spot,omitempty"`
+	Addr string `json:"addr,omitempty"`
+	// RentedMS is the time of day of the rental, for machines that have not
+	// come up yet.
+	RentedMS int64 `json:"rented,omitempty"`
+}
+
+// Job is a job's record.
+type Job struct {
+	ID         string          `json:"-"`
+	Spec       wire.Submission `json:"spec"`
+	AcceptedMS int64           `json:"at"`
+	End        string          `json:"end,omitempty"` // wire.JobDone or wire.JobCancelled
+	Chunks     []Chunk         `json:"ch,omitempty"`
+}
+
+// Chunk is a range of a job's tasks that one part looks after. Tasks in no
+// chunk wait for the leader.
+type Chunk struct {
+	From int    `json:"f"`
+	To   int    `json:"t"` // exclusive
+	Part string `json:"p"`
+	// Closed: every task of the range is done or, for a job that ended, is
+	// surely on no machine any more. A closed chunk takes up no room.
+	Closed bool `json:"c,omitempty"`
+	// Keep: other parts have been asked or are known to be full, so the owner
+	// waits for room or rents instead of sending the tasks back.
+	Keep bool `json:"k,omitempty"`
+	// Guaranteed: the leader found the work within its team's guarantee.
+	Guaranteed bool `json:"g,omitempty"`
+}
+
+// Tasks is the number of tasks in the chunk.
+func (c Chunk) Tasks() int { return c.To - c.From }
+
+// Unassigned lists the ranges of tasks in no chunk. Chunks are kept sorted.
+func (j *Job) Unassigned() [][2]int {
+	var out [][2]int
+	at := 0
+	for _, c := range j.Chunks {
+		if c.From > at {
+			out = append(out, [2]int{at, c.From})
+		}
+		at = c.To
+	}
+	if at < j.Spec.Tasks {
+		out = append(out, [2]int{at, j.Spec.Tasks})
+	}
+	return out
+}
+
+// AllClosed says whether every task is in a closed chunk.
+func (j *Job) AllClosed() bool {
+	at := 0
+	for _, c := range j.Chunks {
+		if c.From != at || !c.Closed {
+			return false
+		}
+		at = c.To
+	}
+	return at == j.Spec.Tasks
+}
+
+// AllOver says whether no chunk is open any more, so that no task of the job
+// can be on any machine.
+func (j *Job) AllOver() bool {
+	for _, c := range j.Chunks {
+		if !c.Closed {
+			return false
+		}
+	}
+	return true
+}
+
+// Clone copies the record so that the copy's chunks can be changed. Records
+// that came from the feed are shared and must not be changed.
+func (j *Job) Clone() *Job {
+	c := *j
+	c.Chunks = append([]Chunk(nil), j.Chunks...)
+	return &c
+}
+
+// Normalize sorts the chunks and joins neighbours that are alike.
+func (j *Job) Normalize() {
+	for i := 1; i < len(j.Chunks); i++ {
+		for k := i; k > 0 && j.Chunks[k].From < j.Chunks[k-1].From; k-- {
+			j.Chunks[k], j.Chunks[k-1] = j.Chunks[k-1], j.Chunks[k]
+		}
+	}
+	out := j.Chunks[:0]
+	for _, c := range j.Chunks {
+		if c.From >= c.To {
+			continue
+		}
+		if n := len(out); n > 0 && out[n-1].To == c.From && out[n-1].Part == c.Part &&
+			out[n-1].Closed == c.Closed && (c.Closed || out[n-1].Keep == c.Keep && out[n-1].Guaranteed == c.Guaranteed) {
+			out[n-1].To = c.To
+			continue
+		}
+		out = append(out, c)
+	}
+	j.Chunks = out
+}
+
+// Encode writes a record for the state service.
+func Encode(v any) json.RawMessage {
+	b, err := json.Marshal(v)
+	if err != nil {
+		// Records hold only checked numbers and strings.
+		panic(fmt.Sprintf("state: encoding a %T: %v", v, err))
+	}
+	return b
+}
+
+// Decode reads the record under key: *Node, *Term, *Machine or *Job. It
+// returns nil for a key of another kind.
+func Decode(key string, data []byte) (any, error) {
+	var v any
+	switch {
+	case key == KeyLeader:
+		v = &Term{}
+	case strings.HasPrefix(key, partPrefix):
+		v = &Term{Part: key[len(partPrefix):]}
+	case strings.HasPrefix(key, nodePrefix):
+		v = &Node{Name: key[len(nodePrefix):]}
+	case strings.HasPrefix(key, machinePrefix):
+		part, name, ok := strings.Cut(key[len(machinePrefix):], "/")
+		if !ok {
+			return nil, nil
+		}
+		v = &Machine{Part: part, Name: name}
+	case strings.HasPrefix(key, jobPrefix):
+		v = &Job{ID: key[len(jobPrefix):]}
+	default:
+		return nil, nil
+	}
+	if err := json.Unmarshal(data, v); err != nil {
+		return nil, fmt.Errorf("record %s: %w", key, err)
+	}
+	return v, nil
+}
+
+// KeyKind splits a key for changes whose value is gone.
+func KeyKind(key string) (kind, rest string) {
+	kind, rest, _ = strings.Cut(strings.TrimPrefix(key, Prefix), "/")
+	return kind, rest
+}
--- /dev/null
+++ b/wire/workers.go
@@ -0,0 +1,121 @@
+package wire
+
+import (
+	"math"
+	"strconv"
+	"strings"
+)
+
+// Paths of the interface between workers and controllers.
+const (
+	PathReport   = "/agent/beat"
+	PathCommands = "/commands"
+	PathShow     = "/show"
+)
+
+// States of a task in a worker's report.
+const (
+	TaskFetching = "pulling"
+	TaskRunning  = "running"
+	TaskSaving   = "saving"
+	TaskExited   = "exited"
+)
+
+// Causes of a task's exit.
+const (
+	CauseDone    = "done"
+	CauseStopped = "halted"
+	CauseError   = "error"
+	CauseNoRoom  = "full"
+	CauseBusy    = "busy"
+	CauseUnknown = "unknown"
+)
+
+// Operations of a command.
+const (
+	OpStart  = "run"
+	OpStop   = "stop"
+	OpForget = "clear"
+)
+
+// Report is what a worker says of itself and of all its tasks.
+type Report struct {
+	Machine string       `json:"host"`
+	Addr    string       `json:"addr"`
+	Type    string       `json:"build"`
+	Zone    string       `json:"yard"`
+	Spot    bool         `json:"loaners"`
+	Session uint64       `json:"shift"`
+	Seq     uint64       `json:"tally"`
+	Token   uint64       `json:"baton"`
+	NoticeS *float64     `json:"warning_s"`
+	Tasks   []TaskStatus `json:"pieces"`
+}
+
+// TaskStatus is one task in a report.
+type TaskStatus struct {
+	Task    string `json:"piece"`
+	Attempt uint64 `json:"try"`
+	State   string `json:"status"`
+	Cause   string `json:"cause,omitempty"`
+	Saved   bool   `json:"kept,omitempty"`
+}
+
+// ParseReport reads and checks a report.
+func ParseReport(body []byte) (*Report, error) {
+	var r Report
+	if err := unmarshalObject(body, &r); err != nil {
+		return nil, err
+	}
+	switch {
+	case r.Machine == "" || len(r.Machine) > maxName:
+		return nil, &FieldError{"host", "is missing or too long"}
+	case r.Session == 0:
+		return nil, &FieldError{"shift", "is missing"}
+	case r.NoticeS != nil && (math.IsNaN(*r.NoticeS) || *r.NoticeS < 0):
+		return nil, &FieldError{"warning_s", "is out of range"}
+	}
+	return &r, nil
+}
+
+// Command is one order to a worker.
+type Command struct {
+	Op      string   `json:"verb"`
+	Task    string   `json:"piece"`
+	Attempt uint64   `json:"try"`
+	GraceS  *float64 `json:"wind_down_s,omitempty"`
+}
+
+// ReportReply answers a report.
+type ReportReply struct {
+	Token    uint64    `json:"baton"`
+	Commands []Command `json:"orders"`
+}
+
+// Redirect answers a report at a node that does not own the machine.
+type Redirect struct {
+	ReportTo string `json:"foreman,omitempty"`
+}
+
+// CommandRequest is the body of a direct command.
+type CommandRequest struct {
+	Token    uint64    `json:"baton"`
+	Session  uint64    `json:"shift"`
+	Commands []Command `json:"orders"`
+}
+
+// TaskName writes the name of a job's task.
+func TaskName(job string, index int) string { return job + "/" + strconv.Itoa(index) }
+
+// SplitTask reads the name of a task.
+func SplitTask(name string) (job string, index int, ok bool) {
+	i := strings.LastIndexByte(name, '/')
+	if i < 0 {
+		return "", 0, false
+	}
+	n, err := strconv.Atoi(name[i+1:])
+	if err != nil || n < 0 || n >= MaxTasks || TaskName(name[:i], n) != name {
+		return "", 0, false
+	}
+	return name[:i], n, ValidJobID(name[:i])
+}
--- /dev/null
+++ b/worker/commands.go
@@ -0,0 +1,69 @@
+// Package worker sends direct commands to workers.
+package worker
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"ravenport/constants"
+	"ravenport/httpwire"
+	"ravenport/wire"
+)
+
+// Commander keeps a connection to each worker that it has called. It belongs
+// to one actor; only Send's calls run on goroutines of their own.
+type Commander struct {
+	clients map[string]*httpwire.Client
+}
+
+// NewCommander makes a commander without connections.
+func NewCommander() *Commander { return &Commander{clients: map[string]*httpwire.Client{}} }
+
+// Result is what came of a direct command. Report is nil without an answer:
+// the commands may then still be carried out.
+type Result struct {
+	Executed bool
+	Report   *wire.Report
+	Err      error
+}
+
+// Send makes a call that done is told the result of, on another goroutine.
+func (c *Commander) Send(ctx context.Context, addr string, req wire.CommandRequest, done func(Result)) {
+	cl := c.clients[addr]
+	if cl == nil {
+		cl = httpwire.NewClient(addr, 1, constants.DialTimeout,
+			httpwire.Limits{Header: constants.MaxHeader, Body: constants.ClientMaxBody})
+		c.clients[addr] = cl
+	}
+	go func() { done(send(ctx, cl, req)) }()
+}
+
+func send(ctx context.Context, cl *httpwire.Client, req wire.CommandRequest) Result {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return Result{Err: fmt.Errorf("worker: encoding commands: %w", err)}
+	}
+	ctx, cancel := context.WithTimeout(ctx, constants.CommandTimeout)
+	defer cancel()
+	m, err := cl.Do(ctx, "POST", wire.PathCommands, body)
+	if err != nil {
+		return Result{Err: err}
+	}
+	if m.Status != 200 && m.Status != 409 {
+		return Result{Err: fmt.Errorf("worker: status %d", m.Status)}
+	}
+	r, err := wire.ParseReport(m.Body)
+	if err != nil {
+		return Result{Err: fmt.Errorf("worker: unreadable report: %w", err)}
+	}
+	return Result{Executed: m.Status == 200, Report: r}
+}
+
+// Forget closes the connections to a worker that is gone.
+func (c *Commander) Forget(addr string) {
+	if cl := c.clients[addr]; cl != nil {
+		cl.Close()
+		delete(c.clients, addr)
+	}
+}
