--- /dev/null
+++ b/httpwire/parser_test.go
@@ -0,0 +1,123 @@
+package httpwire
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	_ "ravenport/internal/testseed"
+)
+
+var lim = Limits{Header: 4 << 10, Body: 64 << 10}
+
+// Whatever way the bytes arrive, a request is read once, whole and alike.
+func TestRequestInAnySplit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		method := rapid.SampledFrom([]string{"GET", "POST", "DELETE"}).Draw(t, "method")
+		target := "/" + rapid.StringMatching(`[a-z0-9/?=&-]{0,40}`).Draw(t, "target")
+		body := rapid.SliceOfN(rapid.Byte(), 0, 300).Draw(t, "body")
+		raw := AppendRequest(nil, method, target, "h", body)
+		after := rapid.SliceOfN(rapid.Byte(), 0, 20).Draw(t, "after")
+		at := 0
+		for at < len(raw) {
+			m, n, err := ParseRequest(raw[:at], lim)
+			if err != nil || n != 0 || m != nil {
+				t.Fatalf("%d of %d bytes: %v, %d, %v", at, len(raw), m, n, err)
+			}
+			at += rapid.IntRange(1, len(raw)-at).Draw(t, "step")
+		}
+		m, n, err := ParseRequest(append(bytes.Clone(raw), after...), lim)
+		if err != nil || n != len(raw) {
+			t.Fatalf("used %d of %d: %v", n, len(raw), err)
+		}
+		if m.Method != method || m.Target != target || !bytes.Equal(m.Body, body) {
+			t.Fatalf("read %q %q %q", m.Method, m.Target, m.Body)
+		}
+	})
+}
+
+func TestResponseRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := &Response{
+			Status:      rapid.IntRange(100, 599).Draw(t, "status"),
+			Body:        rapid.SliceOfN(rapid.Byte(), 0, 300).Draw(t, "body"),
+			RetryAfterS: rapid.IntRange(0, 30).Draw(t, "retry"),
+			Close:       rapid.Bool().Draw(t, "close"),
+		}
+		raw := AppendResponse(nil, r)
+		m, n, err := ParseResponse(raw, lim)
+		if err != nil || n != len(raw) || m.Status != r.Status || !bytes.Equal(m.Body, r.Body) || m.Close != r.Close {
+			t.Fatalf("%+v became %+v, %d, %v", r, m, n, err)
+		}
+		if (m.RetryAfter != "") != (r.RetryAfterS > 0) {
+			t.Fatalf("Retry-After %q for %d", m.RetryAfter, r.RetryAfterS)
+		}
+	})
+}
+
+// A chunked body is put together; it never exceeds the limit.
+func TestChunkedBody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var raw, want bytes.Buffer
+		raw.WriteString("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for _, c := range rapid.SliceOfN(rapid.StringMatching(`[a-z]{1,40}`), 0, 6).Draw(t, "chunks") {
+			raw.WriteString(strings.ToUpper(hex(len(c))) + ";x=1\r\n" + c + "\r\n")
+			want.WriteString(c)
+		}
+		raw.WriteString("0\r\n\r\n")
+		cutAt := rapid.IntRange(0, raw.Len()-1).Draw(t, "cut")
+		if _, n, err := ParseResponse(raw.Bytes()[:cutAt], lim); n != 0 || err != nil {
+			t.Fatalf("a part was read: %d, %v", n, err)
+		}
+		m, n, err := ParseResponse(raw.Bytes(), lim)
+		if err != nil || n != raw.Len() || !bytes.Equal(m.Body, want.Bytes()) {
+			t.Fatalf("%q, %d, %v", m.Body, n, err)
+		}
+		if want.Len() > 1 {
+			if _, _, err := ParseResponse(raw.Bytes(), Limits{Header: 4096, Body: want.Len() - 1}); err != ErrTooLarge {
+				t.Fatalf("over the limit: %v", err)
+			}
+		}
+	})
+}
+
+func hex(n int) string {
+	const digits = "0123456789abcdef"
+	if n < 16 {
+		return digits[n : n+1]
+	}
+	return hex(n/16) + digits[n%16:n%16+1]
+}
+
+// No bytes make the parser panic, read past its input or hold without bound.
+func TestAnyBytes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		junk := rapid.OneOf(
+			rapid.SliceOfN(rapid.Byte(), 0, 200),
+			rapid.Map(rapid.StringMatching(`(GET|POST) /[a-z]* HTTP/1\.[01]\r\n(Content-Length: -?[0-9a]{1,12}\r\n|Transfer-Encoding: [a-z]+\r\n|[A-Z: \n]*\r\n)*\r\n`), func(s string) []byte { return []byte(s) }),
+		).Draw(t, "junk")
+		_, n, _ := ParseRequest(junk, lim)
+		if n < 0 || n > len(junk) {
+			t.Fatalf("used %d of %d", n, len(junk))
+		}
+	})
+}
+
+func TestRefusedRequests(t *testing.T) {
+	for name, raw := range map[string]string{
+		"two lengths that differ":  "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+		"length and chunks":        "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"negative length":          "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+		"no target":                "GET  HTTP/1.1\r\n\r\n",
+		"unknown version":          "GET / HTTP/2.0\r\n\r\n",
+		"space in a header's name": "GET / HTTP/1.1\r\nA b: c\r\n\r\n",
+		"body over the limit":      "POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n",
+		"endless headers":          "GET / HTTP/1.1\r\n" + strings.Repeat("a: b\r\n", 2000),
+	} {
+		if _, _, err := ParseRequest([]byte(raw), lim); err == nil {
+			t.Errorf("%s was taken", name)
+		}
+	}
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,112 @@
+package settings
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `
+node = "n-0"
+domain = "a"
+bind = "10.0.0.1:8080"
+back = "10.0.0.1:8081"
+surprise = 7
+[[siblings]]
+node = "n-1"
+domain = "b"
+peer_addr = "10.0.0.2:8081"
+[outside]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[facts]
+size = 2
+zones = ["a", "b"]
+[[facts.teams]]
+name = "t"
+cpus = 8.0
+cpus_max = 16.0
+[facts.workers]
+report_s = 3.0
+lease_s = 26.0
+cancel_s = 56.0
+[facts.state]
+rps = 200.0
+write_rps = 20.0
+value_kb = 8.0
+txn_ops = 12
+[facts.cloud]
+rps = 10.0
+list_lag_s = 8.0
+`
+
+func TestGoodSettings(t *testing.T) {
+	s, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(s.Nodes()) != 2 || s.Team("t") == nil || s.Team("x") != nil {
+		t.Fatalf("%+v", s)
+	}
+}
+
+// A wrong setting is refused by its name.
+func TestBadSettings(t *testing.T) {
+	for _, c := range []struct{ from, to, field string }{
+		{`node = "n-0"`, ``, "node"},
+		{`domain = "a"`, `domain = "z"`, "domain"},
+		{`"10.0.0.1:8080"`, `"host:8080"`, "bind"},
+		{`"10.0.0.2:8081"`, `"nowhere"`, "siblings.peer_addr"},
+		{`node = "n-1"`, `node = "n-0"`, "siblings.node"},
+		{`lease_s = 26.0`, `lease_s = 0.0`, "facts.workers.lease_s"},
+		{`write_rps = 20.0`, `write_rps = -1.0`, "facts.state.write_rps"},
+		{`zones = ["a", "b"]`, `zones = ["a", "b/c"]`, "facts.zones"},
+		{`rps = 10.0`, `rps = "many"`, "facts.cloud.rps"},
+		{`cpus = 8.0`, `cpus = -8.0`, "facts.teams"},
+	} {
+		text := strings.Replace(good, c.from, c.to, 1)
+		if text == good {
+			t.Fatalf("%q is not in the text", c.from)
+		}
+		_, err := Parse([]byte(text))
+		var bad *Error
+		if !errors.As(err, &bad) || bad.Field != c.field {
+			t.Errorf("%s: %v, wanted the field %s", c.to, err, c.field)
+		}
+	}
+}
+
+// Cancellation: an owner that no longer hears of one must have fallen silent,
+// and its workers' leases run out, before cancel_s is over.
+func TestAuthorityLeavesRoomForCancellation(t *testing.T) {
+	for _, cancel := range []string{"56.0", "30.0", "20.0"} {
+		s, err := Parse([]byte(strings.Replace(good, "cancel_s = 56.0", "cancel_s = "+cancel, 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		d, short := s.Authority()
+		if d <= 0 {
+			t.Errorf("cancel_s %s: authority %s", cancel, d)
+		}
+		if end := d + s.LeaseEnd(); !short && end >= Seconds(s.Params.Workers.CancelS) {
+			t.Errorf("cancel_s %s: a task may run for %s", cancel, end)
+		}
+		if !short && cancel == "20.0" {
+			t.Error("no warning although cancel_s is shorter than the lease")
+		}
+	}
+}
+
+func TestOperatorsSettings(t *testing.T) {
+	o, err := ParseOperator([]byte("# ours\nmembership.lease.ms = 6000\nrent.spot: false\nrent.idle.spot.s=12.5\n"))
+	if err != nil || o.LeaseLife != 6*time.Second || o.UseSpot || o.IdleSpot != 12500*time.Millisecond {
+		t.Fatalf("%+v, %v", o, err)
+	}
+	for _, bad := range []string{"membership.lease.ms = soon", "rent.spot = maybe", "rent.idle.spot.s = -1"} {
+		var e *Error
+		if _, err := ParseOperator([]byte(bad)); !errors.As(err, &e) {
+			t.Errorf("%s: %v", bad, err)
+		}
+	}
+}
