--- a/node/actors.go
+++ b/node/actors.go
@@ -46,7 +46,7 @@
 // commit carries out a transaction and returns its revision, 0 if it is not
 // known to have been written. One without an answer is repeated: its
 // conditions make that safe.
-func commit(ctx context.Context, store *state.Client, txn wire.Txn, what string) uint64 {
+func commit(ctx context.Context, store Store, txn wire.Txn, what string) uint64 {
 	ctx, cancel := context.WithTimeout(ctx, 2*constants.StateTimeout)
 	defer cancel()
 	var rev uint64
@@ -69,7 +69,7 @@
 // leaderActor runs the leader's decisions.
 type leaderActor struct {
 	core  *leader.Core
-	store *state.Client
+	store Store
 	self  *actor.Ref
 	ticks bool
 }
@@ -107,11 +107,11 @@
 type partActor struct {
 	core     *part.Core
 	part     string
-	store    *state.Client
-	cloud    *cloud.Client
+	store    Store
+	cloud    Cloud
 	self     *actor.Ref
 	control  *actor.Ref
-	workers  *worker.Commander
+	workers  Workers
 	revision uint64
 	ticks    bool
 	pushAt   time.Time
@@ -128,8 +128,8 @@
 		SparePercent: set.Operator.SparePercent, ListLag: time.Duration(set.Params.Cloud.ListLagS * float64(time.Second)),
 		TxnOps: set.Params.State.TxnOps, ValueBytes: int(set.Params.State.ValueKB * 1024),
 	}
-	a := &partActor{part: name, store: c.store, cloud: c.cloud, self: actor.NewRef(), control: c.self,
-		workers: worker.NewCommander(), revision: c.revision}
+	a := &partActor{part: name, store: c.io.State, cloud: c.io.Cloud, self: actor.NewRef(), control: c.self,
+		workers: c.io.Workers(), revision: c.revision}
 	a.core = part.New(cfg, term, version, now, c.types, c.jobs, c.versions, roster, rosterV)
 	a.core.SetAuthority(c.until())
 	a.self.Tell(wake{})
--- a/node/control.go
+++ b/node/control.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"ravenport/actor"
-	"ravenport/cloud"
 	"ravenport/constants"
 	"ravenport/frontdoor"
 	"ravenport/httpwire"
@@ -77,11 +76,9 @@
 // owners, and routes reports.
 type control struct {
 	set    *settings.Settings
-	store  *state.Client
-	cloud  *cloud.Client
+	io     Outside
 	self   *actor.Ref
 	door   *actor.Ref
-	peers  map[string]*peer.Client
 	member *member.Core
 
 	jobs     map[string]*state.Job // not over, or with open chunks
@@ -126,9 +123,9 @@
 	term   uint64
 }
 
-func newControl(set *settings.Settings, store *state.Client, cl *cloud.Client, self, door *actor.Ref) (*control, error) {
+func newControl(set *settings.Settings, out Outside, self, door *actor.Ref) *control {
 	c := &control{
-		set: set, store: store, cloud: cl, self: self, door: door, peers: map[string]*peer.Client{},
+		set: set, io: out, self: self, door: door,
 		jobs: map[string]*state.Job{}, versions: map[string]uint64{}, roster: map[string]*state.Machine{}, rosterV: map[string]uint64{},
 		claiming: map[string]time.Time{}, yielded: map[string]uint64{}, owners: map[string]*child{},
 		status: map[string]partStatus{}, pushing: map[string]bool{}, peersState: map[string]peerView{},
@@ -142,14 +139,7 @@
 		all = append(all, member.Controller{Name: n.Node, Zone: n.Zone})
 	}
 	c.member = member.New(set.Node, all, set.Params.Zones, time.Now())
-	for _, p := range set.Peers {
-		cl, err := peer.Dial(p.Addr)
-		if err != nil {
-			return nil, err
-		}
-		c.peers[p.Node] = cl
-	}
-	return c, nil
+	return c
 }
 
 // Receive implements actor.Handler.
@@ -320,7 +310,7 @@
 	if mine && c.leaderRef == nil {
 		slog.Info("leading", "term", t.Number)
 		ctx, cancel := context.WithCancel(ctx)
-		a := &leaderActor{core: leader.New(c.set, version, now, c.jobs, c.versions), store: c.store, self: actor.NewRef()}
+		a := &leaderActor{core: leader.New(c.set, version, now, c.jobs, c.versions), store: c.io.State, self: actor.NewRef()}
 		a.core.SetAuthority(c.until())
 		c.leaderRef = &child{ref: a.self, cancel: cancel, term: t.Number}
 		for _, s := range c.status {
@@ -396,7 +386,7 @@
 	}
 	c.claiming[cl.Key] = now
 	go func() {
-		_, err := c.store.Commit(ctx, cl.Txn)
+		_, err := c.io.State.Commit(ctx, cl.Txn)
 		c.self.Tell(claimed{cl, err})
 	}()
 }
@@ -425,12 +415,12 @@
 		inc := rand.Uint64()>>1 | 1
 		_, version := c.member.NodeKey(c.set.Node)
 		go func() {
-			lease, err := c.store.Grant(ctx, life)
+			lease, err := c.io.State.Grant(ctx, life)
 			if err == nil {
 				// Conditional, so that a late copy from an earlier process can
 				// never replace this one's.
 				key := state.KeyNode(c.set.Node)
-				_, err = c.store.Commit(ctx, wire.Txn{
+				_, err = c.io.State.Commit(ctx, wire.Txn{
 					If:   []wire.Condition{{Key: key, Version: version}},
 					Then: []wire.Change{{Put: key, Value: state.Encode(state.Node{Incarnation: inc}), Lease: lease}},
 				})
@@ -441,11 +431,11 @@
 	}
 	lease := c.lease
 	go func() {
-		err := c.store.Renew(ctx, lease)
+		err := c.io.State.Renew(ctx, lease)
 		c.self.Tell(renewed{lease, sent, err})
 		if err == nil {
 			at := time.Now()
-			rev, err := c.store.Revision(ctx)
+			rev, err := c.io.State.Revision(ctx)
 			c.self.Tell(revisionRead{rev, at, err})
 		}
 	}()
@@ -499,7 +489,7 @@
 	}
 	c.typesBusy = true
 	go func() {
-		t, err := c.cloud.Types(ctx)
+		t, err := c.io.Cloud.Types(ctx)
 		c.self.Tell(typesRead{t, err})
 	}()
 }
@@ -556,7 +546,7 @@
 		s.Counts[part] = st.counts
 	}
 	lead, _ := c.member.Holder(state.KeyLeader)
-	for name, p := range c.peers {
+	for name, p := range c.io.Peers {
 		if c.pushing[name] || !due && name != lead {
 			continue
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -16,39 +16,98 @@
 	"ravenport/settings"
 	"ravenport/state"
 	"ravenport/wire"
+	"ravenport/worker"
 )
 
-// Run runs a controller until ctx ends or a server fails.
+// Store is the state service as a controller uses it.
+type Store interface {
+	frontdoor.Store
+	List(ctx context.Context, prefix string) ([]wire.KeyValue, uint64, error)
+	Watch(ctx context.Context, prefix string, from uint64, wait time.Duration) (*wire.Events, error)
+	Grant(ctx context.Context, life time.Duration) (uint64, error)
+	Renew(ctx context.Context, lease uint64) error
+}
+
+// Cloud is the cloud as a controller uses it.
+type Cloud interface {
+	Types(ctx context.Context) ([]wire.MachineType, error)
+	Rent(ctx context.Context, r wire.RentRequest) ([]string, error)
+	Return(ctx context.Context, names []string) error
+	List(ctx context.Context) ([]wire.CloudMachine, error)
+}
+
+// Workers sends direct commands; done is called on another goroutine.
+type Workers interface {
+	Send(ctx context.Context, addr string, req wire.CommandRequest, done func(worker.Result))
+	Forget(addr string)
+}
+
+// Peer is another controller.
+type Peer interface {
+	Push(ctx context.Context, s peer.Status) (peer.Reply, error)
+}
+
+// Outside is everything a controller calls.
+type Outside struct {
+	State   Store
+	Cloud   Cloud
+	Workers func() Workers // one for each owner
+	Peers   map[string]Peer
+}
+
+// Controller is one controller without its servers.
+type Controller struct {
+	node       string
+	self, door *actor.Ref
+}
+
+// Start starts a controller's actors; they run until ctx ends.
+func Start(ctx context.Context, set *settings.Settings, out Outside) *Controller {
+	n := &Controller{node: set.Node, self: actor.NewRef(), door: actor.NewRef()}
+	c := newControl(set, out, n.self, n.door)
+	go n.door.Run(ctx, frontdoor.New(set, out.State, n.door))
+	go n.self.Run(ctx, c)
+	go state.NewFeed(out.State, func(up state.Update) { n.self.Tell(up) }).Run(ctx)
+	go every(ctx, constants.MemberTick, func(t time.Time) {
+		n.self.Tell(tick(t))
+		n.door.Tell(frontdoor.Tick(t))
+	})
+	return n
+}
+
+// PeerStatus takes in what another controller tells of itself.
+func (n *Controller) PeerStatus(s peer.Status) peer.Reply {
+	n.self.Tell(peerStatus(s))
+	return peer.Reply{Node: n.node}
+}
+
+// Run runs a controller with its servers until ctx ends or one of them fails.
 func Run(ctx context.Context, set *settings.Settings) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	store := state.NewClient(set.Services.State, set.Params.State.RPS, set.Params.State.WriteRPS)
-	cl := cloud.NewClient(set.Services.Cloud, set.Params.Cloud.RPS/float64(max(1, len(set.Nodes()))))
-	self, door := actor.NewRef(), actor.NewRef()
-	c, err := newControl(set, store, cl, self, door)
-	if err != nil {
-		return err
+	out := Outside{
+		State:   state.NewClient(set.Services.State, set.Params.State.RPS, set.Params.State.WriteRPS),
+		Cloud:   cloud.NewClient(set.Services.Cloud, set.Params.Cloud.RPS/float64(max(1, len(set.Nodes())))),
+		Workers: func() Workers { return worker.NewCommander() },
+		Peers:   map[string]Peer{},
 	}
-	d := frontdoor.New(set, store, door)
-	go door.Run(ctx, d)
-	go self.Run(ctx, c)
-	go state.NewFeed(store, func(up state.Update) { self.Tell(up) }).Run(ctx)
-	go every(ctx, constants.MemberTick, func(t time.Time) {
-		self.Tell(tick(t))
-		door.Tell(frontdoor.Tick(t))
-	})
+	for _, p := range set.Peers {
+		cl, err := peer.Dial(p.Addr)
+		if err != nil {
+			return err
+		}
+		out.Peers[p.Node] = cl
+	}
+	n := Start(ctx, set, out)
 	failed := make(chan error, 2)
 	go func() {
-		failed <- peer.Serve(ctx, set.PeerAddr, func(s peer.Status) peer.Reply {
-			self.Tell(peerStatus(s))
-			return peer.Reply{Node: set.Node}
-		})
+		failed <- peer.Serve(ctx, set.PeerAddr, n.PeerStatus)
 	}()
 	limit := set.Params.Limits.MaxConnections
 	if limit <= 2*constants.ReservedSockets {
 		limit = 4 * constants.ReservedSockets
 	}
-	srv := server.New(set.Listen, limit-constants.ReservedSockets, func(r *server.Request) { route(r, self, door) })
+	srv := server.New(set.Listen, limit-constants.ReservedSockets, n.route)
 	go func() { failed <- srv.Run() }()
 	slog.Info("controller started", "node", set.Node, "zone", set.Zone, "listen", set.Listen)
 	select {
@@ -74,7 +133,7 @@
 
 // route hands a request to the actor that answers it. It runs on the event
 // loop and does not block.
-func route(r *server.Request, control, door *actor.Ref) {
+func (n *Controller) route(r *server.Request) {
 	path, _, _ := strings.Cut(r.Target, "?")
 	methods := func(want string) bool {
 		if r.Method == want {
@@ -93,14 +152,14 @@
 			r.Answer(&httpwire.Response{Status: 400, Body: []byte(`{"error":"malformed report"}`)})
 			return
 		}
-		control.Tell(beat{r, rep})
+		n.self.Tell(beat{r, rep})
 	case path == wire.PathHealth:
 		if methods("GET") {
-			control.Tell(health{r})
+			n.self.Tell(health{r})
 		}
 	case path == wire.PathJobs:
 		if methods("POST") {
-			door.Tell(frontdoor.Submit{Req: r, Body: r.Body})
+			n.door.Tell(frontdoor.Submit{Req: r, Body: r.Body})
 		}
 	case strings.HasPrefix(path, wire.PathJobs+"/"):
 		id, rest, sub := strings.Cut(path[len(wire.PathJobs)+1:], "/")
@@ -113,7 +172,7 @@
 				notFound(r)
 				return
 			}
-			door.Tell(frontdoor.Cancel{Req: r, ID: id})
+			n.door.Tell(frontdoor.Cancel{Req: r, ID: id})
 		case sub:
 			notFound(r)
 		default:
@@ -124,7 +183,7 @@
 				notFound(r)
 				return
 			}
-			door.Tell(frontdoor.Poll{Req: r, ID: id})
+			n.door.Tell(frontdoor.Poll{Req: r, ID: id})
 		}
 	default:
 		notFound(r)
--- a/part/place.go
+++ b/part/place.go
@@ -90,6 +90,9 @@
 		}
 		j := q[i]
 		for _, t := range j.waitingTasks(now) {
+			if c.somewhere(j.rec.ID, t.index) {
+				continue // a stray attempt must be gone first
+			}
 			m := c.bestFit(now, &j.rec.Spec)
 			if m == nil {
 				m = c.preempt(now, &j.rec.Spec)
@@ -367,7 +370,7 @@
 // sendBack marks a waiting task to be sent back to the leader. From here on
 // it is not placed, until a newer record says what became of it.
 func (c *Core) sendBack(j *job, t *task) {
-	if !j.writing {
+	if !j.writing && !c.somewhere(j.rec.ID, t.index) {
 		t.leaving = true
 	}
 }
--- a/state/feed.go
+++ b/state/feed.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ravenport/constants"
+	"ravenport/wire"
 )
 
 // Change is one key that changed. Record is nil when the key was deleted.
@@ -25,15 +26,21 @@
 	Revision uint64
 }
 
+// Source is where a feed reads from.
+type Source interface {
+	List(ctx context.Context, prefix string) ([]wire.KeyValue, uint64, error)
+	Watch(ctx context.Context, prefix string, from uint64, wait time.Duration) (*wire.Events, error)
+}
+
 // Feed mirrors all keys under Prefix.
 type Feed struct {
-	client *Client
+	client Source
 	sink   func(Update)
 	known  map[string]uint64
 }
 
 // NewFeed makes a feed that hands its updates to sink, in order.
-func NewFeed(c *Client, sink func(Update)) *Feed {
+func NewFeed(c Source, sink func(Update)) *Feed {
 	return &Feed{client: c, sink: sink, known: map[string]uint64{}}
 }
 
