--- /dev/null
+++ b/node/standin_test.go
@@ -0,0 +1,932 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"ravenport/cloud"
+	"ravenport/frontdoor"
+	"ravenport/httpwire"
+	"ravenport/peer"
+	"ravenport/settings"
+	"ravenport/state"
+	"ravenport/wire"
+	"ravenport/worker"
+)
+
+// world holds the stand-ins for state service, cloud, workers and users, and
+// a checker of the protocol's rules. Everything in it runs on the virtual
+// clock of a synctest bubble.
+type world struct {
+	mu  sync.Mutex
+	rng *rand.Rand
+
+	// state service
+	kv       map[string]*entry
+	revision uint64
+	events   []wire.Event
+	leases   map[uint64]*simLease
+	leaseSeq uint64
+	changed  chan struct{}
+	outage   bool
+
+	// cloud
+	machines map[string]*simWorker
+	requests map[string][]string
+	seq      int
+	capacity map[string]int // by zone and kind
+
+	nodes []*simNode
+	jobs  map[string]*simJob
+	stop  chan struct{}
+
+	broken []string
+	starts int
+
+	// Guards of the protocol that a test may take away, to see that the
+	// checker notices.
+	noConditions bool // the state service ignores versions
+	noTokens     bool // workers take commands under any token
+	noLease      bool // workers never give up
+}
+
+type entry struct {
+	value   json.RawMessage
+	version uint64
+	lease   uint64
+}
+
+type simLease struct {
+	life time.Duration
+	ends time.Time
+}
+
+type simNode struct {
+	w        *world
+	set      *settings.Settings
+	ctl      *Controller
+	cancel   context.CancelFunc
+	cutState bool
+	cutWork  bool // from workers
+}
+
+type simJob struct {
+	spec      wire.Submission
+	accepted  bool
+	told      string // last terminal state told
+	cancelled time.Time
+	asked     bool // cancellation asked for
+	doneTasks map[int]bool
+}
+
+func newWorld(seed uint64, zones []string, nodes int) *world {
+	w := &world{
+		rng: rand.New(rand.NewPCG(seed, 7)), kv: map[string]*entry{}, leases: map[uint64]*simLease{}, changed: make(chan struct{}),
+		machines: map[string]*simWorker{}, requests: map[string][]string{}, capacity: map[string]int{}, jobs: map[string]*simJob{}, stop: make(chan struct{}),
+	}
+	var b strings.Builder
+	for i := range nodes {
+		w.nodes = append(w.nodes, &simNode{w: w})
+		b.Reset()
+		fmt.Fprintf(&b, "node = \"n-%d\"\ndomain = %q\nbind = \"10.0.0.%d:80\"\nback = \"10.0.0.%d:81\"\n", i, zones[i%len(zones)], i+1, i+1)
+		for k := range nodes {
+			if k != i {
+				fmt.Fprintf(&b, "[[siblings]]\nnode = \"n-%d\"\ndomain = %q\npeer_addr = \"10.0.0.%d:81\"\n", k, zones[k%len(zones)], k+1)
+			}
+		}
+		b.WriteString("[outside]\ncloud = \"10.1.0.1:1\"\nstate = \"10.1.0.2:1\"\n[facts]\n")
+		fmt.Fprintf(&b, "size = %d\nzones = [\"%s\"]\n", nodes, strings.Join(zones, "\", \""))
+		b.WriteString("[[facts.teams]]\nname = \"free\"\n[[facts.teams]]\nname = \"tight\"\ncpus = 4.0\ncpus_max = 10.0\n")
+		b.WriteString("[facts.workers]\nreport_s = 3.0\nlease_s = 20.0\ncancel_s = 45.0\n[facts.state]\nrps = 200.0\nwrite_rps = 100.0\nvalue_kb = 8.0\ntxn_ops = 12\n[facts.cloud]\nrps = 10.0\nlist_lag_s = 5.0\n")
+		set, err := settings.Parse([]byte(b.String()))
+		if err != nil {
+			panic(err)
+		}
+		set.Operator.IdleSpot, set.Operator.IdleOrdinary = 15*time.Second, 25*time.Second
+		w.nodes[i].set = set
+	}
+	for _, z := range zones {
+		w.capacity[z+"/spot"], w.capacity[z+"/ordinary"] = 3, 3
+	}
+	return w
+}
+
+func (w *world) chance(p float64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rng.Float64() < p
+}
+
+func (w *world) between(lo, hi time.Duration) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return lo + time.Duration(w.rng.Int64N(int64(hi-lo)+1))
+}
+
+// broke records a broken rule. The caller holds the lock.
+func (w *world) broke(rule, format string, args ...any) {
+	w.broken = append(w.broken, rule+": "+fmt.Sprintf(format, args...))
+}
+
+// --- controllers
+
+func (n *simNode) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	out := Outside{State: &simStore{n}, Cloud: &simCloud{n}, Workers: func() Workers { return &simCommands{n} }, Peers: map[string]Peer{}}
+	for _, o := range n.w.nodes {
+		if o != n {
+			out.Peers[o.set.Node] = simPeer{n, o}
+		}
+	}
+	ctl := Start(ctx, n.set, out)
+	n.w.mu.Lock()
+	n.ctl, n.cancel = ctl, cancel
+	n.w.mu.Unlock()
+}
+
+func (n *simNode) kill() {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	if n.ctl != nil {
+		n.cancel()
+		n.ctl = nil
+	}
+}
+
+func (n *simNode) up() *Controller {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	return n.ctl
+}
+
+type simPeer struct{ from, to *simNode }
+
+func (p simPeer) Push(ctx context.Context, s peer.Status) (peer.Reply, error) {
+	time.Sleep(p.from.w.between(time.Millisecond, 4*time.Millisecond))
+	ctl := p.to.up()
+	if ctl == nil || ctx.Err() != nil {
+		return peer.Reply{}, fmt.Errorf("unreachable")
+	}
+	return ctl.PeerStatus(s), nil
+}
+
+// --- state service
+
+type simStore struct{ n *simNode }
+
+// pass is the way to the state service: it takes time, and may be shut.
+func (s *simStore) pass(ctx context.Context) error {
+	w := s.n.w
+	time.Sleep(w.between(time.Millisecond, 12*time.Millisecond))
+	if ctx.Err() != nil {
+		return fmt.Errorf("%w: %w", state.ErrUnknown, ctx.Err())
+	}
+	w.mu.Lock()
+	shut := w.outage || s.n.cutState
+	w.mu.Unlock()
+	if shut {
+		return state.ErrRefused
+	}
+	return nil
+}
+
+func (s *simStore) Commit(ctx context.Context, t wire.Txn) (uint64, error) {
+	if err := s.pass(ctx); err != nil {
+		return 0, err
+	}
+	w := s.n.w
+	switch {
+	case w.chance(0.01): // carried out, the answer lost
+		w.mu.Lock()
+		w.apply(t)
+		w.mu.Unlock()
+		time.Sleep(time.Second)
+		return 0, state.ErrUnknown
+	case w.chance(0.01): // carried out much later
+		go func() {
+			time.Sleep(w.between(time.Second, 20*time.Second))
+			w.mu.Lock()
+			w.apply(t)
+			w.mu.Unlock()
+		}()
+		time.Sleep(time.Second)
+		return 0, state.ErrUnknown
+	case w.chance(0.02): // repeated later
+		go func() {
+			time.Sleep(w.between(time.Second, 20*time.Second))
+			w.mu.Lock()
+			w.apply(t)
+			w.mu.Unlock()
+		}()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.apply(t)
+}
+
+// apply carries out a transaction. The caller holds the lock.
+func (w *world) apply(t wire.Txn) (uint64, error) {
+	if !w.noConditions {
+		for _, c := range t.If {
+			v := uint64(0)
+			if e := w.kv[c.Key]; e != nil {
+				v = e.version
+			}
+			if v != c.Version {
+				return 0, &state.Conflict{Failed: []string{c.Key}}
+			}
+		}
+	}
+	for _, ch := range t.Then {
+		if ch.Lease != 0 && w.leases[ch.Lease] == nil {
+			return 0, state.ErrNoLease
+		}
+	}
+	w.revision++
+	for _, ch := range t.Then {
+		if ch.Delete != "" {
+			delete(w.kv, ch.Delete)
+			w.events = append(w.events, wire.Event{Delete: ch.Delete, Version: w.revision})
+			continue
+		}
+		w.kv[ch.Put] = &entry{ch.Value, w.revision, ch.Lease}
+		w.events = append(w.events, wire.Event{Put: ch.Put, Value: ch.Value, Version: w.revision})
+	}
+	close(w.changed)
+	w.changed = make(chan struct{})
+	return w.revision, nil
+}
+
+func (s *simStore) Get(ctx context.Context, key string) (wire.KeyValue, bool, error) {
+	if err := s.pass(ctx); err != nil {
+		return wire.KeyValue{}, false, err
+	}
+	s.n.w.mu.Lock()
+	defer s.n.w.mu.Unlock()
+	e := s.n.w.kv[key]
+	if e == nil {
+		return wire.KeyValue{}, false, nil
+	}
+	return wire.KeyValue{Key: key, Value: e.value, Version: e.version, Lease: e.lease}, true, nil
+}
+
+func (s *simStore) Revision(ctx context.Context) (uint64, error) {
+	if err := s.pass(ctx); err != nil {
+		return 0, err
+	}
+	s.n.w.mu.Lock()
+	defer s.n.w.mu.Unlock()
+	return s.n.w.revision, nil
+}
+
+func (s *simStore) List(ctx context.Context, prefix string) ([]wire.KeyValue, uint64, error) {
+	if err := s.pass(ctx); err != nil {
+		return nil, 0, err
+	}
+	w := s.n.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []wire.KeyValue
+	for k, e := range w.kv {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, wire.KeyValue{Key: k, Value: e.value, Version: e.version})
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Key < out[b].Key })
+	return out, w.revision, nil
+}
+
+func (s *simStore) Watch(ctx context.Context, prefix string, from uint64, wait time.Duration) (*wire.Events, error) {
+	if err := s.pass(ctx); err != nil {
+		return nil, err
+	}
+	w := s.n.w
+	end := time.After(wait)
+	for {
+		w.mu.Lock()
+		out := &wire.Events{Revision: w.revision}
+		i := sort.Search(len(w.events), func(i int) bool { return w.events[i].Version > from })
+		out.Events = append(out.Events, w.events[i:]...)
+		changed, shut := w.changed, s.n.cutState
+		w.mu.Unlock()
+		if len(out.Events) > 0 && !shut {
+			return out, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, state.ErrRefused
+		case <-end:
+			if shut {
+				return nil, state.ErrRefused
+			}
+			return out, nil
+		case <-changed:
+		}
+	}
+}
+
+func (s *simStore) Grant(ctx context.Context, life time.Duration) (uint64, error) {
+	if err := s.pass(ctx); err != nil {
+		return 0, err
+	}
+	w := s.n.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaseSeq++
+	w.leases[w.leaseSeq] = &simLease{life, time.Now().Add(life)}
+	return w.leaseSeq, nil
+}
+
+func (s *simStore) Renew(ctx context.Context, id uint64) error {
+	if err := s.pass(ctx); err != nil {
+		return err
+	}
+	w := s.n.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	l := w.leases[id]
+	if l == nil {
+		return state.ErrNoLease
+	}
+	l.ends = time.Now().Add(l.life)
+	return nil
+}
+
+// expire ends leases whose time is up, never during an outage.
+func (w *world) expire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.outage {
+		return
+	}
+	for id, l := range w.leases {
+		if time.Now().Before(l.ends) {
+			continue
+		}
+		delete(w.leases, id)
+		var t wire.Txn
+		for k, e := range w.kv {
+			if e.lease == id {
+				t.Then = append(t.Then, wire.Change{Delete: k})
+			}
+		}
+		if len(t.Then) > 0 {
+			if _, err := w.apply(t); err != nil {
+				panic(err)
+			}
+		}
+	}
+}
+
+func (w *world) setOutage(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.outage = on
+	for _, l := range w.leases {
+		l.ends = time.Now().Add(l.life)
+	}
+}
+
+// --- cloud
+
+type simCloud struct{ n *simNode }
+
+var simTypes = []wire.MachineType{{Name: "box", CPUs: 8, MemoryGB: 32, CacheGB: 50, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 8}}
+
+func (c *simCloud) Types(ctx context.Context) ([]wire.MachineType, error) {
+	time.Sleep(50 * time.Millisecond)
+	t := simTypes[0]
+	t.Zones = c.n.set.Params.Zones
+	return []wire.MachineType{t}, nil
+}
+
+func (c *simCloud) Rent(ctx context.Context, r wire.RentRequest) ([]string, error) {
+	w := c.n.w
+	time.Sleep(100 * time.Millisecond)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if names, ok := w.requests[r.Request]; ok {
+		return names, nil
+	}
+	kind := r.Zone + "/ordinary"
+	if r.Spot {
+		kind = r.Zone + "/spot"
+	}
+	var names []string
+	for range min(r.Count, w.capacity[kind]) {
+		w.capacity[kind]--
+		w.seq++
+		m := &simWorker{w: w, name: fmt.Sprintf("m-%06d", w.seq), zone: r.Zone, spot: r.Spot, kind: kind, session: 1, held: map[string]*simTask{}, born: time.Now()}
+		m.boots = time.Now().Add(time.Duration(4+w.rng.IntN(10)) * time.Second)
+		if w.rng.Float64() < 0.05 {
+			m.boots = m.boots.Add(time.Hour)
+		}
+		w.machines[m.name] = m
+		names = append(names, m.name)
+		go m.run()
+	}
+	if len(names) == 0 {
+		return nil, cloud.ErrNoCapacity
+	}
+	w.requests[r.Request] = names
+	if w.rng.Float64() < 0.05 {
+		return nil, cloud.ErrTrouble // carried out, the answer lost
+	}
+	return names, nil
+}
+
+func (c *simCloud) Return(ctx context.Context, names []string) error {
+	time.Sleep(100 * time.Millisecond)
+	c.n.w.mu.Lock()
+	defer c.n.w.mu.Unlock()
+	for _, n := range names {
+		c.n.w.remove(n)
+	}
+	return nil
+}
+
+// remove takes a machine away. The caller holds the lock.
+func (w *world) remove(name string) {
+	if m := w.machines[name]; m != nil {
+		m.gone = true
+		w.capacity[m.kind]++
+		delete(w.machines, name)
+	}
+}
+
+func (c *simCloud) List(ctx context.Context) ([]wire.CloudMachine, error) {
+	w := c.n.w
+	w.mu.Lock()
+	var out []wire.CloudMachine
+	for _, m := range w.machines {
+		s := wire.MachineRunning
+		if time.Now().Before(m.boots) {
+			s = wire.MachineBooting
+		}
+		out = append(out, wire.CloudMachine{Name: m.name, Addr: m.name, Type: "box", Zone: m.zone, Spot: m.spot, State: s, AgeS: time.Since(m.born).Seconds()})
+	}
+	w.mu.Unlock()
+	time.Sleep(5 * time.Second) // the list lags
+	sort.Slice(out, func(a, b int) bool { return out[a].Name < out[b].Name })
+	return out, nil
+}
+
+// --- workers
+
+type simWorker struct {
+	w           *world
+	name, zone  string
+	spot        bool
+	kind        string
+	born, boots time.Time
+	gone        bool
+	hung        bool
+	cut         bool // nothing reaches it or comes from it
+	session     uint64
+	seq, token  uint64
+	renewed     time.Time // when the last answered report was sent
+	held        map[string]*simTask
+	changed     bool
+}
+
+type simTask struct {
+	name    string
+	attempt uint64
+	state   string
+	cause   string
+	next    time.Time // when its state changes by itself
+}
+
+func (m *simWorker) report() *wire.Report {
+	m.seq++
+	r := &wire.Report{Machine: m.name, Addr: m.name, Type: "box", Zone: m.zone, Spot: m.spot, Session: m.session, Seq: m.seq, Token: m.token}
+	for _, t := range m.held {
+		r.Tasks = append(r.Tasks, wire.TaskStatus{Task: t.name, Attempt: t.attempt, State: t.state, Cause: t.cause})
+	}
+	return r
+}
+
+// run is a worker's life.
+func (m *simWorker) run() {
+	w := m.w
+	for time.Now().Before(m.boots) {
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(min(time.Second, time.Until(m.boots))):
+		}
+	}
+	w.mu.Lock()
+	m.renewed = time.Now()
+	node := w.rng.IntN(len(w.nodes))
+	w.mu.Unlock()
+	next := time.Now()
+	for {
+		time.Sleep(100 * time.Millisecond)
+		w.mu.Lock()
+		select {
+		case <-w.stop:
+			m.gone = true
+		default:
+		}
+		if m.gone {
+			w.mu.Unlock()
+			return
+		}
+		if m.hung {
+			w.mu.Unlock()
+			continue
+		}
+		m.advance()
+		now := time.Now()
+		if m.cut || now.Before(next) && !(m.changed && next.Sub(now) < 2500*time.Millisecond) {
+			w.mu.Unlock()
+			continue
+		}
+		m.changed = false
+		r := m.report()
+		n := w.nodes[node]
+		ctl, shut := n.ctl, n.cutWork
+		next = now.Add(time.Duration(2250+w.rng.IntN(1500)) * time.Millisecond)
+		w.mu.Unlock()
+		if ctl == nil || shut {
+			node = (node + 1) % len(w.nodes)
+			next = now.Add(time.Second)
+			continue
+		}
+		a := &simAnswer{got: make(chan *httpwire.Response, 1)}
+		time.Sleep(w.between(time.Millisecond, 5*time.Millisecond))
+		ctl.self.Tell(beat{a, r})
+		if w.chance(0.01) { // a late copy of the report
+			go func() {
+				time.Sleep(w.between(time.Second, 20*time.Second))
+				ctl.self.Tell(beat{&simAnswer{got: make(chan *httpwire.Response, 1)}, r})
+			}()
+		}
+		var resp *httpwire.Response
+		select {
+		case resp = <-a.got:
+			time.Sleep(w.between(time.Millisecond, 5*time.Millisecond))
+		case <-time.After(4 * time.Second):
+		}
+		w.mu.Lock()
+		switch {
+		case resp != nil && resp.Status == 200 && !w.dropAnswer(m):
+			var rep wire.ReportReply
+			if err := json.Unmarshal(resp.Body, &rep); err != nil {
+				panic(err)
+			}
+			if rep.Token >= m.token && m.session == r.Session && !m.hung {
+				if rep.Token > m.token {
+					m.changed = true
+				}
+				m.token = rep.Token
+				m.renewed = now
+				m.execute(rep.Commands)
+			}
+		case resp != nil && resp.Status == 421:
+			var red wire.Redirect
+			if err := json.Unmarshal(resp.Body, &red); err != nil {
+				panic(err)
+			}
+			to := slices.IndexFunc(w.nodes, func(n *simNode) bool { return n.set.Node == red.ReportTo })
+			if to >= 0 && to != node {
+				node = to
+				next = time.Now()
+			} else {
+				node = (node + 1) % len(w.nodes)
+				next = time.Now().Add(time.Second)
+			}
+		default:
+			node = (node + 1) % len(w.nodes)
+			next = time.Now().Add(time.Second)
+		}
+		w.mu.Unlock()
+	}
+}
+
+// dropAnswer loses an answer now and then. The caller holds the lock.
+func (w *world) dropAnswer(m *simWorker) bool { return m.cut || w.rng.Float64() < 0.01 }
+
+// advance lets time pass on the machine. The caller holds the lock.
+func (m *simWorker) advance() {
+	now := time.Now()
+	if !m.w.noLease && now.Sub(m.renewed) > 20*time.Second {
+		m.held = map[string]*simTask{}
+		m.session++
+		m.renewed = now
+		m.changed = true
+	}
+	for _, t := range m.held {
+		if t.next.IsZero() || now.Before(t.next) {
+			continue
+		}
+		job, i, _ := wire.SplitTask(t.name)
+		j := m.w.jobs[job]
+		m.changed = true
+		switch t.state {
+		case wire.TaskFetching:
+			t.state = wire.TaskRunning
+			t.next = time.Time{}
+			if !j.spec.IsService() {
+				t.next = now.Add(time.Duration(j.spec.EstimateS * float64(time.Second)))
+				if j.doneTasks[i] {
+					t.next = now
+				}
+			}
+			m.w.started(m, t, j)
+		case wire.TaskRunning:
+			t.state, t.cause = wire.TaskExited, wire.CauseDone
+			t.next = time.Time{}
+			j.doneTasks[i] = true
+		}
+	}
+	for _, t := range m.held {
+		job, _, _ := wire.SplitTask(t.name)
+		j := m.w.jobs[job]
+		if t.state == wire.TaskRunning && !j.cancelled.IsZero() && now.Sub(j.cancelled) > 45*time.Second {
+			m.w.broke("ran_cancelled", "%s on %s", t.name, m.name)
+			j.cancelled = now
+		}
+	}
+}
+
+// started checks the rules on a task that starts. The caller holds the lock.
+func (w *world) started(m *simWorker, t *simTask, j *simJob) {
+	w.starts++
+	used, inZone := 0.0, 0
+	zones := map[string]bool{}
+	for _, o := range w.machines {
+		for _, x := range o.held {
+			if x.state != wire.TaskRunning {
+				continue
+			}
+			job, _, _ := wire.SplitTask(x.name)
+			k := w.jobs[job]
+			if x.name == t.name && o != m {
+				w.broke("ran_twice", "%s on %s and %s", t.name, m.name, o.name)
+			}
+			if k.spec.Team == j.spec.Team {
+				used += k.spec.CPUs
+			}
+			if k == j {
+				zones[o.zone] = true
+				if o.zone == m.zone {
+					inZone++
+				}
+			}
+		}
+	}
+	if j.spec.Team == "tight" && used > 10+1e-6 {
+		w.broke("quota", "%s: %g CPUs", t.name, used)
+	}
+	if m.spot && !j.spec.Spot || j.spec.Zone != "" && j.spec.Zone != m.zone ||
+		j.spec.OneZone && len(zones) > 1 || j.spec.Spread && inZone > (j.spec.Tasks+1)/2 {
+		w.broke("wrong_place", "%s on %s", t.name, m.name)
+	}
+	if !j.cancelled.IsZero() && time.Since(j.cancelled) > 45*time.Second {
+		w.broke("ran_cancelled", "%s started on %s", t.name, m.name)
+	}
+}
+
+// execute carries out commands. The caller holds the lock.
+func (m *simWorker) execute(cmds []wire.Command) {
+	for _, c := range cmds {
+		key := fmt.Sprintf("%s#%d", c.Task, c.Attempt)
+		t := m.held[key]
+		switch c.Op {
+		case wire.OpStart:
+			if t != nil {
+				continue
+			}
+			t = &simTask{name: c.Task, attempt: c.Attempt, state: wire.TaskFetching}
+			m.held[key] = t
+			m.changed = true
+			used := 0.0
+			for _, o := range m.held {
+				job, _, _ := wire.SplitTask(o.name)
+				if o != t && o.state != wire.TaskExited {
+					used += m.w.jobs[job].spec.CPUs
+					if o.name == t.name {
+						t.state, t.cause = wire.TaskExited, wire.CauseBusy
+					}
+				}
+			}
+			job, _, _ := wire.SplitTask(c.Task)
+			if t.state != wire.TaskExited && used+m.w.jobs[job].spec.CPUs > 8+1e-6 {
+				t.state, t.cause = wire.TaskExited, wire.CauseNoRoom
+			}
+			if t.state == wire.TaskFetching {
+				t.next = time.Now().Add(time.Duration(m.w.rng.IntN(3000)) * time.Millisecond)
+			}
+		case wire.OpStop:
+			if t != nil && t.state != wire.TaskExited {
+				t.state, t.cause, t.next = wire.TaskExited, wire.CauseStopped, time.Time{}
+				m.changed = true
+			}
+		case wire.OpForget:
+			if t != nil && t.state == wire.TaskExited {
+				delete(m.held, key)
+			}
+		}
+	}
+}
+
+// simCommands delivers direct commands, some of them late or twice.
+type simCommands struct{ n *simNode }
+
+func (c *simCommands) Forget(string) {}
+
+func (c *simCommands) Send(ctx context.Context, addr string, req wire.CommandRequest, done func(worker.Result)) {
+	w := c.n.w
+	go func() {
+		time.Sleep(w.between(time.Millisecond, 5*time.Millisecond))
+		if w.chance(0.15) { // a late copy
+			go func() {
+				time.Sleep(w.between(time.Second, 30*time.Second))
+				c.deliver(addr, req)
+			}()
+		}
+		if w.chance(0.15) { // held back: the sender gives up, the command arrives all the same
+			go func() {
+				time.Sleep(w.between(time.Second, 30*time.Second))
+				c.deliver(addr, req)
+			}()
+			time.Sleep(2 * time.Second)
+			done(worker.Result{Err: fmt.Errorf("no answer")})
+			return
+		}
+		w.mu.Lock()
+		m := w.machines[addr]
+		silent := m == nil || m.cut || m.hung || c.n.cutWork || time.Now().Before(m.boots)
+		w.mu.Unlock()
+		if silent {
+			time.Sleep(2 * time.Second)
+			if m != nil && w.chance(0.5) {
+				go func() {
+					time.Sleep(w.between(time.Second, 30*time.Second))
+					c.deliver(addr, req)
+				}()
+			}
+			done(worker.Result{Err: fmt.Errorf("no answer")})
+			return
+		}
+		r := c.deliver(addr, req)
+		time.Sleep(w.between(time.Millisecond, 5*time.Millisecond))
+		if w.chance(0.02) {
+			r = worker.Result{Err: fmt.Errorf("the answer was lost")}
+		}
+		done(r)
+	}()
+}
+
+func (c *simCommands) deliver(addr string, req wire.CommandRequest) worker.Result {
+	w := c.n.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m := w.machines[addr]
+	if m == nil || m.gone || m.hung || time.Now().Before(m.boots) {
+		return worker.Result{Err: fmt.Errorf("gone")}
+	}
+	if (req.Token < m.token || req.Session != m.session) && !w.noTokens {
+		return worker.Result{Report: m.report()}
+	}
+	if req.Token > m.token {
+		m.changed = true
+	}
+	m.token = max(m.token, req.Token)
+	m.execute(req.Commands)
+	return worker.Result{Executed: true, Report: m.report()}
+}
+
+// --- users
+
+type simAnswer struct{ got chan *httpwire.Response }
+
+func (a *simAnswer) Answer(r *httpwire.Response) { a.got <- r }
+
+// ask sends one request to a controller and waits as long as users do.
+func (w *world) ask(msg func(frontdoor.Request) any) *httpwire.Response {
+	w.mu.Lock()
+	ctl := w.nodes[w.rng.IntN(len(w.nodes))].ctl
+	w.mu.Unlock()
+	time.Sleep(w.between(time.Millisecond, 5*time.Millisecond))
+	if ctl == nil {
+		return nil
+	}
+	a := &simAnswer{got: make(chan *httpwire.Response, 1)}
+	ctl.door.Tell(msg(a))
+	select {
+	case r := <-a.got:
+		return r
+	case <-time.After(5 * time.Second):
+		return nil
+	}
+}
+
+// user submits a job, polls it and perhaps cancels it.
+func (w *world) user(j *simJob, after, cancelAfter time.Duration) {
+	time.Sleep(after)
+	body, err := json.Marshal(fields(j.spec))
+	if err != nil {
+		panic(err)
+	}
+	for {
+		r := w.ask(func(q frontdoor.Request) any { return frontdoor.Submit{Req: q, Body: body} })
+		if r != nil && (r.Status == 201 || r.Status == 200) {
+			w.mu.Lock()
+			j.accepted = true
+			w.mu.Unlock()
+			break
+		}
+		if r != nil && (r.Status == 400 || r.Status == 422) {
+			w.mu.Lock()
+			w.broke("forgotten", "%s refused with %d: %s", j.spec.ID, r.Status, r.Body)
+			w.mu.Unlock()
+			return
+		}
+		time.Sleep(time.Second)
+	}
+	accepted := time.Now()
+	for {
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(w.between(4*time.Second, 6*time.Second)):
+		}
+		if cancelAfter > 0 && time.Since(accepted) > cancelAfter && j.told == "" {
+			w.mu.Lock()
+			j.asked = true
+			w.mu.Unlock()
+			r := w.ask(func(q frontdoor.Request) any { return frontdoor.Cancel{Req: q, ID: j.spec.ID} })
+			w.check(j, r, true)
+			continue
+		}
+		r := w.ask(func(q frontdoor.Request) any { return frontdoor.Poll{Req: q, ID: j.spec.ID} })
+		w.check(j, r, false)
+		if w.chance(0.1) { // a late repeat of the submission
+			r = w.ask(func(q frontdoor.Request) any { return frontdoor.Submit{Req: q, Body: body} })
+			if r != nil && r.Status == 201 {
+				w.mu.Lock()
+				w.broke("forgotten", "%s accepted twice", j.spec.ID)
+				w.mu.Unlock()
+			}
+			w.check(j, r, false)
+		}
+	}
+}
+
+// check holds an answer against what the user was told before.
+func (w *world) check(j *simJob, r *httpwire.Response, cancel bool) {
+	if r == nil || r.Status == 503 || r.Status == 429 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r.Status != 200 {
+		w.broke("forgotten", "%s: status %d", j.spec.ID, r.Status)
+		return
+	}
+	var s wire.JobState
+	if err := json.Unmarshal(r.Body, &s); err != nil {
+		panic(err)
+	}
+	if j.told != "" && s.Status != j.told {
+		w.broke("went_back", "%s: %s, then %s", j.spec.ID, j.told, s.Status)
+	}
+	switch s.Status {
+	case wire.JobDone:
+		if len(j.doneTasks) < j.spec.Tasks {
+			w.broke("not_done", "%s: %d of %d", j.spec.ID, len(j.doneTasks), j.spec.Tasks)
+		}
+		j.told = s.Status
+	case wire.JobCancelled:
+		if !j.asked {
+			w.broke("went_back", "%s was never cancelled", j.spec.ID)
+		}
+		if j.cancelled.IsZero() {
+			j.cancelled = time.Now()
+		}
+		j.told = s.Status
+	}
+}
+
+// fields is a submission with every field present.
+func fields(s wire.Submission) map[string]any {
+	b, err := json.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	m := map[string]any{"one_zone": false, "scatter": false, "loaners": false}
+	if err := json.Unmarshal(b, &m); err != nil {
+		panic(err)
+	}
+	return m
+}
