--- a/node/standin_test.go
+++ b/node/standin_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -133,6 +134,7 @@
 // broke records a broken rule. The caller holds the lock.
 func (w *world) broke(rule, format string, args ...any) {
 	w.broken = append(w.broken, rule+": "+fmt.Sprintf(format, args...))
+	slog.Error("rule broken", "rule", rule, "what", fmt.Sprintf(format, args...))
 }
 
 // --- controllers
@@ -619,6 +621,7 @@
 func (m *simWorker) advance() {
 	now := time.Now()
 	if !m.w.noLease && now.Sub(m.renewed) > 20*time.Second {
+		slog.Debug("stand-in: lease ends", "machine", m.name, "session", m.session)
 		m.held = map[string]*simTask{}
 		m.session++
 		m.renewed = now
@@ -661,9 +664,13 @@
 // started checks the rules on a task that starts. The caller holds the lock.
 func (w *world) started(m *simWorker, t *simTask, j *simJob) {
 	w.starts++
+	slog.Debug("stand-in: task starts", "task", t.name, "attempt", t.attempt, "machine", m.name, "session", m.session, "token", m.token)
 	used, inZone := 0.0, 0
 	zones := map[string]bool{}
 	for _, o := range w.machines {
+		if !w.noLease && time.Since(o.renewed) > 20*time.Second {
+			continue // hangs beyond its lease: what it held is dead, and it will see to that before anything else
+		}
 		for _, x := range o.held {
 			if x.state != wire.TaskRunning {
 				continue
