Ordinary machines are emptied by moving services, with a reserve for arrivals

Ruled out: shorter idle times alone, since no machine with a service idles. A new owner keeps what its forerunner had learned of arrivals; silent machines are asked, then given up.

--- a/constants/constants.go
+++ b/constants/constants.go
@@ -147,9 +147,14 @@
 	PushGap   = 100 * time.Millisecond
 	// RepeatCommand is when a direct command without effect is sent again.
 	RepeatCommand = time.Second
-	// SilentProbe and SilentPeriods: a machine unheard for that many report
-	// periods is suspected.
+	// ProbePeriods: a machine unheard for that many report periods is asked
+	// directly; reports come a quarter late at most (periods).
+	ProbePeriods = 1.5
+	// SilentPeriods: a machine unheard for that many report periods, that did
+	// not answer when asked, has failed (periods).
 	SilentPeriods = 3.0
+	// SilentAtTakeover: the same for a new owner, which asks at once (periods).
+	SilentAtTakeover = 2.0
 	// AttemptBits is the part of an attempt number that counts within a
 	// term (bits).
 	AttemptBits = 24
@@ -168,6 +173,18 @@
 	// KeepWait is how long tasks wait in a part that gets no more machines
 	// before they are sent back to the leader.
 	KeepWait = 5 * time.Second
+	// MoveGap separates two looks at whether a machine can be emptied, and so
+	// two moved services: the last one has usually started again by then.
+	MoveGap = time.Second
+	// SpareFor is how long a part must have been able to do without a machine
+	// before it is emptied, so that a lull between two jobs empties none.
+	SpareFor = 10 * time.Second
+	// ArrivalMemory is how long arrivals count when room is held ready for
+	// more of them.
+	ArrivalMemory = 120 * time.Second
+	// ReserveFactor is how many times the arrivals expected while a machine
+	// boots are held ready: arrivals come in clumps (factor).
+	ReserveFactor = 2.0
 	// FaultPause is how long a machine that failed a task is avoided.
 	FaultPause = 60 * time.Second
 	// JobFaultRetry is the longest wait before a failing task is tried again.
--- a/part/core.go
+++ b/part/core.go
@@ -50,7 +50,10 @@
 	dirty        bool // something changed that placing may use
 	pushDirty    bool
 	lastPlace    time.Time
-	unplaced     resources // waiting demand after the last round
+	lastMove     time.Time
+	prod         arrivals             // of production work
+	spareSince   map[string]time.Time // since when the part could do without a machine
+	unplaced     resources            // waiting demand after the last round
 }
 
 type rental struct {
@@ -86,7 +89,7 @@
 	jobs map[string]*state.Job, versions map[string]uint64, roster map[string]*state.Machine, rosterVersions map[string]uint64) *Core {
 	c := &Core{cfg: cfg, term: term, termVer: termVersion, claimed: now,
 		types: map[string]*wire.MachineType{}, jobs: map[string]*job{}, machines: map[string]*machine{},
-		pendingRents: map[string]*rental{}, refused: map[bool]time.Time{}, dirty: true, pushDirty: true}
+		pendingRents: map[string]*rental{}, refused: map[bool]time.Time{}, spareSince: map[string]time.Time{}, dirty: true, pushDirty: true}
 	c.SetTypes(types)
 	for key, r := range roster {
 		m := c.machine(r.Name)
@@ -218,6 +221,9 @@
 				t = &task{job: j, index: i, uncertain: inherited && !c.rebuilt, waitSince: now}
 				j.tasks[i] = t
 				c.adoptKnown(t)
+				if rec.Spec.Priority == wire.PriorityProduction {
+					c.prod.add(now, time.Duration(now.UnixMilli()-rec.AcceptedMS)*time.Millisecond, need(&rec.Spec))
+				}
 			}
 			t.keep, t.guarantee = ch.Keep, ch.Guaranteed
 		}
@@ -447,7 +453,7 @@
 	}
 	c.arrive(now, m, r)
 	c.absorb(now, m, r, true)
-	m.heard = now
+	m.heard, m.unanswered = now, 0
 	m.leaseUntil = now.Add(c.cfg.LeaseEnd)
 	reply = wire.ReportReply{Token: c.term, Commands: c.orders(now, m, true)}
 	return reply, true
@@ -487,6 +493,7 @@
 	}
 	m.inFlight = false
 	if r == nil {
+		m.unanswered++
 		m.nextDirect = now.Add(constants.RepeatCommand)
 		return
 	}
@@ -498,7 +505,7 @@
 	}
 	c.arrive(now, m, r)
 	c.absorb(now, m, r, false)
-	m.heard = now
+	m.heard, m.unanswered = now, 0
 }
 
 // orders lists what a machine should do: stops, then forgets, then starts, so
@@ -580,6 +587,7 @@
 			c.place(now)
 			c.rent(now)
 		}
+		c.consolidate(now)
 		c.giveBack(now)
 		c.closeChunks(now)
 		c.bump(now)
@@ -644,8 +652,9 @@
 		if m.inFlight || m.returning || m.addr == "" || now.Before(m.nextDirect) {
 			continue
 		}
-		// An inherited machine is asked at once for what is on it.
-		probe := m.inherited && !m.verified(c.term)
+		// An inherited machine is asked at once for what is on it, and one
+		// that missed its report whether it still is there.
+		probe := m.inherited && !m.verified(c.term) || m.up && now.Sub(m.heard) > c.periods(constants.ProbePeriods)
 		if !probe && !m.wantCommand && !c.overdue(now, m) {
 			continue
 		}
@@ -662,6 +671,11 @@
 	}
 }
 
+// periods is a number of report periods.
+func (c *Core) periods(n float64) time.Duration {
+	return time.Duration(n * float64(c.cfg.Report))
+}
+
 // overdue says whether a machine has a decided start without effect.
 func (c *Core) overdue(now time.Time, m *machine) bool {
 	for _, h := range m.holds {
--- a/part/model.go
+++ b/part/model.go
@@ -4,8 +4,10 @@
 package part
 
 import (
+	"math"
 	"time"
 
+	"ravenport/constants"
 	"ravenport/state"
 	"ravenport/wire"
 )
@@ -89,12 +91,14 @@
 	rentedAt     time.Time
 	idleSince    time.Time
 	returning    bool
+	draining     bool // its tasks move elsewhere; it takes new ones last
 	avoidUntil   time.Time
 	faults       int
 
 	inFlight    bool // a direct command waits for its answer
 	nextDirect  time.Time
 	wantCommand bool
+	unanswered  int // direct commands since it was last heard of
 }
 
 // verified says that the machine has seen the owner's token in its present
@@ -152,3 +156,32 @@
 }
 
 func (t *task) waiting() bool { return t.hold == nil && !t.done && !t.uncertain && !t.leaving }
+
+// arrivals follows how much work of a sort arrives, as an average that
+// forgets over constants.ArrivalMemory.
+type arrivals struct {
+	cpus    float64 // decayed sum of CPUs
+	largest resources
+	at      time.Time
+}
+
+func (a *arrivals) decay(now time.Time) {
+	if !a.at.IsZero() {
+		a.cpus *= math.Exp(-now.Sub(a.at).Seconds() / constants.ArrivalMemory.Seconds())
+	}
+	a.at = now
+}
+
+// add counts work that arrived some time ago; a new owner thus knows what its
+// forerunner had learned.
+func (a *arrivals) add(now time.Time, ago time.Duration, n resources) {
+	a.decay(now)
+	a.cpus += n.cpus * math.Exp(-max(0, ago.Seconds())/constants.ArrivalMemory.Seconds())
+	a.largest = resources{max(a.largest.cpus, n.cpus), max(a.largest.gpus, n.gpus), max(a.largest.mem, n.mem)}
+}
+
+// within is how many CPUs are expected within d.
+func (a *arrivals) within(now time.Time, d time.Duration) float64 {
+	a.decay(now)
+	return a.cpus * d.Seconds() / constants.ArrivalMemory.Seconds()
+}
--- a/part/place.go
+++ b/part/place.go
@@ -23,7 +23,7 @@
 }
 
 func (c *Core) silent(now time.Time, m *machine) bool {
-	return now.Sub(m.heard) > time.Duration(constants.SilentPeriods*float64(c.cfg.Report))
+	return now.Sub(m.heard) > c.periods(constants.SilentPeriods)
 }
 
 // allowed says whether a job's tasks may run on a kind of machine.
@@ -141,6 +141,9 @@
 		if s.Spot && !m.spot {
 			score += 5
 		}
+		if m.draining {
+			score += 20
+		}
 		if best == nil || score < bestScore || score == bestScore && m.name < best.name {
 			best, bestScore = m, score
 		}
@@ -172,14 +175,8 @@
 		if m.spot {
 			continue
 		}
-		room := m.free().cpus
-		for _, h := range m.holds {
-			if t := c.taskOf(h); !h.exited() && !h.stop && h.instant && t != nil &&
-				wire.PriorityLevel(t.job.rec.Spec.Priority) < wire.PriorityLevel(wire.PriorityProduction) {
-				a.Yielding += h.needs.cpus
-				room += h.needs.cpus
-			}
-		}
+		room := c.prodRoom(m)
+		a.Yielding += room - m.free().cpus
 		for image := range m.images {
 			a.Warm[image] += room
 		}
@@ -376,6 +373,9 @@
 			total++
 		}
 	}
+	if k, ok := c.rentReserve(now, total == 0); ok {
+		want[kind{k, false}]++
+	}
 	for k, n := range want {
 		c.rentSeq++
 		req := wire.RentRequest{
@@ -389,6 +389,43 @@
 	}
 }
 
+// rentReserve says whether one more ordinary machine is needed to keep room
+// ready for production work.
+func (c *Core) rentReserve(now time.Time, nothingElse bool) (string, bool) {
+	if !nothingElse || c.prod.largest.cpus == 0 || now.Before(c.refused[false]) {
+		return "", false
+	}
+	room := 0.0
+	for _, m := range c.machines {
+		switch {
+		case m.spot || m.returning || m.typ == nil:
+		case !m.up && !m.inherited && now.Sub(m.rentedAt) < c.bootLimit(m):
+			return "", false // one is coming
+		case m.up && m.notice.IsZero():
+			room += c.prodRoom(m)
+		}
+	}
+	for _, r := range c.pendingRents {
+		if !r.req.Spot {
+			return "", false
+		}
+	}
+	if room >= c.reserve(now) {
+		return "", false
+	}
+	var best *wire.MachineType
+	for _, t := range c.types {
+		if c.prod.largest.fits(resources{t.CPUs, t.GPUs, t.MemoryGB}) && slices.Contains(t.Zones, c.cfg.Part) &&
+			(best == nil || t.Price < best.Price) {
+			best = t
+		}
+	}
+	if best == nil {
+		return "", false
+	}
+	return best.Name, true
+}
+
 // sendBack marks a waiting task to be sent back to the leader. From here on
 // it is not placed, until a newer record says what became of it.
 func (c *Core) sendBack(j *job, t *task) {
@@ -452,6 +489,149 @@
 	c.dirty, c.pushDirty = true, true
 }
 
+// consolidate empties ordinary machines that the part can do without, by
+// moving services one at a time to machines that hold their image: a service
+// is away for a moment, while a machine with one service on it costs as much
+// as a full one.
+func (c *Core) consolidate(now time.Time) {
+	if !c.rebuilt || now.Sub(c.lastMove) < constants.MoveGap {
+		return
+	}
+	c.lastMove = now
+	var ms []*machine
+	for _, m := range c.machines {
+		if !m.spot && c.usable(now, m) {
+			ms = append(ms, m)
+			for _, h := range m.holds {
+				if h.stop && !h.exited() {
+					return // one at a time
+				}
+			}
+		} else {
+			delete(c.spareSince, m.name)
+		}
+	}
+	sort.Slice(ms, func(a, b int) bool {
+		if x, y := ms[a].used().cpus, ms[b].used().cpus; x != y {
+			return x < y
+		}
+		return ms[a].name > ms[b].name
+	})
+	for _, m := range ms {
+		if m.draining {
+			if !c.spare(now, m, ms) {
+				m.draining = false
+				delete(c.spareSince, m.name)
+				continue
+			}
+			c.moveOne(now, m)
+			return
+		}
+	}
+	for _, m := range ms {
+		if !c.spare(now, m, ms) {
+			delete(c.spareSince, m.name)
+			continue
+		}
+		since, ok := c.spareSince[m.name]
+		if !ok {
+			c.spareSince[m.name] = now
+		} else if now.Sub(since) > constants.SpareFor {
+			slog.Info("draining machine", "machine", m.name, "cpus", m.used().cpus)
+			m.draining = true
+			return
+		}
+	}
+}
+
+// spare says whether all that is on a machine would fit on the part's others,
+// services on ordinary ones that hold their image.
+func (c *Core) spare(now time.Time, m *machine, ordinary []*machine) bool {
+	free := map[*machine]resources{}
+	for _, o := range c.machines {
+		if o != m && c.usable(now, o) {
+			free[o] = o.free()
+		}
+	}
+	if c.unplaced.cpus > 0 || len(ordinary) < 2 {
+		return false
+	}
+	room := 0.0
+	for _, o := range ordinary {
+		if o != m {
+			room += c.prodRoom(o)
+		}
+	}
+	own := m.capacity.cpus - c.prodRoom(m)
+	if room-own < c.reserve(now)+c.prod.largest.cpus {
+		return false
+	}
+	for _, h := range sortedHolds(m) {
+		t := c.taskOf(h)
+		if h.exited() || t == nil {
+			continue
+		}
+		s := &t.job.rec.Spec
+		var to *machine
+		for o, f := range free {
+			if h.needs.fits(f) && allowed(s, o.typeName, o.spot) && (!s.IsService() || o.images[s.Image]) &&
+				(to == nil || f.cpus < free[to].cpus || f.cpus == free[to].cpus && o.name < to.name) {
+				to = o
+			}
+		}
+		if to == nil {
+			return false
+		}
+		free[to] = free[to].minus(h.needs)
+	}
+	return true
+}
+
+// prodRoom is what production work can have of an ordinary machine (CPUs):
+// what is free, and what lower work holds that can be stopped at once.
+func (c *Core) prodRoom(m *machine) float64 {
+	room := m.free().cpus
+	for _, h := range m.holds {
+		if t := c.taskOf(h); c.yields(h, t) {
+			room += h.needs.cpus
+		}
+	}
+	return room
+}
+
+// yields says whether an attempt can be stopped at once for production work.
+func (c *Core) yields(h *hold, t *task) bool {
+	return !h.exited() && !h.stop && h.instant && t != nil && t.hold == h &&
+		wire.PriorityLevel(t.job.rec.Spec.Priority) < wire.PriorityLevel(wire.PriorityProduction)
+}
+
+// reserve is the room (CPUs) held ready for production work: what is expected
+// to arrive while a machine would boot, and one of the largest tasks at least.
+func (c *Core) reserve(now time.Time) float64 {
+	boot := 0.0
+	for _, t := range c.types {
+		boot = max(boot, t.BootS)
+	}
+	return max(c.prod.largest.cpus, constants.ReserveFactor*c.prod.within(now, time.Duration(boot*float64(time.Second))))
+}
+
+// moveOne stops one service of a draining machine; it starts again at once
+// where there is room for it.
+func (c *Core) moveOne(now time.Time, m *machine) {
+	for _, h := range sortedHolds(m) {
+		t := c.taskOf(h)
+		if h.state != wire.TaskRunning || t == nil || t.hold != h || !t.job.rec.Spec.IsService() || !h.instant {
+			continue
+		}
+		if to := c.bestFit(now, &t.job.rec.Spec); to != nil && !to.draining && to.images[t.job.rec.Spec.Image] {
+			h.stop = true
+			m.wantCommand = true
+			slog.Debug("moving service", "task", h.key.task, "from", m.name, "to", to.name)
+			return
+		}
+	}
+}
+
 // giveBack returns machines that are idle, never came up, or are silent
 // beyond hope.
 func (c *Core) giveBack(now time.Time) {
@@ -481,13 +661,13 @@
 		switch {
 		case !m.up && !m.inherited && now.Sub(m.rentedAt) > c.bootLimit(m):
 			why = "did not come up"
-		case m.up && !m.busy() && !m.idleSince.IsZero() && now.Sub(m.idleSince) > idle && m.verified(c.term):
+		case m.up && !m.busy() && !m.idleSince.IsZero() && (m.draining || now.Sub(m.idleSince) > idle) && m.verified(c.term):
 			why = "idle"
-		case m.up && now.Sub(m.heard) > time.Duration((constants.SilentPeriods+1)*float64(c.cfg.Report)) && heard*2 > up:
+		case m.up && c.silent(now, m) && m.unanswered > 0 && heard*2 > up:
 			// Returning it makes what was on it surely gone, long before its
 			// lease ends. When most are silent, the owner is cut off itself.
 			why = "silent"
-		case m.inherited && !m.up && now.Sub(c.claimed) > time.Duration((constants.SilentPeriods+1)*float64(c.cfg.Report)) && heard*2 > up:
+		case m.inherited && !m.up && now.Sub(c.claimed) > c.periods(constants.SilentAtTakeover) && m.unanswered > 1 && heard*2 > up:
 			why = "silent since the takeover"
 		}
 		if why != "" {
