--- a/constants/constants.go
+++ b/constants/constants.go
@@ -164,9 +164,12 @@
 	CloudListEvery = 10 * time.Second
 	// RefusedPause is how long a refused kind of machine is not asked for.
 	RefusedPause = 10 * time.Second
-	// BootPatience is how many nominal boot times a machine may take before
-	// it is returned; some take several times as long.
-	BootPatience = 4.0
+	// BootUsual is how long, in nominal boot times, a machine that has not
+	// come up is counted on: most take up to 1.5 of them (factor).
+	BootUsual = 1.7
+	// BootPatience is when, in nominal boot times, it is returned: some take
+	// several of them, and a few never come up but cost all the same (factor).
+	BootPatience = 3.0
 	// ExitedBump is how many exited attempts that must not be forgotten yet
 	// a machine may hold before the owner raises its own term (attempts).
 	ExitedBump = 150
--- a/node/sim_test.go
+++ b/node/sim_test.go
@@ -70,6 +70,7 @@
 	for _, n := range w.nodes {
 		n.cutState, n.cutWork = false, false
 	}
+	w.cloudOut = false
 	for _, m := range w.machines {
 		m.cut, m.hung = false, false
 	}
@@ -96,7 +97,11 @@
 		n := w.nodes[int(w.between(0, time.Duration(len(w.nodes)-1)))]
 		for_ := w.between(time.Second, 35*time.Second)
 		later := func(f func()) { time.AfterFunc(for_, f) }
-		switch w.between(0, 8) {
+		switch w.between(0, 9) {
+		case 9:
+			set := func(v bool) { w.mu.Lock(); w.cloudOut = v; w.mu.Unlock() }
+			set(true)
+			later(func() { set(false) })
 		case 0, 1: // a crash; back within a fraction of a second or after seconds
 			n.kill()
 			time.AfterFunc(w.between(200*time.Millisecond, 6*time.Second), func() {
@@ -197,8 +202,9 @@
 	quietLogs(t)
 	for name, sabotage := range map[string]func(*world){
 		"conditional writes": func(w *world) { w.noConditions = true },
-		"tokens":             func(w *world) { w.noTokens = true },
-		"workers' leases":    func(w *world) { w.noLease = true },
+		"tokens":             func(w *world) { w.noTokens = true; w.late = 0.5 },
+		// With the cloud away nothing is surely gone but by its lease.
+		"workers' leases": func(w *world) { w.noLease = true; time.AfterFunc(60*time.Second, func() { w.cloudOut = true }) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(60) {
--- a/node/standin_test.go
+++ b/node/standin_test.go
@@ -37,6 +37,7 @@
 	leaseSeq uint64
 	changed  chan struct{}
 	outage   bool
+	cloudOut bool // the cloud answers nothing
 
 	// cloud
 	machines map[string]*simWorker
@@ -53,9 +54,10 @@
 
 	// Guards of the protocol that a test may take away, to see that the
 	// checker notices.
-	noConditions bool // the state service ignores versions
-	noTokens     bool // workers take commands under any token
-	noLease      bool // workers never give up
+	noConditions bool    // the state service ignores versions
+	noTokens     bool    // workers take commands under any token
+	late         float64 // share of direct commands that are held back, and of those that come twice
+	noLease      bool    // workers never give up
 }
 
 type entry struct {
@@ -90,7 +92,7 @@
 func newWorld(seed uint64, zones []string, nodes int) *world {
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 7)), kv: map[string]*entry{}, leases: map[uint64]*simLease{}, changed: make(chan struct{}),
-		machines: map[string]*simWorker{}, requests: map[string][]string{}, capacity: map[string]int{}, jobs: map[string]*simJob{}, stop: make(chan struct{}),
+		machines: map[string]*simWorker{}, requests: map[string][]string{}, capacity: map[string]int{}, jobs: map[string]*simJob{}, stop: make(chan struct{}), late: 0.15,
 	}
 	var b strings.Builder
 	for i := range nodes {
@@ -414,6 +416,9 @@
 	time.Sleep(100 * time.Millisecond)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.cloudOut {
+		return nil, cloud.ErrTrouble
+	}
 	if names, ok := w.requests[r.Request]; ok {
 		return names, nil
 	}
@@ -448,6 +453,9 @@
 	time.Sleep(100 * time.Millisecond)
 	c.n.w.mu.Lock()
 	defer c.n.w.mu.Unlock()
+	if c.n.w.cloudOut {
+		return cloud.ErrTrouble
+	}
 	for _, n := range names {
 		c.n.w.remove(n)
 	}
@@ -755,13 +763,13 @@
 	w := c.n.w
 	go func() {
 		time.Sleep(w.between(time.Millisecond, 5*time.Millisecond))
-		if w.chance(0.15) { // a late copy
+		if w.chance(w.late) { // a late copy
 			go func() {
 				time.Sleep(w.between(time.Second, 30*time.Second))
 				c.deliver(addr, req)
 			}()
 		}
-		if w.chance(0.15) { // held back: the sender gives up, the command arrives all the same
+		if w.chance(w.late) { // held back: the sender gives up, the command arrives all the same
 			go func() {
 				time.Sleep(w.between(time.Second, 30*time.Second))
 				c.deliver(addr, req)
--- a/part/place.go
+++ b/part/place.go
@@ -167,8 +167,7 @@
 		r.Memory.Add(free.mem)
 	}
 	for _, m := range c.machines {
-		coming := !m.up && !m.inherited && !m.returning && m.typ != nil && now.Sub(m.rentedAt) < c.bootLimit(m)
-		if !coming && !c.usable(now, m) {
+		if !c.coming(now, m) && !c.usable(now, m) {
 			continue
 		}
 		add(m.free(), m.spot)
@@ -319,7 +318,7 @@
 	}
 	var bins []*bin
 	for _, m := range c.machines {
-		if !m.up && !m.returning && m.typ != nil && m.notice.IsZero() && now.Sub(m.rentedAt) < c.bootLimit(m) {
+		if c.coming(now, m) {
 			bins = append(bins, &bin{m.capacity, m.typeName, m.spot})
 		} else if m.up && !m.verified(c.term) && !m.returning && m.typ != nil && !c.silent(now, m) {
 			bins = append(bins, &bin{m.free(), m.typeName, m.spot})
@@ -363,7 +362,7 @@
 			}
 			typ, spot, ok := c.pick(now, s)
 			if !ok {
-				if now.Sub(t.waitSince) > constants.KeepWait && !s.IsService() {
+				if now.Sub(t.waitSince) > constants.KeepWait {
 					c.sendBack(j, t)
 				}
 				continue
@@ -399,7 +398,7 @@
 	for _, m := range c.machines {
 		switch {
 		case m.spot || m.returning || m.typ == nil:
-		case !m.up && !m.inherited && now.Sub(m.rentedAt) < c.bootLimit(m):
+		case c.coming(now, m):
 			return "", false // one is coming
 		case m.up && m.notice.IsZero():
 			room += c.prodRoom(m)
@@ -459,12 +458,18 @@
 	return best, bestSpot, best != nil
 }
 
-func (c *Core) bootLimit(m *machine) time.Duration {
+// bootAge is a machine's age in nominal boot times.
+func (c *Core) bootAge(now time.Time, m *machine) float64 {
 	boot := 60.0
 	if m.typ != nil {
-		boot = m.typ.BootS
+		boot = max(1, m.typ.BootS)
 	}
-	return time.Duration(constants.BootPatience*boot+10) * time.Second
+	return now.Sub(m.rentedAt).Seconds() / boot
+}
+
+// coming says whether a machine that has not come up yet is still counted on.
+func (c *Core) coming(now time.Time, m *machine) bool {
+	return !m.up && !m.inherited && !m.returning && m.typ != nil && c.bootAge(now, m) < constants.BootUsual
 }
 
 // Rented takes in the answer to a rental: the machines, or that none is to be
@@ -659,7 +664,7 @@
 			idle = c.cfg.IdleSpot
 		}
 		switch {
-		case !m.up && !m.inherited && now.Sub(m.rentedAt) > c.bootLimit(m):
+		case !m.up && !m.inherited && c.bootAge(now, m) > constants.BootPatience:
 			why = "did not come up"
 		case m.up && !m.busy() && !m.idleSince.IsZero() && (m.draining || now.Sub(m.idleSince) > idle) && m.verified(c.term):
 			why = "idle"
@@ -693,6 +698,7 @@
 		}
 		m.up, m.inherited = false, false
 		m.leaseUntil = time.Time{}
+		c.gone[name] = now
 		if m.rosterVersion == 0 && !m.rosterBusy {
 			delete(c.machines, name)
 			continue
@@ -710,6 +716,11 @@
 // Listed takes in the cloud's list, which lags: it brings unexpected machines
 // to light and those that failed, and proves nothing else.
 func (c *Core) Listed(now time.Time, list []wire.CloudMachine) {
+	for name, at := range c.gone {
+		if now.Sub(at) > 4*c.cfg.ListLag+constants.CloudListEvery {
+			delete(c.gone, name)
+		}
+	}
 	for _, l := range list {
 		if l.Zone != c.cfg.Part {
 			continue
@@ -724,7 +735,9 @@
 			}
 			continue
 		}
-		// A machine returned a moment ago may still be listed.
+		if _, gone := c.gone[l.Name]; gone {
+			continue // the list lags: returned a moment ago
+		}
 		if m == nil && l.State == wire.MachineBooting && time.Duration(l.AgeS*float64(time.Second)) > 2*c.cfg.ListLag {
 			m = c.machine(l.Name)
 			m.typeName, m.spot = l.Type, l.Spot
