--- a/constants/constants.go
+++ b/constants/constants.go
@@ -53,7 +53,7 @@
 	RetryMax = 2 * time.Second
 	// StateShare is the part of the state service's allowance that one
 	// controller may use by itself (share); a refusal for rate is harmless.
-	StateShare = 0.5
+	StateShare = 0.7
 	// CloudTimeout bounds a call to the cloud.
 	CloudTimeout = 5 * time.Second
 	// CommandTimeout bounds a direct command: the next report carries the
@@ -131,6 +131,12 @@
 	LeaderBudget = 5 * time.Millisecond
 	// StaleAggregate is when a part that pushes nothing is ranked last.
 	StaleAggregate = 4 * time.Second
+	// QueueShare is how much work, as a share of its capacity, may wait with an
+	// owner that gets no more machines (share).
+	QueueShare = 0.1
+	// PartialGap is the least time between two assignments of a job of which
+	// some tasks find no room yet: fewer, larger writes.
+	PartialGap = 500 * time.Millisecond
 	// MaxAssignments bounds assignments under way at once (transactions).
 	MaxAssignments = 16
 )
--- a/frontdoor/frontdoor.go
+++ b/frontdoor/frontdoor.go
@@ -66,9 +66,10 @@
 		err      error
 	}
 	created struct {
-		s   wire.Submission
-		req Request
-		err error
+		s    wire.Submission
+		req  Request
+		err  error
+		came time.Time
 	}
 	finished struct{}
 )
@@ -349,6 +350,7 @@
 		return
 	}
 	d.busy++
+	came := time.Now()
 	rec := state.Job{Spec: s, AcceptedMS: time.Now().UnixMilli()}
 	txn := wire.Txn{
 		If:   []wire.Condition{{Key: state.KeyJob(s.ID), Version: 0}},
@@ -361,20 +363,23 @@
 			_, err := d.store.Commit(ctx, txn)
 			return err
 		})
-		d.self.Tell(created{s, m.Req, err})
+		d.self.Tell(created{s, m.Req, err, came})
 	}()
 }
 
 func (d *Door) created(ctx context.Context, m created) {
 	d.busy--
+	took := time.Since(m.came).Milliseconds()
 	var conflict *state.Conflict
 	switch {
 	case m.err == nil:
+		slog.Debug("job accepted", "job", m.s.ID, "class", m.s.Class, "tasks", m.s.Tasks, "took_ms", took)
 		m.req.Answer(&httpwire.Response{Status: 201, Body: body(wire.Accepted{ID: m.s.ID, Status: wire.JobQueued})})
 	case errors.As(m.err, &conflict):
 		d.ask(ctx, &poll{req: m.req, id: m.s.ID, missing: func() { Refuse(m.req, 503, "not ready") }})
 	default:
 		// Perhaps it was stored all the same; then the user's repeat finds it.
+		slog.Info("submission refused", "job", m.s.ID, "took_ms", took, "err", m.err)
 		Refuse(m.req, 503, "state service away")
 	}
 }
--- a/leader/core.go
+++ b/leader/core.go
@@ -57,6 +57,8 @@
 	// Yielding is ordinary room (CPUs) held by work that production work may
 	// stop.
 	Yielding float64 `json:"y"`
+	// Capacity is all of the machines that take tasks (CPUs).
+	Capacity float64 `json:"cap"`
 	// Warm is, by image, ordinary room (CPUs), yielding room included, on
 	// machines that hold the image already.
 	Warm map[string]float64 `json:"w,omitempty"`
@@ -85,6 +87,18 @@
 	return n
 }
 
+// Takes estimates how many tasks of a job a part has room for.
+func (a *Aggregate) Takes(s *wire.Submission) int {
+	n := a.Ordinary.fits(s)
+	if s.Spot {
+		n += a.Spot.fits(s)
+	}
+	if s.Priority == wire.PriorityProduction && s.CPUs > 0 {
+		n += int(a.Yielding / s.CPUs)
+	}
+	return n
+}
+
 // booking is an assignment that a part's figures do not show yet.
 type booking struct {
 	revision        uint64 // 0: under way
@@ -321,6 +335,9 @@
 		j.notAt = now.Add(constants.LeaderTick)
 		return Commit{}, false
 	}
+	if given < want {
+		j.notAt = now.Add(constants.PartialGap)
+	}
 	rec.Normalize()
 	for _, b := range books {
 		p := c.parts[b.part]
@@ -386,7 +403,8 @@
 		fit, cap    int
 		sum, queued float64
 		rent, fresh bool
-		warm        int // production tasks that need not wait for their image
+		deep        float64 // CPUs that may wait in the part though no machine is coming
+		warm        int     // production tasks that need not wait for their image
 	}
 	var cs []*cand
 	for _, z := range c.set.Params.Zones {
@@ -397,21 +415,18 @@
 		p := c.parts[z]
 		k := &cand{name: z, cap: limit, fresh: now.Sub(p.at) < constants.StaleAggregate}
 		if k.fresh {
-			ord, spot := p.agg.Ordinary, p.agg.Spot
-			k.queued = p.agg.Waiting
+			a := p.agg
+			k.queued = a.Waiting
 			for _, b := range p.bookings {
-				sub(&ord, &spot, b)
+				sub(&a.Ordinary, &a.Spot, b)
 				k.queued += b.cpus
 			}
-			k.fit = ord.fits(s)
-			k.sum = ord.CPUs.Sum
+			k.fit = a.Takes(s)
+			k.sum = a.Ordinary.CPUs.Sum
 			if s.Spot {
-				k.fit += spot.fits(s)
-				k.sum += spot.CPUs.Sum
-			}
-			if s.Priority == wire.PriorityProduction && s.CPUs > 0 {
-				k.fit += int(p.agg.Yielding / s.CPUs)
+				k.sum += a.Spot.CPUs.Sum
 			}
+			k.deep = a.Capacity * constants.QueueShare
 			if s.Priority == wire.PriorityProduction && s.CPUs > 0 {
 				k.warm = int(p.agg.Warm[s.Image] / s.CPUs)
 			}
@@ -475,10 +490,14 @@
 		if s.OneZone && k.cap < left || len(out) > 0 && s.OneZone {
 			continue
 		}
+		t := min(k.cap, left)
 		if !k.rent && k.fresh && !s.IsService() {
-			continue // refused for now: the tasks wait here for the first room
+			// No machine is to be had: the tasks wait here for the first room
+			// of any part. A few wait with the owner, so that what falls free
+			// there is taken again at once.
+			t = min(t, int((k.deep-k.queued)/max(s.CPUs, 0.1)))
 		}
-		if t := min(k.cap, left); t > 0 {
+		if t > 0 {
 			out = append(out, share{k.name, t, true})
 			left -= t
 		}
--- a/node/actors.go
+++ b/node/actors.go
@@ -49,6 +49,7 @@
 func commit(ctx context.Context, store Store, txn wire.Txn, what string) uint64 {
 	ctx, cancel := context.WithTimeout(ctx, 2*constants.StateTimeout)
 	defer cancel()
+	began := time.Now()
 	var rev uint64
 	err := state.Retry(ctx, func() (err error) {
 		rev, err = store.Commit(ctx, txn)
@@ -63,6 +64,7 @@
 		}
 		return 0
 	}
+	slog.Debug("written", "what", what, "took_ms", time.Since(began).Milliseconds())
 	return rev
 }
 
@@ -167,6 +169,9 @@
 		if m.err == nil {
 			a.core.Listed(now, m.machines)
 		}
+	case []leader.Aggregate:
+		a.core.Others(now, m)
+		return
 	case typesRead:
 		a.core.SetTypes(m.types)
 	case wake:
--- a/node/control.go
+++ b/node/control.go
@@ -193,6 +193,9 @@
 		if c.leaderRef != nil {
 			c.leaderRef.ref.Tell(m.aggregate)
 		}
+		for _, o := range c.owners {
+			o.ref.Tell([]leader.Aggregate{m.aggregate})
+		}
 	case wantTerm:
 		key := state.KeyPart(m.part)
 		if c.owners[m.part] != nil && c.settled(now) {
@@ -560,11 +563,14 @@
 
 func (c *control) peerStatus(now time.Time, s peer.Status) {
 	c.peersState[s.Node] = peerView{s.StateOK, now}
-	for _, a := range s.Aggregates {
-		if c.leaderRef != nil {
+	if c.leaderRef != nil {
+		for _, a := range s.Aggregates {
 			c.leaderRef.ref.Tell(a)
 		}
 	}
+	for _, o := range c.owners {
+		o.ref.Tell(s.Aggregates)
+	}
 	for part, jobs := range s.Counts {
 		if c.owners[part] == nil {
 			c.door.Tell(frontdoor.Counts{Part: part, Jobs: jobs})
--- a/part/core.go
+++ b/part/core.go
@@ -41,6 +41,7 @@
 	deposed   bool
 
 	gone         map[string]time.Time // machines returned lately
+	others       map[string]other     // by part
 	pendingRents map[string]*rental
 	rentSeq      int
 	refused      map[bool]time.Time // by spot: no more is to be had until then
@@ -90,7 +91,7 @@
 	jobs map[string]*state.Job, versions map[string]uint64, roster map[string]*state.Machine, rosterVersions map[string]uint64) *Core {
 	c := &Core{cfg: cfg, term: term, termVer: termVersion, claimed: now,
 		types: map[string]*wire.MachineType{}, jobs: map[string]*job{}, machines: map[string]*machine{},
-		pendingRents: map[string]*rental{}, refused: map[bool]time.Time{}, spareSince: map[string]time.Time{}, gone: map[string]time.Time{}, dirty: true, pushDirty: true}
+		pendingRents: map[string]*rental{}, refused: map[bool]time.Time{}, spareSince: map[string]time.Time{}, gone: map[string]time.Time{}, others: map[string]other{}, dirty: true, pushDirty: true}
 	c.SetTypes(types)
 	for key, r := range roster {
 		m := c.machine(r.Name)
--- a/part/place.go
+++ b/part/place.go
@@ -170,6 +170,7 @@
 		if !c.coming(now, m) && !c.usable(now, m) {
 			continue
 		}
+		a.Capacity += m.capacity.cpus
 		add(m.free(), m.spot)
 		if m.spot {
 			continue
@@ -337,6 +338,7 @@
 	}
 	want := map[kind]int{}
 	total := 0
+	sent := map[string]int{} // by job: tasks sent back in this round
 	for _, j := range c.queue(now) {
 		s := &j.rec.Spec
 		n := need(s)
@@ -362,8 +364,9 @@
 			}
 			typ, spot, ok := c.pick(now, s)
 			if !ok {
-				if now.Sub(t.waitSince) > constants.KeepWait {
+				if now.Sub(t.waitSince) > constants.KeepWait && c.elsewhere(now, s, sent[s.ID]) {
 					c.sendBack(j, t)
+					sent[s.ID]++
 				}
 				continue
 			}
@@ -425,6 +428,33 @@
 	return best.Name, true
 }
 
+// Others takes in what the other parts push. Tasks that wait for machines that
+// are not to be had go up again only when some other part has room.
+func (c *Core) Others(now time.Time, as []leader.Aggregate) {
+	for _, a := range as {
+		if a.Part != c.cfg.Part {
+			c.others[a.Part] = other{a, now}
+		}
+	}
+}
+
+type other struct {
+	agg leader.Aggregate
+	at  time.Time
+}
+
+// elsewhere says whether another part is known to have room for one more of a
+// job's tasks, after so many.
+func (c *Core) elsewhere(now time.Time, s *wire.Submission, after int) bool {
+	n := 0
+	for _, o := range c.others {
+		if now.Sub(o.at) < constants.StaleAggregate && (s.Zone == "" || s.Zone == o.agg.Part) {
+			n += o.agg.Takes(s)
+		}
+	}
+	return n > after
+}
+
 // sendBack marks a waiting task to be sent back to the leader. From here on
 // it is not placed, until a newer record says what became of it.
 func (c *Core) sendBack(j *job, t *task) {
