Jobs queue by objective still in reach, then by age and work

Cause: under overload first come, first served lets nearly every array miss its objective by a little.

--- a/constants/constants.go
+++ b/constants/constants.go
@@ -137,6 +137,10 @@
 	// PartialGap is the least time between two assignments of a job of which
 	// some tasks find no room yet: fewer, larger writes.
 	PartialGap = 500 * time.Millisecond
+	// WorkPerSecond is how much more work of a job weighs as much as a second
+	// of waiting when jobs queue (CPU seconds per second): small jobs pass
+	// large ones that came shortly before, and are not passed for ever.
+	WorkPerSecond = 100.0
 	// MaxAssignments bounds assignments under way at once (transactions).
 	MaxAssignments = 16
 )
--- a/leader/core.go
+++ b/leader/core.go
@@ -126,6 +126,7 @@
 // Core is the leader in one term.
 type Core struct {
 	set       *settings.Settings
+	order     Order
 	termVer   uint64
 	parts     map[string]*partState
 	jobs      map[string]*jobState // all that are not over
@@ -144,7 +145,7 @@
 
 // New makes the core at the moment when the feed showed the claim.
 func New(set *settings.Settings, termVersion uint64, now time.Time, jobs map[string]*state.Job, versions map[string]uint64) *Core {
-	c := &Core{set: set, termVer: termVersion, began: now, parts: map[string]*partState{}, jobs: map[string]*jobState{}, reserved: map[string][2]float64{}}
+	c := &Core{set: set, order: NewOrder(set.Params.Objectives), termVer: termVersion, began: now, parts: map[string]*partState{}, jobs: map[string]*jobState{}, reserved: map[string][2]float64{}}
 	for _, z := range set.Params.Zones {
 		c.parts[z] = &partState{}
 	}
@@ -266,16 +267,11 @@
 			q = append(q, j)
 		}
 	}
-	sort.Slice(q, func(a, b int) bool {
-		x, y := q[a].rec, q[b].rec
-		if p, r := wire.PriorityLevel(x.Spec.Priority), wire.PriorityLevel(y.Spec.Priority); p != r {
-			return p > r
-		}
-		if x.AcceptedMS != y.AcceptedMS {
-			return x.AcceptedMS < y.AcceptedMS
-		}
-		return x.ID < y.ID
-	})
+	places := make(map[*jobState]Place, len(q))
+	for _, j := range q {
+		places[j] = c.order.Place(now, j.rec)
+	}
+	sort.Slice(q, func(a, b int) bool { return places[q[a]].Before(places[q[b]]) })
 	began := time.Now()
 	start := 0
 	if c.from < len(q) {
--- /dev/null
+++ b/leader/order.go
@@ -0,0 +1,80 @@
+package leader
+
+import (
+	"sort"
+	"time"
+
+	"ravenport/constants"
+	"ravenport/settings"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// Order ranks jobs that wait: by priority, then those of which an objective
+// can still be met before those that missed it, then by age and work.
+type Order struct {
+	within map[string][]time.Duration // by class, rising
+}
+
+// NewOrder takes in the deployment's objectives.
+func NewOrder(objectives []settings.Objective) Order {
+	o := Order{within: map[string][]time.Duration{}}
+	for _, x := range objectives {
+		if x.Kind == "finished" && x.WithinS > 0 {
+			o.within[x.Class] = append(o.within[x.Class], settings.Seconds(x.WithinS))
+		}
+	}
+	for _, w := range o.within {
+		sort.Slice(w, func(a, b int) bool { return w[a] < w[b] })
+	}
+	return o
+}
+
+// Place is a job's place in the order; smaller comes first.
+type Place struct {
+	priority int
+	band     int     // objectives missed so far
+	score    float64 // seconds: when it was accepted, later for more work
+	accepted int64
+	id       string
+}
+
+// Place ranks a job.
+func (o Order) Place(now time.Time, rec *state.Job) Place {
+	s := &rec.Spec
+	p := Place{priority: -wire.PriorityLevel(s.Priority), accepted: rec.AcceptedMS, id: rec.ID}
+	if s.IsService() {
+		return p
+	}
+	age := time.Duration(now.UnixMilli()-rec.AcceptedMS) * time.Millisecond
+	end := age + settings.Seconds(s.EstimateS)
+	last := time.Duration(0)
+	for _, w := range o.within[s.Class] {
+		last = w
+		if end > w {
+			p.band++
+		}
+	}
+	// Beyond the last objective every doubling of the time counts as one more,
+	// the other way round: what has waited longest must not starve.
+	if last > 0 && end > 4*last {
+		p.band = 0
+	}
+	p.score = float64(rec.AcceptedMS)/1000 + float64(s.Tasks)*s.CPUs*s.EstimateS/constants.WorkPerSecond
+	return p
+}
+
+// Before says whether a place comes before another.
+func (p Place) Before(q Place) bool {
+	switch {
+	case p.priority != q.priority:
+		return p.priority < q.priority
+	case p.band != q.band:
+		return p.band < q.band
+	case p.score != q.score:
+		return p.score < q.score
+	case p.accepted != q.accepted:
+		return p.accepted < q.accepted
+	}
+	return p.id < q.id
+}
--- a/part/core.go
+++ b/part/core.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ravenport/constants"
+	"ravenport/leader"
 	"ravenport/state"
 	"ravenport/wire"
 )
@@ -23,6 +24,7 @@
 	ListLag      time.Duration
 	TxnOps       int
 	ValueBytes   int
+	Order        leader.Order
 }
 
 // Core is the state of one part's owner in one term.
--- a/part/place.go
+++ b/part/place.go
@@ -31,8 +31,7 @@
 	return (s.Spot || !spot) && (len(s.Types) == 0 || slices.Contains(s.Types, typ))
 }
 
-// queue lists the jobs with waiting tasks: by priority, then guaranteed work,
-// then in the order of acceptance.
+// queue lists the jobs with waiting tasks in their order.
 func (c *Core) queue(now time.Time) []*job {
 	var q []*job
 	for _, j := range c.jobs {
@@ -46,16 +45,11 @@
 			}
 		}
 	}
-	sort.Slice(q, func(a, b int) bool {
-		x, y := q[a], q[b]
-		if p, r := wire.PriorityLevel(x.rec.Spec.Priority), wire.PriorityLevel(y.rec.Spec.Priority); p != r {
-			return p > r
-		}
-		if x.rec.AcceptedMS != y.rec.AcceptedMS {
-			return x.rec.AcceptedMS < y.rec.AcceptedMS
-		}
-		return x.rec.ID < y.rec.ID
-	})
+	places := make(map[*job]leader.Place, len(q))
+	for _, j := range q {
+		places[j] = c.cfg.Order.Place(now, j.rec)
+	}
+	sort.Slice(q, func(a, b int) bool { return places[q[a]].Before(places[q[b]]) })
 	return q
 }
 
