Silent machines: siblings' evidence, and services go where their image is

A part with one or two machines could not tell a dead machine from its own cut, and waited for the lease (26 s). Controllers now tell each other which machines report to the wrong one.

--- a/constants/constants.go
+++ b/constants/constants.go
@@ -159,10 +159,13 @@
 	RepeatCommand = time.Second
 	// ProbePeriods: a machine unheard for that many report periods is asked
 	// directly; reports come a quarter late at most (periods).
-	ProbePeriods = 1.5
+	ProbePeriods = 1.4
 	// SilentPeriods: a machine unheard for that many report periods, that did
 	// not answer when asked, has failed (periods).
-	SilentPeriods = 3.0
+	SilentPeriods = 2.2
+	// StrayMemory is how long a controller tells of a machine that reported to
+	// it in place of its owner: two report periods of a usual deployment.
+	StrayMemory = 6 * time.Second
 	// SilentAtTakeover: the same for a new owner, which asks at once (periods).
 	SilentAtTakeover = 2.0
 	// AttemptBits is the part of an attempt number that counts within a
--- a/leader/core.go
+++ b/leader/core.go
@@ -424,7 +424,13 @@
 			}
 			k.deep = a.Capacity * constants.QueueShare
 			if s.Priority == wire.PriorityProduction && s.CPUs > 0 {
-				k.warm = int(p.agg.Warm[s.Image] / s.CPUs)
+				w := p.agg.Warm[s.Image]
+				for _, b := range p.bookings {
+					if !b.spot {
+						w -= b.cpus
+					}
+				}
+				k.warm = max(0, int(w/s.CPUs))
 			}
 			k.rent = p.agg.RentOrdinary || s.Spot && p.agg.RentSpot
 		}
--- a/node/actors.go
+++ b/node/actors.go
@@ -40,6 +40,10 @@
 		machines []wire.CloudMachine
 		err      error
 	}
+	strays struct { // machines that reported to another controller
+		machines []string
+		all      bool // every live controller was heard from lately
+	}
 	wake struct{}
 )
 
@@ -169,6 +173,9 @@
 		if m.err == nil {
 			a.core.Listed(now, m.machines)
 		}
+	case strays:
+		a.core.Strays(now, m.machines, m.all)
+		return
 	case []leader.Aggregate:
 		a.core.Others(now, m)
 		return
--- a/node/control.go
+++ b/node/control.go
@@ -110,6 +110,7 @@
 	pushNow    bool
 	pushing    map[string]bool
 	peersState map[string]peerView
+	strays     map[string]time.Time
 }
 
 type peerView struct {
@@ -128,7 +129,7 @@
 		set: set, io: out, self: self, door: door,
 		jobs: map[string]*state.Job{}, versions: map[string]uint64{}, roster: map[string]*state.Machine{}, rosterV: map[string]uint64{},
 		claiming: map[string]time.Time{}, yielded: map[string]uint64{}, owners: map[string]*child{},
-		status: map[string]partStatus{}, pushing: map[string]bool{}, peersState: map[string]peerView{},
+		status: map[string]partStatus{}, pushing: map[string]bool{}, peersState: map[string]peerView{}, strays: map[string]time.Time{},
 	}
 	var short bool
 	if c.authority, short = set.Authority(); short {
@@ -504,6 +505,9 @@
 		o.ref.Tell(m)
 		return
 	}
+	if _, known := c.set.Params.Zone(m.report.Zone); known {
+		c.strays[m.report.Machine] = now
+	}
 	to := ""
 	if holder, ok := c.member.Holder(state.KeyPart(m.report.Zone)); ok && holder != c.set.Node {
 		to = holder
@@ -548,6 +552,13 @@
 		s.Aggregates = append(s.Aggregates, st.aggregate)
 		s.Counts[part] = st.counts
 	}
+	for name, at := range c.strays {
+		if now.Sub(at) > constants.StrayMemory {
+			delete(c.strays, name)
+			continue
+		}
+		s.Strays = append(s.Strays, name)
+	}
 	lead, _ := c.member.Holder(state.KeyLeader)
 	for name, p := range c.io.Peers {
 		if c.pushing[name] || !due && name != lead {
@@ -568,8 +579,17 @@
 			c.leaderRef.ref.Tell(a)
 		}
 	}
+	// Whether every other live controller has been heard from lately: if so, a
+	// machine that none of them has seen does not just miss its owner.
+	all := true
+	for _, p := range c.set.Peers {
+		if c.member.Alive(p.Node) && now.Sub(c.peersState[p.Node].at) > constants.PushEvery*2 {
+			all = false
+		}
+	}
 	for _, o := range c.owners {
 		o.ref.Tell(s.Aggregates)
+		o.ref.Tell(strays{s.Strays, all})
 	}
 	for part, jobs := range s.Counts {
 		if c.owners[part] == nil {
--- a/part/core.go
+++ b/part/core.go
@@ -44,6 +44,7 @@
 
 	gone         map[string]time.Time // machines returned lately
 	others       map[string]other     // by part
+	siblingsAt   time.Time            // when all live controllers had been heard from
 	pendingRents map[string]*rental
 	rentSeq      int
 	refused      map[bool]time.Time // by spot: no more is to be had until then
--- a/part/model.go
+++ b/part/model.go
@@ -98,7 +98,8 @@
 	inFlight    bool // a direct command waits for its answer
 	nextDirect  time.Time
 	wantCommand bool
-	unanswered  int // direct commands since it was last heard of
+	strayAt     time.Time // when it last reported to another controller
+	unanswered  int       // direct commands since it was last heard of
 }
 
 // verified says that the machine has seen the owner's token in its present
--- a/part/place.go
+++ b/part/place.go
@@ -87,6 +87,10 @@
 			if c.somewhere(j.rec.ID, t.index) {
 				continue // a stray attempt must be gone first
 			}
+			if !t.keep && c.warmerElsewhere(now, &j.rec.Spec) {
+				c.sendBack(j, t)
+				continue
+			}
 			m := c.choose(now, &j.rec.Spec)
 			if m == nil {
 				break // the job's other tasks need the same
@@ -449,6 +453,25 @@
 	return n > after
 }
 
+// warmerElsewhere says whether a production task would wait for its image
+// here, and would not in another part.
+func (c *Core) warmerElsewhere(now time.Time, s *wire.Submission) bool {
+	if s.Priority != wire.PriorityProduction || s.OneZone || s.Spread && s.Tasks > 1 || s.Zone != "" {
+		return false
+	}
+	for _, m := range c.machines {
+		if c.usable(now, m) && m.images[s.Image] && allowed(s, m.typeName, m.spot) && c.prodRoom(m) >= s.CPUs {
+			return false
+		}
+	}
+	for _, o := range c.others {
+		if now.Sub(o.at) < constants.StaleAggregate && o.agg.Warm[s.Image] >= s.CPUs {
+			return true
+		}
+	}
+	return false
+}
+
 // sendBack marks a waiting task to be sent back to the leader. From here on
 // it is not placed, until a newer record says what became of it.
 func (c *Core) sendBack(j *job, t *task) {
@@ -692,11 +715,11 @@
 			why = "did not come up"
 		case m.up && !m.busy() && !m.idleSince.IsZero() && (m.draining || now.Sub(m.idleSince) > idle) && m.verified(c.term):
 			why = "idle"
-		case m.up && c.silent(now, m) && m.unanswered > 0 && heard*2 > up:
+		case m.up && c.silent(now, m) && m.unanswered > 0 && c.alone(now, m, heard, up):
 			// Returning it makes what was on it surely gone, long before its
-			// lease ends. When most are silent, the owner is cut off itself.
+			// lease ends.
 			why = "silent"
-		case m.inherited && !m.up && now.Sub(c.claimed) > c.periods(constants.SilentAtTakeover) && m.unanswered > 1 && heard*2 > up:
+		case m.inherited && !m.up && now.Sub(c.claimed) > c.periods(constants.SilentAtTakeover) && m.unanswered > 1 && c.alone(now, m, heard, up):
 			why = "silent since the takeover"
 		}
 		if why != "" {
@@ -710,6 +733,28 @@
 	}
 }
 
+// alone says whether a silent machine is silent by itself: the owner hears
+// most others, or all controllers are heard and none of them was reported to.
+// Otherwise it is the owner that is cut off.
+func (c *Core) alone(now time.Time, m *machine, heard, up int) bool {
+	if now.Sub(m.strayAt) < constants.StrayMemory {
+		return false
+	}
+	return heard*2 > up || now.Sub(c.siblingsAt) < constants.PushEvery*2
+}
+
+// Strays takes in which machines reported to another controller.
+func (c *Core) Strays(now time.Time, names []string, all bool) {
+	for _, n := range names {
+		if m := c.machines[n]; m != nil {
+			m.strayAt = now
+		}
+	}
+	if all {
+		c.siblingsAt = now
+	}
+}
+
 // Returned takes in the cloud's word that machines and all on them are gone.
 func (c *Core) Returned(now time.Time, names []string) {
 	for _, name := range names {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -23,6 +23,9 @@
 	Node       string             `json:"node"`
 	StateOK    bool               `json:"state_ok"` // it reaches the state service
 	Aggregates []leader.Aggregate `json:"agg,omitempty"`
+	// Strays are machines that lately reported here although another
+	// controller owns them: they live, and it is their owner that is cut off.
+	Strays []string `json:"strays,omitempty"`
 	// Counts are tasks running, and done in open chunks, by part and job.
 	Counts map[string]map[string][2]int `json:"counts,omitempty"`
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -294,6 +295,12 @@
 	return nil
 }
 
+// Zone finds a zone's index by name.
+func (p *Params) Zone(name string) (int, bool) {
+	i := slices.Index(p.Zones, name)
+	return i, i >= 0
+}
+
 // Nodes lists all controllers, this one included, with their zones.
 func (s *Settings) Nodes() []Peer {
 	return append([]Peer{{Node: s.Node, Zone: s.Zone, Addr: s.PeerAddr}}, s.Peers...)
