--- a/constants/constants.go
+++ b/constants/constants.go
@@ -201,6 +201,14 @@
 	// ReserveFactor is how many times the arrivals expected while a machine
 	// boots are held ready: arrivals come in clumps (factor).
 	ReserveFactor = 2.0
+	// DrainBoots and DrainShare bound how long waiting work may queue before
+	// machines that are there rather than have one rented: in nominal boot
+	// times, since a new machine would not be sooner, and as a share of the
+	// class's objective (factor, share).
+	DrainBoots = 0.8
+	DrainShare = 0.45
+	// LeastLeft is what a task that outran its estimate is expected to run on.
+	LeastLeft = 5 * time.Second
 	// FaultPause is how long a machine that failed a task is avoided.
 	FaultPause = 60 * time.Second
 	// JobFaultRetry is the longest wait before a failing task is tried again.
--- a/leader/order.go
+++ b/leader/order.go
@@ -30,6 +30,14 @@
 	return o
 }
 
+// Within is the first objective on finishing of a class; 0: it has none.
+func (o Order) Within(class string) time.Duration {
+	if w := o.within[class]; len(w) > 0 {
+		return w[0]
+	}
+	return 0
+}
+
 // Place is a job's place in the order; smaller comes first.
 type Place struct {
 	priority int
--- a/part/core.go
+++ b/part/core.go
@@ -56,7 +56,10 @@
 	pushDirty    bool
 	lastPlace    time.Time
 	lastMove     time.Time
-	prod         arrivals             // of production work
+	prod         arrivals // of production work
+	drainAt      time.Time
+	drainWork    float64              // CPU seconds before the machines that are there
+	drainCPUs    float64              // what those can give to arrays
 	spareSince   map[string]time.Time // since when the part could do without a machine
 	unplaced     resources            // waiting demand after the last round
 }
--- a/part/place.go
+++ b/part/place.go
@@ -360,6 +360,9 @@
 				c.sendBack(j, t) // it does not fit: the next part is asked
 				continue
 			}
+			if c.drains(now, j, t) {
+				continue
+			}
 			typ, spot, ok := c.pick(now, s)
 			if !ok {
 				if now.Sub(t.waitSince) > constants.KeepWait && c.elsewhere(now, s, sent[s.ID]) {
@@ -426,6 +429,52 @@
 	return best.Name, true
 }
 
+// drains says whether the machines that are there will get round to a waiting
+// task before a machine rented for it could be up, and well within its
+// class's objective: renting for it would only cost.
+func (c *Core) drains(now time.Time, j *job, t *task) bool {
+	s := &j.rec.Spec
+	within := c.cfg.Order.Within(s.Class)
+	if s.IsService() || within == 0 || t.guarantee {
+		return false
+	}
+	if c.drainAt != now {
+		c.drainAt, c.drainWork, c.drainCPUs = now, 0, 0
+		for _, m := range c.machines {
+			if !c.usable(now, m) || m.draining {
+				continue
+			}
+			c.drainCPUs += m.capacity.cpus
+			for _, h := range m.holds {
+				o := c.taskOf(h)
+				if h.exited() || o == nil {
+					continue
+				}
+				if o.job.rec.Spec.IsService() {
+					c.drainCPUs -= h.needs.cpus
+					continue
+				}
+				left := o.job.rec.Spec.EstimateS
+				if !h.runSince.IsZero() {
+					left -= now.Sub(h.runSince).Seconds()
+				}
+				c.drainWork += h.needs.cpus * max(left, constants.LeastLeft.Seconds())
+			}
+		}
+	}
+	boot := 0.0
+	for _, x := range c.types {
+		boot = max(boot, x.BootS)
+	}
+	work := c.drainWork + s.CPUs*s.EstimateS
+	limit := min(boot*constants.DrainBoots, within.Seconds()*constants.DrainShare)
+	if c.drainCPUs < s.CPUs || work > c.drainCPUs*limit {
+		return false
+	}
+	c.drainWork = work
+	return true
+}
+
 // Others takes in what the other parts push. Tasks that wait for machines that
 // are not to be had go up again only when some other part has room.
 func (c *Core) Others(now time.Time, as []leader.Aggregate) {
