--- a/constants/constants.go
+++ b/constants/constants.go
@@ -207,6 +207,9 @@
 	// class's objective (factor, share).
 	DrainBoots = 0.8
 	DrainShare = 0.45
+	// DrainWait is how long a task waits at most in that hope, in nominal boot
+	// times (factor).
+	DrainWait = 0.5
 	// LeastLeft is what a task that outran its estimate is expected to run on.
 	LeastLeft = 5 * time.Second
 	// FaultPause is how long a machine that failed a task is avoided.
--- a/leader/core.go
+++ b/leader/core.go
@@ -246,14 +246,22 @@
 	return max(n, 0)
 }
 
-// withinGuarantee says whether a team's open work fits its guarantee.
-func (c *Core) withinGuarantee(s *wire.Submission, n int) bool {
+// guaranteed is how many more tasks of a job fit its team's guarantee beside
+// the team's other open work.
+func (c *Core) guaranteed(s *wire.Submission) int {
 	t := c.set.Team(s.Team)
 	if t == nil || t.CPUs <= 0 && t.GPUs <= 0 {
-		return false
+		return 0
 	}
 	cpus, gpus := c.teamUse(s.Team, s.ID)
-	return cpus+float64(n)*s.CPUs <= t.CPUs+1e-9 && gpus+float64(n)*s.GPUs <= t.GPUs+1e-9
+	n := s.Tasks
+	if s.CPUs > 0 {
+		n = min(n, int((t.CPUs-cpus)/s.CPUs+1e-9))
+	}
+	if s.GPUs > 0 {
+		n = min(n, int((t.GPUs-gpus)/s.GPUs+1e-9))
+	}
+	return max(n, 0)
 }
 
 // Step assigns what waits, within a budget of time.
@@ -269,7 +277,7 @@
 	}
 	places := make(map[*jobState]Place, len(q))
 	for _, j := range q {
-		places[j] = c.order.Place(now, j.rec)
+		places[j] = c.order.Place(now, j.rec, c.guaranteed(&j.rec.Spec) > 0)
 	}
 	sort.Slice(q, func(a, b int) bool { return places[q[a]].Before(places[q[b]]) })
 	began := time.Now()
@@ -304,7 +312,7 @@
 	if s.IsService() && n < want || n == 0 {
 		return Commit{}, false
 	}
-	guaranteed := c.withinGuarantee(s, n)
+	guaranteed := c.guaranteed(s)
 	plan := c.plan(now, j, n)
 	type booked struct {
 		part string
@@ -317,7 +325,10 @@
 		for left > 0 && len(ranges) > 0 {
 			r := &ranges[0]
 			k := min(left, r[1]-r[0])
-			rec.Chunks = append(rec.Chunks, state.Chunk{From: r[0], To: r[0] + k, Part: p.part, Keep: p.keep, Guaranteed: guaranteed})
+			if guaranteed > given {
+				k = min(k, guaranteed-given)
+			}
+			rec.Chunks = append(rec.Chunks, state.Chunk{From: r[0], To: r[0] + k, Part: p.part, Keep: p.keep, Guaranteed: given < guaranteed})
 			r[0] += k
 			left -= k
 			given += k
--- a/leader/order.go
+++ b/leader/order.go
@@ -10,7 +10,7 @@
 	"ravenport/wire"
 )
 
-// Order ranks jobs that wait: by priority, then those of which an objective
+// Order ranks jobs that wait: by priority, then guaranteed work, then those of which an objective
 // can still be met before those that missed it, then by age and work.
 type Order struct {
 	within map[string][]time.Duration // by class, rising
@@ -41,16 +41,21 @@
 // Place is a job's place in the order; smaller comes first.
 type Place struct {
 	priority int
+	borrowed int     // 1: beyond the team's guarantee
 	band     int     // objectives missed so far
 	score    float64 // seconds: when it was accepted, later for more work
 	accepted int64
 	id       string
 }
 
-// Place ranks a job.
-func (o Order) Place(now time.Time, rec *state.Job) Place {
+// Place ranks a job; guaranteed says whether what waits of it is within its
+// team's guarantee.
+func (o Order) Place(now time.Time, rec *state.Job, guaranteed bool) Place {
 	s := &rec.Spec
-	p := Place{priority: -wire.PriorityLevel(s.Priority), accepted: rec.AcceptedMS, id: rec.ID}
+	p := Place{borrowed: 1, priority: -wire.PriorityLevel(s.Priority), accepted: rec.AcceptedMS, id: rec.ID}
+	if guaranteed {
+		p.borrowed = 0
+	}
 	if s.IsService() {
 		return p
 	}
@@ -77,6 +82,8 @@
 	switch {
 	case p.priority != q.priority:
 		return p.priority < q.priority
+	case p.borrowed != q.borrowed:
+		return p.borrowed < q.borrowed
 	case p.band != q.band:
 		return p.band < q.band
 	case p.score != q.score:
--- a/part/place.go
+++ b/part/place.go
@@ -47,7 +47,11 @@
 	}
 	places := make(map[*job]leader.Place, len(q))
 	for _, j := range q {
-		places[j] = c.cfg.Order.Place(now, j.rec)
+		guaranteed := false
+		for _, t := range j.tasks {
+			guaranteed = guaranteed || t.guarantee && t.waiting()
+		}
+		places[j] = c.cfg.Order.Place(now, j.rec, guaranteed)
 	}
 	sort.Slice(q, func(a, b int) bool { return places[q[a]].Before(places[q[b]]) })
 	return q
@@ -91,7 +95,7 @@
 				c.sendBack(j, t)
 				continue
 			}
-			m := c.choose(now, &j.rec.Spec)
+			m := c.choose(now, t)
 			if m == nil {
 				break // the job's other tasks need the same
 			}
@@ -102,15 +106,16 @@
 
 // choose finds a machine for a task. Production tasks rather stop lower work
 // on a machine that holds their image than wait for it on another.
-func (c *Core) choose(now time.Time, s *wire.Submission) *machine {
+func (c *Core) choose(now time.Time, t *task) *machine {
+	s := &t.job.rec.Spec
 	m := c.bestFit(now, s)
 	if m != nil && (m.images[s.Image] || s.Priority != wire.PriorityProduction) {
 		return m
 	}
 	if m == nil {
-		return c.preempt(now, s, false)
+		return c.preempt(now, t, false)
 	}
-	if warm := c.preempt(now, s, true); warm != nil {
+	if warm := c.preempt(now, t, true); warm != nil {
 		return warm
 	}
 	return m
@@ -230,11 +235,21 @@
 	return l
 }
 
-// preempt makes room on a machine by stopping work of lower priority: the
+// mayStop says whether a task may be stopped to make room for another: for
+// one of higher priority, or, where it runs beyond its team's guarantee, for
+// one within another team's. The protocol would let guaranteed work stop also
+// services and work of higher priority; what others wait for is not worth that.
+func mayStop(victim, for_ *task) bool {
+	v, f := &victim.job.rec.Spec, &for_.job.rec.Spec
+	vl, fl := wire.PriorityLevel(v.Priority), wire.PriorityLevel(f.Priority)
+	return vl < fl || vl == fl && !v.IsService() && for_.guarantee && !victim.guarantee && v.Team != f.Team
+}
+
+// preempt makes room on a machine by stopping work that has to yield: the
 // machine on which the least is lost; with warm, only one that holds the
 // image. It returns nil where none can be made.
-func (c *Core) preempt(now time.Time, s *wire.Submission, warm bool) *machine {
-	level := wire.PriorityLevel(s.Priority)
+func (c *Core) preempt(now time.Time, for_ *task, warm bool) *machine {
+	s := &for_.job.rec.Spec
 	n := need(s)
 	var best *machine
 	var bestVictims []*hold
@@ -249,8 +264,7 @@
 		var can []*hold
 		for _, h := range m.holds {
 			t := c.taskOf(h)
-			if !h.exited() && h.instant && !h.stop && t != nil && t.hold == h &&
-				wire.PriorityLevel(t.job.rec.Spec.Priority) < level {
+			if !h.exited() && h.instant && !h.stop && t != nil && t.hold == h && mayStop(t, for_) {
 				can = append(can, h)
 			}
 		}
@@ -435,7 +449,12 @@
 func (c *Core) drains(now time.Time, j *job, t *task) bool {
 	s := &j.rec.Spec
 	within := c.cfg.Order.Within(s.Class)
-	if s.IsService() || within == 0 || t.guarantee {
+	boot := 0.0
+	for _, x := range c.types {
+		boot = max(boot, x.BootS)
+	}
+	// Estimates may be far too low: what has waited in vain is rented for.
+	if s.IsService() || within == 0 || t.guarantee || now.Sub(t.waitSince).Seconds() > boot*constants.DrainWait {
 		return false
 	}
 	if c.drainAt != now {
@@ -462,10 +481,6 @@
 			}
 		}
 	}
-	boot := 0.0
-	for _, x := range c.types {
-		boot = max(boot, x.BootS)
-	}
 	work := c.drainWork + s.CPUs*s.EstimateS
 	limit := min(boot*constants.DrainBoots, within.Seconds()*constants.DrainShare)
 	if c.drainCPUs < s.CPUs || work > c.drainCPUs*limit {
