Users are answered at once when the state service is away; their writes go first

Submissions were tried again for up to 1.5 s while the state service refused them: the user must be told at once when to come back. Writes of leader and owners now leave part of the allowance to users' writes, leases and claims.

--- a/constants/constants.go
+++ b/constants/constants.go
@@ -54,6 +54,12 @@
 	// StateShare is the part of the state service's allowance that one
 	// controller may use by itself (share); a refusal for rate is harmless.
 	StateShare = 0.7
+	// AllowanceWait is how long a write that a user waits for may queue for
+	// the allowance before the user is told to come back.
+	AllowanceWait = 300 * time.Millisecond
+	// UrgentShare is the part of the write allowance's burst that writes which
+	// can wait leave to users, leases and claims (share).
+	UrgentShare = 0.4
 	// CloudTimeout bounds a call to the cloud.
 	CloudTimeout = 5 * time.Second
 	// CommandTimeout bounds a direct command: the next report carries the
@@ -116,6 +122,9 @@
 	// AnswerLimit is when a request that could not be decided is refused;
 	// polls allow 2 s, submissions 5 s.
 	AnswerLimit = 1500 * time.Millisecond
+	// DownFor is how long after a failed call to the state service requests
+	// that need it are refused without another try.
+	DownFor = 300 * time.Millisecond
 	// MaxWaiting bounds requests that wait for the state service (requests).
 	MaxWaiting = 512
 	// RetryAfterS is what a refused user is told to wait (s).
--- a/frontdoor/frontdoor.go
+++ b/frontdoor/frontdoor.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -104,8 +105,9 @@
 	counts  map[string]map[string][2]int
 	next    []*poll // arrived since the last read began
 	reading bool
-	waiting []*poll // read, waiting for the feed
-	busy    int     // requests that wait for the state service
+	waiting []*poll   // read, waiting for the feed
+	busy    int       // requests that wait for the state service
+	down    time.Time // until then the state service counts as away
 }
 
 // New makes a front door that is spoken to through self.
@@ -148,6 +150,7 @@
 		d.jobs[j.ID] = summary(j)
 	}
 	d.rev = up.Revision
+	d.down = time.Time{}
 	kept := d.waiting[:0]
 	for _, p := range d.waiting {
 		if p.revision <= d.rev {
@@ -193,6 +196,10 @@
 		Refuse(p.req, 503, "overloaded")
 		return
 	}
+	if time.Now().Before(d.down) {
+		Refuse(p.req, 503, "state service away")
+		return
+	}
 	d.busy++
 	p.came = time.Now()
 	d.next = append(d.next, p)
@@ -217,6 +224,9 @@
 
 func (d *Door) readDone(ctx context.Context, m readDone) {
 	d.reading = false
+	if m.err != nil {
+		d.down = time.Now().Add(constants.DownFor)
+	}
 	for _, p := range m.polls {
 		switch {
 		case m.err != nil:
@@ -349,6 +359,10 @@
 		Refuse(m.Req, 429, "overloaded")
 		return
 	}
+	if time.Now().Before(d.down) {
+		Refuse(m.Req, 503, "state service away")
+		return
+	}
 	d.busy++
 	came := time.Now()
 	rec := state.Job{Spec: s, AcceptedMS: time.Now().UnixMilli()}
@@ -359,10 +373,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, constants.AnswerLimit)
 		defer cancel()
-		err := state.Retry(ctx, func() error {
-			_, err := d.store.Commit(ctx, txn)
-			return err
-		})
+		err := d.commit(ctx, txn)
 		d.self.Tell(created{s, m.Req, err, came})
 	}()
 }
@@ -379,11 +390,33 @@
 		d.ask(ctx, &poll{req: m.req, id: m.s.ID, missing: func() { Refuse(m.req, 503, "not ready") }})
 	default:
 		// Perhaps it was stored all the same; then the user's repeat finds it.
+		if !errors.Is(m.err, state.ErrLimited) {
+			d.down = time.Now().Add(constants.DownFor)
+		}
 		slog.Info("submission refused", "job", m.s.ID, "took_ms", took, "err", m.err)
 		Refuse(m.req, 503, "state service away")
 	}
 }
 
+// commit writes what a user waits for. A refusal for the allowance alone is
+// tried again for a moment; one because the state service is away is the
+// user's answer, at once.
+func (d *Door) commit(ctx context.Context, txn wire.Txn) error {
+	began := time.Now()
+	for {
+		_, err := d.store.Commit(ctx, txn)
+		if !errors.Is(err, state.ErrLimited) || time.Since(began) > constants.AllowanceWait {
+			return err
+		}
+		t := time.NewTimer(constants.RetryMin/2 + rand.N(constants.RetryMin))
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
 // impossible says why a job can never run; empty if it can.
 func (d *Door) impossible(s *wire.Submission) string {
 	t := d.set.Team(s.Team)
@@ -446,12 +479,7 @@
 	for {
 		rec, version, err := d.fetch(ctx, id)
 		if err != nil {
-			if errors.Is(err, state.ErrRefused) && ctx.Err() == nil {
-				err = state.Retry(ctx, func() error { rec, version, err = d.fetch(ctx, id); return err })
-			}
-			if err != nil {
-				return "", err
-			}
+			return "", err
 		}
 		if rec == nil {
 			return "", nil
@@ -464,10 +492,7 @@
 			If:   []wire.Condition{{Key: state.KeyJob(id), Version: version}},
 			Then: []wire.Change{{Put: state.KeyJob(id), Value: state.Encode(rec)}},
 		}
-		err = state.Retry(ctx, func() error {
-			_, err := d.store.Commit(ctx, txn)
-			return err
-		})
+		err = d.commit(ctx, txn)
 		var conflict *state.Conflict
 		switch {
 		case err == nil:
--- a/node/actors.go
+++ b/node/actors.go
@@ -134,7 +134,7 @@
 		SparePercent: set.Operator.SparePercent, ListLag: time.Duration(set.Params.Cloud.ListLagS * float64(time.Second)),
 		TxnOps: set.Params.State.TxnOps, ValueBytes: int(set.Params.State.ValueKB * 1024), Order: leader.NewOrder(set.Params.Objectives),
 	}
-	a := &partActor{part: name, store: c.io.State, cloud: c.io.Cloud, self: actor.NewRef(), control: c.self,
+	a := &partActor{part: name, store: c.io.Later, cloud: c.io.Cloud, self: actor.NewRef(), control: c.self,
 		workers: c.io.Workers(), revision: c.revision}
 	a.core = part.New(cfg, term, version, now, c.types, c.jobs, c.versions, roster, rosterV)
 	a.core.SetAuthority(c.until())
--- a/node/control.go
+++ b/node/control.go
@@ -314,7 +314,7 @@
 	if mine && c.leaderRef == nil {
 		slog.Info("leading", "term", t.Number)
 		ctx, cancel := context.WithCancel(ctx)
-		a := &leaderActor{core: leader.New(c.set, version, now, c.jobs, c.versions), store: c.io.State, self: actor.NewRef()}
+		a := &leaderActor{core: leader.New(c.set, version, now, c.jobs, c.versions), store: c.io.Later, self: actor.NewRef()}
 		a.core.SetAuthority(c.until())
 		c.leaderRef = &child{ref: a.self, cancel: cancel, term: t.Number}
 		for _, s := range c.status {
--- a/node/node.go
+++ b/node/node.go
@@ -50,6 +50,7 @@
 // Outside is everything a controller calls.
 type Outside struct {
 	State   Store
+	Later   Store // the same, for writes that leave users' writes the way
 	Cloud   Cloud
 	Workers func() Workers // one for each owner
 	Peers   map[string]Peer
@@ -85,8 +86,10 @@
 func Run(ctx context.Context, set *settings.Settings) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	store := state.NewClient(set.Services.State, set.Params.State.RPS, set.Params.State.WriteRPS)
 	out := Outside{
-		State:   state.NewClient(set.Services.State, set.Params.State.RPS, set.Params.State.WriteRPS),
+		State:   store,
+		Later:   store.Later(),
 		Cloud:   cloud.NewClient(set.Services.Cloud, set.Params.Cloud.RPS/float64(max(1, len(set.Nodes())))),
 		Workers: func() Workers { return worker.NewCommander() },
 		Peers:   map[string]Peer{},
--- a/state/client.go
+++ b/state/client.go
@@ -19,6 +19,8 @@
 var (
 	// ErrRefused: the call was surely not carried out.
 	ErrRefused = errors.New("state: refused")
+	// ErrLimited: refused for the allowance alone; it comes with ErrRefused.
+	ErrLimited = errors.New("state: over the allowance")
 	// ErrUnknown: the call may have been, or may yet be, carried out.
 	ErrUnknown = errors.New("state: no answer")
 	// ErrNoLease: the lease has ended.
@@ -39,6 +41,38 @@
 	watches *httpwire.Client
 	reads   *rate.Limiter
 	writes  *rate.Limiter
+	later   bool // leaves some of the write allowance to others
+}
+
+// Later returns the same client for writes that can wait: they leave part of
+// the allowance to those of users, leases and claims.
+func (c *Client) Later() *Client {
+	l := *c
+	l.later = true
+	return &l
+}
+
+// allow waits for the write allowance. Writes that users wait for are refused
+// at once when it would take long; the user is told when to come back.
+func (c *Client) allow(ctx context.Context, n int) error {
+	n = min(n, c.writes.Burst())
+	if !c.later {
+		r := c.writes.ReserveN(time.Now(), n)
+		if d := r.Delay(); d > constants.AllowanceWait {
+			r.Cancel()
+			return ErrLimited
+		} else if d > 0 {
+			pause(ctx, d)
+		}
+		return ctx.Err()
+	}
+	for c.writes.Tokens() < float64(n)+float64(c.writes.Burst())*constants.UrgentShare {
+		pause(ctx, constants.RetryMin/2+rand.N(constants.RetryMin/2))
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	return c.writes.WaitN(ctx, n)
 }
 
 // NewClient makes a client of the service at addr with the settings' limits.
@@ -66,7 +100,9 @@
 	defer cancel()
 	m, err := c.calls.Do(ctx, method, path, data)
 	switch {
-	case err == nil && (m.Status == 429 || m.Status == 503):
+	case err == nil && m.Status == 429:
+		return nil, fmt.Errorf("%w: %w: status 429", ErrRefused, ErrLimited)
+	case err == nil && m.Status == 503:
 		return nil, fmt.Errorf("%w: status %d", ErrRefused, m.Status)
 	case err == nil:
 		return m, nil
@@ -80,7 +116,7 @@
 // what came of it before it concludes anything.
 func (c *Client) Commit(ctx context.Context, t wire.Txn) (uint64, error) {
 	if n := len(t.Then); n > 0 {
-		if err := c.writes.WaitN(ctx, min(n, c.writes.Burst())); err != nil {
+		if err := c.allow(ctx, n); err != nil {
 			return 0, fmt.Errorf("%w: own allowance: %w", ErrRefused, err)
 		}
 	}
