--- a/constants/constants.go
+++ b/constants/constants.go
@@ -96,6 +96,12 @@
 	// FirstClaimWait is how long a fresh controller leaves what it is not
 	// the first choice for, so that controllers started together share out.
 	FirstClaimWait = 2 * time.Second
+	// CutPause is how long a controller that gave a part up because its
+	// machines could not reach it is not given it back.
+	CutPause = 45 * time.Second
+	// PeersAway is when a controller that heard from no other one, though some
+	// are alive, takes itself for cut off.
+	PeersAway = 3 * time.Second
 	// HandBackAfter is how long a better-placed controller must have been
 	// up before it is given its part back.
 	HandBackAfter = 5 * time.Second
@@ -175,6 +181,8 @@
 	// StrayMemory is how long a controller tells of a machine that reported to
 	// it in place of its owner: two report periods of a usual deployment.
 	StrayMemory = 6 * time.Second
+	// GoneMemory is how long a returned machine's late reports are refused.
+	GoneMemory = 15 * time.Minute
 	// SilentAtTakeover: the same for a new owner, which asks at once (periods).
 	SilentAtTakeover = 2.0
 	// AttemptBits is the part of an attempt number that counts within a
--- a/member/core.go
+++ b/member/core.go
@@ -33,6 +33,7 @@
 type term struct {
 	state.Term
 	version uint64
+	since   time.Time
 }
 
 // New makes the core of the controller named me.
@@ -59,7 +60,7 @@
 		}
 		c.nodes[r.Name] = n
 	case *state.Term:
-		c.terms[ch.Key] = term{*r, ch.Version}
+		c.terms[ch.Key] = term{*r, ch.Version, now}
 	case nil:
 		if kind, name := state.KeyKind(ch.Key); kind == "node" {
 			delete(c.nodes, name)
@@ -201,8 +202,12 @@
 // ClaimOf makes the transaction that gives key to a controller. It holds only
 // while the new holder's key stands and the old one's is as known.
 func (c *Core) ClaimOf(key, to string, incarnation, version uint64) Claim {
+	return c.claimOf(key, to, incarnation, version, false)
+}
+
+func (c *Core) claimOf(key, to string, incarnation, version uint64, cut bool) Claim {
 	t := c.terms[key]
-	next := state.Term{Node: to, Incarnation: incarnation, Number: t.Number + 1}
+	next := state.Term{Node: to, Incarnation: incarnation, Number: t.Number + 1, Cut: cut}
 	txn := wire.Txn{
 		If:   []wire.Condition{{Key: key, Version: t.version}, {Key: state.KeyNode(to), Version: version}},
 		Then: []wire.Change{{Put: key, Value: state.Encode(next)}},
@@ -215,12 +220,27 @@
 	return Claim{Key: key, To: to, Txn: txn}
 }
 
+// HandOn gives a held term to the best placed other live controller, because
+// this one is cut off from what it takes to make use of it.
+func (c *Core) HandOn(key string) (Claim, bool) {
+	for _, k := range c.order(key) {
+		if n, ok := c.nodes[k.Name]; ok && k.Name != c.me {
+			cl := c.claimOf(key, k.Name, n.incarnation, n.version, true)
+			return cl, true
+		}
+	}
+	return Claim{}, false
+}
+
 // handBack gives a held term to a controller that is better placed, once that
 // one has been up for a while.
 func (c *Core) handBack(now time.Time, key string) (Claim, bool) {
 	if key == state.KeyLeader {
 		return Claim{}, false // the leader's place matters little; moving it costs
 	}
+	if t := c.terms[key]; t.Cut && now.Sub(t.since) < constants.CutPause {
+		return Claim{}, false
+	}
 	for _, k := range c.order(key) {
 		if k.Name == c.me {
 			return Claim{}, false
--- a/node/actors.go
+++ b/node/actors.go
@@ -45,6 +45,7 @@
 		all      bool // every live controller was heard from lately
 	}
 	wake struct{}
+	halt struct{ done func() } // stop for good, then say so
 )
 
 // commit carries out a transaction and returns its revision, 0 if it is not
@@ -78,11 +79,19 @@
 	store Store
 	self  *actor.Ref
 	ticks bool
+	over  bool // halted
 }
 
 func (a *leaderActor) Receive(ctx context.Context, msg any) {
 	now := time.Now()
+	if a.over {
+		return
+	}
 	switch m := msg.(type) {
+	case halt:
+		a.over = true
+		m.done()
+		return
 	case state.Update:
 		for _, ch := range m.Changes {
 			if j, ok := ch.Record.(*state.Job); ok {
@@ -124,6 +133,7 @@
 	listAt   time.Time
 	listing  bool
 	asked    bool // for a new term
+	over     bool // halted
 }
 
 func newPartActor(c *control, name string, term, version uint64, now time.Time, roster map[string]*state.Machine, rosterV map[string]uint64) *partActor {
@@ -144,7 +154,17 @@
 
 func (a *partActor) Receive(ctx context.Context, msg any) {
 	now := time.Now()
+	if a.over {
+		if b, ok := msg.(beat); ok {
+			refuseBeat(b)
+		}
+		return
+	}
 	switch m := msg.(type) {
+	case halt:
+		a.over = true
+		m.done()
+		return
 	case state.Update:
 		for _, ch := range m.Changes {
 			a.core.Apply(now, ch)
@@ -190,10 +210,14 @@
 	a.after(ctx, now)
 }
 
+func refuseBeat(m beat) {
+	m.req.Answer(&httpwire.Response{Status: 503, Body: []byte(`{"error":"not entitled"}`), RetryAfterS: constants.RetryAfterS})
+}
+
 func (a *partActor) beat(now time.Time, m beat) {
 	reply, ok := a.core.Report(now, m.report)
 	if !ok {
-		m.req.Answer(&httpwire.Response{Status: 503, Body: []byte(`{"error":"not entitled"}`), RetryAfterS: constants.RetryAfterS})
+		refuseBeat(m)
 		return
 	}
 	m.req.Answer(&httpwire.Response{Status: 200, Body: state.Encode(reply)})
@@ -210,6 +234,9 @@
 		a.pushAt = now
 		a.control.Tell(partStatus{a.part, a.core.Aggregate(now, a.revision), a.core.Counts()})
 	}
+	if silent, seen := a.core.CutOff(now); silent {
+		a.control.Tell(cutOff{a.part, seen})
+	}
 	if !a.listing && now.Sub(a.listAt) > constants.CloudListEvery {
 		a.listing, a.listAt = true, now
 		go func() {
--- a/node/control.go
+++ b/node/control.go
@@ -65,6 +65,11 @@
 		counts    map[string][2]int
 	}
 	wantTerm struct{ part string }
+	halted   struct{ claim member.Claim } // the actor stopped: the claim may go
+	cutOff   struct {                     // a part's machines fell silent together
+		part   string
+		strays bool // and report to other controllers
+	}
 )
 
 // request is one HTTP request's way back.
@@ -105,6 +110,7 @@
 
 	owners     map[string]*child
 	leaderRef  *child
+	ledSince   time.Time
 	status     map[string]partStatus
 	pushAt     time.Time
 	pushNow    bool
@@ -197,6 +203,13 @@
 		for _, o := range c.owners {
 			o.ref.Tell([]leader.Aggregate{m.aggregate})
 		}
+	case halted:
+		delete(c.claiming, m.claim.Key)
+		c.send(ctx, now, m.claim)
+	case cutOff:
+		if o := c.owners[m.part]; o != nil && (m.strays || c.peersAway(now)) {
+			c.handOn(ctx, now, state.KeyPart(m.part))
+		}
 	case wantTerm:
 		key := state.KeyPart(m.part)
 		if c.owners[m.part] != nil && c.settled(now) {
@@ -305,7 +318,8 @@
 		c.startOwner(ctx, now, part, t.Number, version)
 	}
 	t, version := c.member.Term(state.KeyLeader)
-	mine := version != 0 && t.Node == c.set.Node && t.Incarnation == c.incarnation && c.incarnation != 0
+	mine := version != 0 && t.Node == c.set.Node && t.Incarnation == c.incarnation && c.incarnation != 0 &&
+		c.yielded[state.KeyLeader] < t.Number
 	if c.leaderRef != nil && (!mine || c.leaderRef.term != t.Number) {
 		slog.Info("leadership lost", "term", c.leaderRef.term)
 		c.leaderRef.cancel()
@@ -313,6 +327,7 @@
 	}
 	if mine && c.leaderRef == nil {
 		slog.Info("leading", "term", t.Number)
+		c.ledSince = now
 		ctx, cancel := context.WithCancel(ctx)
 		a := &leaderActor{core: leader.New(c.set, version, now, c.jobs, c.versions), store: c.io.Later, self: actor.NewRef()}
 		a.core.SetAuthority(c.until())
@@ -357,15 +372,9 @@
 			continue
 		}
 		if cl.To != c.set.Node {
-			// What this owner does must have ended before another begins.
-			t, _ := c.member.Term(cl.Key)
-			c.yielded[cl.Key] = t.Number
-			for _, part := range c.set.Params.Zones {
-				if state.KeyPart(part) == cl.Key {
-					c.stopOwner(part)
-				}
-			}
 			slog.Info("handing on", "key", cl.Key, "to", cl.To)
+			c.yield(now, cl)
+			continue
 		}
 		c.send(ctx, now, cl)
 	}
@@ -381,9 +390,61 @@
 			c.send(ctx, now, c.member.ClaimOf(key, c.set.Node, inc, version))
 		}
 	}
+	if c.leaderRef != nil && c.peersAway(now) && now.Sub(c.ledSince) > 2*constants.PeersAway {
+		c.handOn(ctx, now, state.KeyLeader)
+	}
 	c.push(ctx, now)
 }
 
+// peersAway says that no other controller was heard from, though some live.
+func (c *control) peersAway(now time.Time) bool {
+	alive := false
+	for _, p := range c.set.Peers {
+		alive = alive || c.member.Alive(p.Node)
+		if now.Sub(c.peersState[p.Node].at) < constants.PeersAway {
+			return false
+		}
+	}
+	return alive
+}
+
+// handOn gives up a term that this controller cannot make use of.
+func (c *control) handOn(ctx context.Context, now time.Time, key string) {
+	cl, ok := c.member.HandOn(key)
+	if _, busy := c.claiming[key]; !ok || busy || !c.settled(now) {
+		return
+	}
+	slog.Warn("cut off: handing on", "key", key, "to", cl.To)
+	c.yield(now, cl)
+}
+
+// yield ends what this controller does under a term before another begins.
+// The claim that hands the term on is sent only once the actor has said that
+// it stopped: reports that still wait in its mailbox must not be answered
+// after the next owner has begun to count the workers' leases.
+func (c *control) yield(now time.Time, cl member.Claim) {
+	t, _ := c.member.Term(cl.Key)
+	c.yielded[cl.Key] = t.Number
+	c.claiming[cl.Key] = now
+	done := func(end context.CancelFunc) func() {
+		return func() { end(); c.self.Tell(halted{cl}) }
+	}
+	for _, part := range c.set.Params.Zones {
+		if o := c.owners[part]; state.KeyPart(part) == cl.Key && o != nil {
+			o.ref.Tell(halt{done(o.cancel)})
+			delete(c.owners, part)
+			delete(c.status, part)
+			return
+		}
+	}
+	if cl.Key == state.KeyLeader && c.leaderRef != nil {
+		c.leaderRef.ref.Tell(halt{done(c.leaderRef.cancel)})
+		c.leaderRef = nil
+		return
+	}
+	c.self.Tell(halted{cl})
+}
+
 func (c *control) send(ctx context.Context, now time.Time, cl member.Claim) {
 	if at, ok := c.claiming[cl.Key]; ok && now.Sub(at) < constants.StateTimeout+time.Second {
 		return
--- a/part/core.go
+++ b/part/core.go
@@ -453,10 +453,13 @@
 	if !c.may(now) || r.Zone != c.cfg.Part {
 		return reply, false
 	}
-	m := c.machine(r.Machine)
-	if m.returning {
-		return wire.ReportReply{Token: c.term, Commands: []wire.Command{}}, true
+	if _, gone := c.gone[r.Machine]; gone {
+		return reply, false // held back on its way: the machine is gone for good
 	}
+	// A machine whose return was asked for is answered like any other until
+	// the cloud confirms it: an answer that renews its lease without counting
+	// it would let the owner believe that the lease had ended.
+	m := c.machine(r.Machine)
 	if !c.newer(m, r) {
 		return reply, false // late or repeated: nothing in it counts
 	}
@@ -509,7 +512,7 @@
 	if r.Token > c.term {
 		c.deposed = true
 	}
-	if r.Machine != name || m.returning || c.deposed || !c.newer(m, r) {
+	if r.Machine != name || c.deposed || !c.newer(m, r) {
 		return
 	}
 	c.arrive(now, m, r)
--- a/part/place.go
+++ b/part/place.go
@@ -807,6 +807,26 @@
 	return heard*2 > up || now.Sub(c.siblingsAt) < constants.PushEvery*2
 }
 
+// CutOff says whether most machines have fallen silent together, and whether
+// most of those have been reporting to other controllers: then it is the
+// owner that they cannot reach.
+func (c *Core) CutOff(now time.Time) (silent, strays bool) {
+	up, quiet, seen := 0, 0, 0
+	for _, m := range c.machines {
+		if !m.up || m.returning {
+			continue
+		}
+		up++
+		if c.silent(now, m) {
+			quiet++
+			if now.Sub(m.strayAt) < constants.StrayMemory {
+				seen++
+			}
+		}
+	}
+	return quiet*2 > up, seen*2 > up
+}
+
 // Strays takes in which machines reported to another controller.
 func (c *Core) Strays(now time.Time, names []string, all bool) {
 	for _, n := range names {
@@ -850,7 +870,7 @@
 // to light and those that failed, and proves nothing else.
 func (c *Core) Listed(now time.Time, list []wire.CloudMachine) {
 	for name, at := range c.gone {
-		if now.Sub(at) > 4*c.cfg.ListLag+constants.CloudListEvery {
+		if now.Sub(at) > constants.GoneMemory {
 			delete(c.gone, name)
 		}
 	}
--- a/state/feed.go
+++ b/state/feed.go
@@ -48,6 +48,7 @@
 func (f *Feed) Run(ctx context.Context) {
 	revision, listed := uint64(0), false
 	wait := constants.RetryMin
+	var lost time.Time
 	for ctx.Err() == nil {
 		var err error
 		if !listed {
@@ -63,6 +64,10 @@
 		switch {
 		case err == nil:
 			wait = constants.RetryMin
+			if !lost.IsZero() {
+				slog.Info("feed reaches the state service again", "after_ms", time.Since(lost).Milliseconds())
+				lost = time.Time{}
+			}
 			pause(ctx, constants.WatchGap)
 			continue
 		case errors.Is(err, ErrCompacted):
@@ -72,7 +77,10 @@
 		case ctx.Err() != nil:
 			return
 		}
-		slog.Info("feed cannot reach the state service", "err", err)
+		if lost.IsZero() {
+			lost = time.Now()
+			slog.Warn("feed cannot reach the state service", "err", err)
+		}
 		pause(ctx, wait/2+rand.N(wait))
 		wait = min(2*wait, constants.RetryMax/2)
 	}
--- a/state/records.go
+++ b/state/records.go
@@ -46,6 +46,9 @@
 	Node        string `json:"node"`
 	Incarnation uint64 `json:"inc"`
 	Number      uint64 `json:"term"`
+	// Cut: the holder before gave the term up because its machines could not
+	// reach it. It gets it back only after a while.
+	Cut bool `json:"cut,omitempty"`
 }
 
 // Machine is a roster entry: a machine that may hold tasks.
