--- a/part/core.go
+++ b/part/core.go
@@ -319,6 +319,9 @@
 		}
 		m.session = r.Session
 		m.token = 0
+		// A session has a lease of its own from its first moment on, also when
+		// the owner hears of it by a direct command's answer.
+		m.leaseUntil = now.Add(c.cfg.LeaseEnd)
 	}
 	m.seq = r.Seq
 	m.token = max(m.token, r.Token)
