Arrays fill the gaps of ordinary machines that stay for their services

An ordinary machine with a service on it costs the same whatever else it does; spot machines empty sooner.

--- a/part/place.go
+++ b/part/place.go
@@ -142,7 +142,13 @@
 			score += 10
 		}
 		if s.Spot && !m.spot {
-			score += 5
+			// Ordinary machines with services stay whatever happens, so their
+			// gaps cost nothing; an empty one had better stay empty.
+			if m.serves(c) {
+				score -= 3
+			} else {
+				score += 5
+			}
 		}
 		if m.draining {
 			score += 20
@@ -223,6 +229,16 @@
 	return out
 }
 
+// serves says whether a machine holds a service.
+func (m *machine) serves(c *Core) bool {
+	for _, h := range m.holds {
+		if t := c.taskOf(h); !h.exited() && t != nil && t.job.rec.Spec.IsService() {
+			return true
+		}
+	}
+	return false
+}
+
 // left is the share of a machine that stays free, from 0 to 2.
 func (c *Core) left(m *machine, free resources) float64 {
 	l := 0.0
