--- a/constants/constants.go
+++ b/constants/constants.go
@@ -234,3 +234,11 @@
 	// JobFaultRetry is the longest wait before a failing task is tried again.
 	JobFaultRetry = 30 * time.Second
 )
+
+// Metrics.
+const (
+	// LatencyMaxMS is the end of latency histograms (ms): nobody waits longer.
+	LatencyMaxMS = 60_000
+	// LatencyDigits is their resolution (significant digits).
+	LatencyDigits = 2
+)
--- a/frontdoor/frontdoor.go
+++ b/frontdoor/frontdoor.go
@@ -58,6 +58,8 @@
 		Part string
 		Jobs map[string][2]int
 	}
+	// Metrics asks for figures in the text format that Prometheus reads.
+	Metrics struct{ Req Request }
 	// Tick lets waiting requests be looked at.
 	Tick time.Time
 
@@ -105,14 +107,15 @@
 	counts  map[string]map[string][2]int
 	next    []*poll // arrived since the last read began
 	reading bool
-	waiting []*poll   // read, waiting for the feed
-	busy    int       // requests that wait for the state service
+	waiting []*poll // read, waiting for the feed
+	busy    int     // requests that wait for the state service
+	stats   stats
 	down    time.Time // until then the state service counts as away
 }
 
 // New makes a front door that is spoken to through self.
 func New(set *settings.Settings, store Store, self *actor.Ref) *Door {
-	return &Door{set: set, store: store, self: self, jobs: map[string]known{}, counts: map[string]map[string][2]int{}}
+	return &Door{set: set, store: store, self: self, jobs: map[string]known{}, counts: map[string]map[string][2]int{}, stats: newStats()}
 }
 
 // Receive implements actor.Handler.
@@ -136,6 +139,8 @@
 		d.created(ctx, m)
 	case finished:
 		d.busy--
+	case Metrics:
+		d.metrics(m.Req)
 	case Tick:
 		d.tick(ctx, time.Time(m))
 	}
@@ -245,6 +250,7 @@
 // answer tells a poll what the feed knows, which is new enough for it.
 func (d *Door) answer(p *poll) {
 	d.busy--
+	d.stats.poll.record(time.Since(p.came).Milliseconds())
 	k, ok := d.jobs[p.id]
 	if ok {
 		d.tell(p, k)
@@ -384,6 +390,8 @@
 	var conflict *state.Conflict
 	switch {
 	case m.err == nil:
+		d.stats.accepted++
+		d.stats.submit.record(took)
 		slog.Debug("job accepted", "job", m.s.ID, "class", m.s.Class, "tasks", m.s.Tasks, "took_ms", took)
 		m.req.Answer(&httpwire.Response{Status: 201, Body: body(wire.Accepted{ID: m.s.ID, Status: wire.JobQueued})})
 	case errors.As(m.err, &conflict):
@@ -393,6 +401,7 @@
 		if !errors.Is(m.err, state.ErrLimited) {
 			d.down = time.Now().Add(constants.DownFor)
 		}
+		d.stats.refused++
 		slog.Info("submission refused", "job", m.s.ID, "took_ms", took, "err", m.err)
 		Refuse(m.req, 503, "state service away")
 	}
--- a/node/actors.go
+++ b/node/actors.go
@@ -232,7 +232,7 @@
 	due := now.Sub(a.pushAt) > constants.PushEvery
 	if due || now.Sub(a.pushAt) > constants.PushGap && a.core.PushDue() {
 		a.pushAt = now
-		a.control.Tell(partStatus{a.part, a.core.Aggregate(now, a.revision), a.core.Counts()})
+		a.control.Tell(partStatus{a.part, a.core.Aggregate(now, a.revision), a.core.Counts(), a.core.Summary(now)})
 	}
 	if silent, seen := a.core.CutOff(now); silent {
 		a.control.Tell(cutOff{a.part, seen})
--- a/node/control.go
+++ b/node/control.go
@@ -16,6 +16,7 @@
 	"ravenport/httpwire"
 	"ravenport/leader"
 	"ravenport/member"
+	"ravenport/part"
 	"ravenport/peer"
 	"ravenport/settings"
 	"ravenport/state"
@@ -29,9 +30,10 @@
 		req    request
 		report *wire.Report
 	}
-	health     struct{ req request }
-	peerStatus peer.Status
-	peerReply  struct {
+	health      struct{ req request }
+	statusAsked struct{ req request }
+	peerStatus  peer.Status
+	peerReply   struct {
 		node  string
 		reply peer.Reply
 		err   error
@@ -63,6 +65,7 @@
 		part      string
 		aggregate leader.Aggregate
 		counts    map[string][2]int
+		summary   part.Summary
 	}
 	wantTerm struct{ part string }
 	halted   struct{ claim member.Claim } // the actor stopped: the claim may go
@@ -159,6 +162,8 @@
 		c.beat(now, m)
 	case health:
 		c.health(now, m)
+	case statusAsked:
+		c.tellStatus(now, m.req)
 	case tick:
 		c.tick(ctx, now)
 	case peerStatus:
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,12 @@
 	"ravenport/worker"
 )
 
+// Read-only paths for operators, beside the protocol's own.
+const (
+	PathStatus  = "/status"
+	PathMetrics = "/metrics"
+)
+
 // Store is the state service as a controller uses it.
 type Store interface {
 	frontdoor.Store
@@ -188,6 +194,14 @@
 			}
 			n.door.Tell(frontdoor.Poll{Req: r, ID: id})
 		}
+	case path == PathStatus:
+		if methods("GET") {
+			n.self.Tell(statusAsked{r})
+		}
+	case path == PathMetrics:
+		if methods("GET") {
+			n.door.Tell(frontdoor.Metrics{Req: r})
+		}
 	default:
 		notFound(r)
 	}
--- /dev/null
+++ b/node/status.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"ravenport/httpwire"
+	"ravenport/part"
+	"ravenport/state"
+)
+
+// Status is what /status answers: this controller's view, for operators.
+type Status struct {
+	Node        string       `json:"node"`
+	Zone        string       `json:"zone"`
+	StateOK     bool         `json:"state_ok"`
+	AuthorityMS int64        `json:"authority_ms"` // how long it may still act without hearing from the state service
+	Revision    uint64       `json:"revision"`
+	OpenJobs    int          `json:"open_jobs"`
+	Unassigned  int          `json:"unassigned_jobs"` // with tasks that wait for the leader
+	Leader      Role         `json:"leader"`
+	Parts       []PartStatus `json:"parts"`
+}
+
+// Role says who holds a term.
+type Role struct {
+	Node  string `json:"node"`
+	Term  uint64 `json:"term"`
+	Alive bool   `json:"alive"`
+}
+
+// PartStatus is one part; the summary is there on its owner alone.
+type PartStatus struct {
+	Part    string        `json:"part"`
+	Owner   Role          `json:"owner"`
+	Roster  int           `json:"roster"` // machines in the durable roster
+	Summary *part.Summary `json:"summary,omitempty"`
+}
+
+func (c *control) role(key string) Role {
+	t, _ := c.member.Term(key)
+	_, alive := c.member.Holder(key)
+	return Role{Node: t.Node, Term: t.Number, Alive: alive}
+}
+
+func (c *control) tellStatus(now time.Time, req request) {
+	s := Status{Node: c.set.Node, Zone: c.set.Zone, StateOK: c.stateOK(now), Revision: c.revision, OpenJobs: len(c.jobs), Leader: c.role(state.KeyLeader)}
+	if u := c.until(); now.Before(u) {
+		s.AuthorityMS = u.Sub(now).Milliseconds()
+	}
+	for _, j := range c.jobs {
+		if j.End == "" && len(j.Unassigned()) > 0 {
+			s.Unassigned++
+		}
+	}
+	for _, name := range c.set.Params.Zones {
+		p := PartStatus{Part: name, Owner: c.role(state.KeyPart(name))}
+		for _, r := range c.roster {
+			if r.Part == name {
+				p.Roster++
+			}
+		}
+		if st, ok := c.status[name]; ok {
+			p.Summary = &st.summary
+		}
+		s.Parts = append(s.Parts, p)
+	}
+	body, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		slog.Error("encoding the status", "err", err)
+	}
+	req.Answer(&httpwire.Response{Status: 200, Body: append(body, '\n')})
+}
--- a/part/place.go
+++ b/part/place.go
@@ -1033,3 +1033,56 @@
 		}
 	}
 }
+
+// Summary is an owner's view of its part, for operators.
+type Summary struct {
+	Rebuilt     bool    `json:"rebuilt"`
+	Up          int     `json:"machines_up"`
+	Spot        int     `json:"machines_spot"`
+	Booting     int     `json:"machines_booting"`
+	Silent      int     `json:"machines_silent"`
+	Draining    int     `json:"machines_draining"`
+	Returning   int     `json:"machines_returning"`
+	Attempts    int     `json:"attempts"` // tasks that are, or may be, on machines
+	Waiting     int     `json:"tasks_waiting"`
+	WaitingCPUs float64 `json:"waiting_cpus"`
+	RefusedSpot bool    `json:"spot_refused"` // the cloud had none a moment ago
+	Refused     bool    `json:"ordinary_refused"`
+}
+
+// Summary counts what the owner knows.
+func (c *Core) Summary(now time.Time) Summary {
+	s := Summary{Rebuilt: c.rebuilt, WaitingCPUs: c.unplaced.cpus, RefusedSpot: now.Before(c.refused[true]), Refused: now.Before(c.refused[false])}
+	for _, m := range c.machines {
+		switch {
+		case m.returning:
+			s.Returning++
+		case !m.up:
+			s.Booting++
+		default:
+			s.Up++
+			if m.spot {
+				s.Spot++
+			}
+			if c.silent(now, m) {
+				s.Silent++
+			}
+			if m.draining {
+				s.Draining++
+			}
+		}
+		for _, h := range m.holds {
+			if !h.exited() {
+				s.Attempts++
+			}
+		}
+	}
+	for _, j := range c.jobs {
+		for _, t := range j.tasks {
+			if t.waiting() {
+				s.Waiting++
+			}
+		}
+	}
+	return s
+}
