--- /dev/null
+++ b/leader/core_test.go
@@ -0,0 +1,254 @@
+package leader
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "ravenport/internal/testseed"
+	"ravenport/settings"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+func TestMain(m *testing.M) {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	os.Exit(m.Run())
+}
+
+func facts() *settings.Settings {
+	s := &settings.Settings{}
+	s.Params.Zones = []string{"a", "b", "c"}
+	s.Params.Teams = []settings.Team{{Name: "t", CPUs: 6, CPUsMax: 20}, {Name: "free"}}
+	return s
+}
+
+func figures(part string, rev uint64, cpus float64, machines int) Aggregate {
+	a := Aggregate{Part: part, Term: 1, Revision: rev, RentOrdinary: true, RentSpot: true, Capacity: cpus}
+	for range machines {
+		a.Ordinary.Machines++
+		a.Ordinary.CPUs.Add(cpus / float64(machines))
+		a.Ordinary.Memory.Add(1000)
+	}
+	a.Ordinary.CPUs.Finish(machines)
+	a.Ordinary.Memory.Finish(machines)
+	return a
+}
+
+// store is the state service as the leader meets it: a write may be carried
+// out with or without an answer, late, or not at all.
+type store struct {
+	jobs    map[string]*state.Job
+	version map[string]uint64
+	rev     uint64
+}
+
+func (s *store) put(j *state.Job) {
+	s.rev++
+	s.jobs[j.ID], s.version[j.ID] = j, s.rev
+}
+
+func (s *store) try(cm Commit) bool {
+	for _, c := range cm.Txn.If {
+		if c.Key == state.KeyJob(cm.ID) && s.version[cm.ID] != c.Version {
+			return false
+		}
+	}
+	rec, err := state.Decode(cm.Txn.Then[0].Put, cm.Txn.Then[0].Value)
+	if err != nil {
+		panic(err)
+	}
+	s.put(rec.(*state.Job))
+	return true
+}
+
+// Whatever answers are lost and whatever is written late, the tasks in open
+// chunks never exceed a team's limit, nor a job's zone rules.
+func TestLimitsHoldUnderLostAndLateWrites(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		st := &store{jobs: map[string]*state.Job{}, version: map[string]uint64{}}
+		c := New(facts(), 1, now, nil, nil)
+		c.SetAuthority(now.Add(time.Hour))
+		seen := map[string]uint64{}
+		feed := func() {
+			for id, j := range st.jobs {
+				if st.version[id] > seen[id] {
+					seen[id] = st.version[id]
+					c.ApplyJob(now, id, j, st.version[id])
+				}
+			}
+			for _, z := range []string{"a", "b", "c"} {
+				c.Pushed(now, figures(z, st.rev, 16, 2))
+			}
+		}
+		var late []Commit
+		for step := range rapid.IntRange(5, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				s := wire.Submission{ID: fmt.Sprintf("run-%d", step), Team: "t", Kind: wire.KindArray, Priority: wire.PriorityNormal,
+					Tasks: rapid.IntRange(1, 8).Draw(t, "tasks"), CPUs: rapid.Float64Range(0.5, 6).Draw(t, "cpus"), MemoryGB: 1, Spot: true}
+				switch rapid.IntRange(0, 3).Draw(t, "rule") {
+				case 0:
+					s.Spread = true
+				case 1:
+					s.OneZone = true
+				case 2:
+					s.Kind, s.Tasks = wire.KindService, 2
+				}
+				st.put(&state.Job{ID: s.ID, Spec: s})
+			case 1: // an owner closes or gives back a chunk
+				for id, j := range st.jobs {
+					if len(j.Chunks) == 0 || rapid.Bool().Draw(t, "skip") {
+						continue
+					}
+					k := j.Clone()
+					i := rapid.IntRange(0, len(k.Chunks)-1).Draw(t, "chunk")
+					if rapid.Bool().Draw(t, "close") {
+						k.Chunks[i].Closed = true
+					} else if !k.Chunks[i].Closed {
+						k.Chunks = append(k.Chunks[:i], k.Chunks[i+1:]...)
+					}
+					k.ID = id
+					st.put(k)
+					break
+				}
+			case 2:
+				feed()
+			case 3:
+				if len(late) > 0 {
+					st.try(late[0])
+					late = late[1:]
+				}
+			}
+			for _, cm := range c.Step(now) {
+				switch rapid.IntRange(0, 3).Draw(t, "fate") {
+				case 0, 1:
+					if st.try(cm) {
+						c.Committed(now, cm.ID, st.rev)
+					} else {
+						c.Committed(now, cm.ID, 0)
+					}
+				case 2: // carried out, the answer lost
+					st.try(cm)
+					c.Committed(now, cm.ID, 0)
+				case 3: // carried out later, or never
+					late = append(late, cm)
+					c.Committed(now, cm.ID, 0)
+				}
+			}
+			use := 0.0
+			for _, j := range st.jobs {
+				zones := map[string]int{}
+				at := 0
+				for _, ch := range j.Chunks {
+					if ch.From < at {
+						t.Fatalf("%s: chunks overlap: %+v", j.ID, j.Chunks)
+					}
+					at = ch.To
+					if !ch.Closed {
+						use += float64(ch.Tasks()) * j.Spec.CPUs
+						zones[ch.Part] += ch.Tasks()
+					}
+				}
+				for z, n := range zones {
+					if j.Spec.Spread && n > (j.Spec.Tasks+1)/2 {
+						t.Fatalf("%s: %d of %d tasks in %s", j.ID, n, j.Spec.Tasks, z)
+					}
+				}
+				if j.Spec.OneZone && len(zones) > 1 {
+					t.Fatalf("%s: one zone, but %v", j.ID, zones)
+				}
+			}
+			if use > 20+1e-6 {
+				t.Fatalf("team uses %g of 20 CPUs", use)
+			}
+		}
+	})
+}
+
+// Of the parts that take a whole job, the one left with the least comes first.
+func TestLeastRoomLeftComesFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(facts(), 1, now, nil, nil)
+	c.SetAuthority(now.Add(time.Hour))
+	c.Pushed(now, figures("a", 1, 64, 4))
+	c.Pushed(now, figures("b", 1, 24, 2))
+	c.Pushed(now, figures("c", 1, 8, 1))
+	job := &state.Job{ID: "run-1", Spec: wire.Submission{ID: "run-1", Team: "free", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: 4, CPUs: 4, MemoryGB: 1}}
+	c.ApplyJob(now, "run-1", job, 5)
+	acts := c.Step(now)
+	if len(acts) != 1 {
+		t.Fatalf("%d assignments", len(acts))
+	}
+	rec, err := state.Decode(acts[0].Txn.Then[0].Put, acts[0].Txn.Then[0].Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if ch := rec.(*state.Job).Chunks; len(ch) != 1 || ch[0].Part != "b" {
+		t.Fatalf("chunks %+v, wanted all in b", ch)
+	}
+}
+
+// Between two pushes the leader counts what it has just assigned.
+func TestBurstDoesNotPileUp(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(facts(), 1, now, nil, nil)
+	c.SetAuthority(now.Add(time.Hour))
+	for _, z := range []string{"a", "b", "c"} {
+		c.Pushed(now, figures(z, 1, 16, 1))
+	}
+	got := map[string]int{}
+	for i := range 6 {
+		id := fmt.Sprintf("run-%d", i)
+		c.ApplyJob(now, id, &state.Job{ID: id, AcceptedMS: int64(i), Spec: wire.Submission{ID: id, Team: "free", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: 2, CPUs: 4, MemoryGB: 1}}, uint64(10+i))
+	}
+	for _, cm := range c.Step(now) {
+		rec, err := state.Decode(cm.Txn.Then[0].Put, cm.Txn.Then[0].Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, ch := range rec.(*state.Job).Chunks {
+			got[ch.Part] += ch.Tasks()
+		}
+	}
+	for _, z := range []string{"a", "b", "c"} {
+		if got[z] != 4 {
+			t.Fatalf("tasks by part %v, wanted 4 each", got)
+		}
+	}
+}
+
+// A job that can still meet its objective comes before one that missed it;
+// priority and guarantee come before both.
+func TestOrder(t *testing.T) {
+	o := NewOrder([]settings.Objective{{Kind: "finished", Class: "c", WithinS: 90}})
+	now := time.Unix(10000, 0)
+	job := func(id string, age, estimate float64, priority string) *state.Job {
+		return &state.Job{ID: id, AcceptedMS: now.UnixMilli() - int64(age*1000), Spec: wire.Submission{ID: id, Class: "c", Kind: wire.KindArray, Priority: priority, Tasks: 1, CPUs: 1, EstimateS: estimate}}
+	}
+	in := []struct {
+		rec        *state.Job
+		guaranteed bool
+	}{
+		{job("prod", 0, 10, wire.PriorityProduction), false},
+		{job("guaranteed", 0, 10, wire.PriorityNormal), true},
+		{job("older", 50, 10, wire.PriorityNormal), false},
+		{job("newer", 5, 10, wire.PriorityNormal), false},
+		{job("missed", 100, 10, wire.PriorityNormal), false},
+		{job("low", 50, 10, wire.PriorityLow), true},
+	}
+	for i := range in {
+		for k := i + 1; k < len(in); k++ {
+			a, b := o.Place(now, in[i].rec, in[i].guaranteed), o.Place(now, in[k].rec, in[k].guaranteed)
+			if !a.Before(b) || b.Before(a) {
+				t.Errorf("%s does not come before %s", in[i].rec.ID, in[k].rec.ID)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/member/core_test.go
@@ -0,0 +1,161 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "ravenport/internal/testseed"
+	"ravenport/state"
+)
+
+var three = []Controller{{"n-0", "a"}, {"n-1", "b"}, {"n-2", "a"}}
+
+// sim is a state service shared by three cores.
+type sim struct {
+	version uint64
+	keys    map[string]state.Change
+	cores   []*Core
+	inc     []uint64
+}
+
+func (s *sim) set(now time.Time, key string, rec any) {
+	s.version++
+	ch := state.Change{Key: key, Version: s.version, Record: rec}
+	if rec == nil {
+		delete(s.keys, key)
+	} else {
+		s.keys[key] = ch
+	}
+	for _, c := range s.cores {
+		c.Apply(now, ch)
+	}
+}
+
+func (s *sim) try(now time.Time, cl Claim) bool {
+	for _, c := range cl.Txn.If {
+		if s.keys[c.Key].Version != c.Version {
+			return false
+		}
+	}
+	rec, err := state.Decode(cl.Key, cl.Txn.Then[0].Value)
+	if err != nil {
+		panic(err)
+	}
+	s.set(now, cl.Key, rec)
+	return true
+}
+
+// Through any run of failures and returns: terms only rise, nobody takes a
+// term from a live holder unless it was handed on, and once all is calm every
+// part is held in its own zone.
+func TestTermsRiseAndSettle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		s := &sim{keys: map[string]state.Change{}, inc: make([]uint64, 3)}
+		for _, k := range three {
+			s.cores = append(s.cores, New(k.Name, three, []string{"a", "b"}, now))
+		}
+		next := uint64(0)
+		up := func(i int) {
+			next++
+			s.inc[i] = next
+			s.set(now, state.KeyNode(three[i].Name), &state.Node{Name: three[i].Name, Incarnation: next})
+		}
+		down := func(i int) {
+			if s.inc[i] != 0 {
+				s.inc[i] = 0
+				s.set(now, state.KeyNode(three[i].Name), nil)
+			}
+		}
+		step := func() {
+			for i, c := range s.cores {
+				if s.inc[i] == 0 {
+					continue
+				}
+				for _, cl := range c.Step(now, s.inc[i], true) {
+					before, _ := c.Term(cl.Key)
+					holder, held := c.Holder(cl.Key)
+					if held && holder != three[i].Name {
+						t.Fatalf("%s claims %s from live %s", three[i].Name, cl.Key, holder)
+					}
+					if s.try(now, cl) {
+						after, _ := c.Term(cl.Key)
+						if after.Number != before.Number+1 {
+							t.Fatalf("%s went from term %d to %d", cl.Key, before.Number, after.Number)
+						}
+					}
+				}
+			}
+		}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(50, 3000).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, 2).Draw(t, "node")
+			if rapid.Bool().Draw(t, "up") {
+				up(i)
+			} else {
+				down(i)
+			}
+			step()
+		}
+		for i := range three {
+			if s.inc[i] == 0 {
+				up(i)
+			}
+		}
+		for range 300 {
+			now = now.Add(100 * time.Millisecond)
+			step()
+		}
+		for _, part := range []string{"a", "b"} {
+			holder, held := s.cores[0].Holder(state.KeyPart(part))
+			zone := ""
+			for _, k := range three {
+				if k.Name == holder {
+					zone = k.Zone
+				}
+			}
+			if !held || zone != part {
+				t.Fatalf("part %s is held by %s in %q", part, holder, zone)
+			}
+		}
+		if _, held := s.cores[0].Holder(state.KeyLeader); !held {
+			t.Fatal("nobody leads")
+		}
+	})
+}
+
+// A part that was given up because its machines could not reach the owner is
+// not given back at once.
+func TestCutPartStaysAway(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := &sim{keys: map[string]state.Change{}, inc: []uint64{1, 2, 3}}
+	for _, k := range three {
+		s.cores = append(s.cores, New(k.Name, three, []string{"a", "b"}, now))
+	}
+	for i, k := range three {
+		s.set(now, state.KeyNode(k.Name), &state.Node{Name: k.Name, Incarnation: uint64(i + 1)})
+	}
+	key := state.KeyPart("b")
+	s.set(now, key, &state.Term{Part: "b", Node: "n-1", Incarnation: 2, Number: 4})
+	cl, ok := s.cores[1].HandOn(key)
+	if !ok || cl.To == "n-1" || !s.try(now, cl) {
+		t.Fatalf("not handed on: %+v", cl)
+	}
+	back := time.Duration(0)
+	for at := time.Duration(0); at < 2*time.Minute && back == 0; at += time.Second {
+		for i, c := range s.cores {
+			for _, cl := range c.Step(now.Add(at), s.inc[i], true) {
+				if cl.Key == key && cl.To == "n-1" && s.try(now.Add(at), cl) {
+					back = at
+				}
+			}
+		}
+	}
+	if back < 30*time.Second {
+		t.Fatalf("back after %s", back)
+	}
+	fmt.Fprintln(t.Output(), "given back after", back)
+}
--- a/server/server.go
+++ b/server/server.go
@@ -3,7 +3,6 @@
 package server
 
 import (
-	"errors"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -153,11 +152,8 @@
 	}
 	m, n, err := httpwire.ParseRequest(buf, httpwire.Limits{Header: constants.MaxHeader, Body: constants.MaxBody})
 	if err != nil {
-		status := 400
-		if errors.Is(err, httpwire.ErrTooLarge) {
-			status = 400 // the protocol knows no 413: a body over the limit is malformed
-		}
-		resp := httpwire.AppendResponse(nil, &httpwire.Response{Status: status, Close: true, Body: []byte(`{"error":"malformed request"}`)})
+		// The protocol knows no 413: a body over the limit is malformed too.
+		resp := httpwire.AppendResponse(nil, &httpwire.Response{Status: 400, Close: true, Body: []byte(`{"error":"malformed request"}`)})
 		if _, err := c.Write(resp); err != nil {
 			slog.Debug("refusing a malformed request", "err", err)
 		}
--- /dev/null
+++ b/server/server_test.go
@@ -0,0 +1,128 @@
+package server
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"ravenport/httpwire"
+)
+
+// start serves on a free loopback port and echoes the method and target.
+func start(t *testing.T, maxConn int) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	s := New(addr, maxConn, func(r *Request) {
+		go r.Answer(&httpwire.Response{Status: 200, Body: []byte(r.Method + " " + r.Target)})
+	})
+	go func() {
+		if err := s.Run(); err != nil {
+			t.Error(err)
+		}
+	}()
+	<-s.Ready()
+	return addr
+}
+
+func dial(t *testing.T, addr string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	if err := c.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	return c, bufio.NewReader(c)
+}
+
+// A connection serves one request after the other, also when they come in
+// pieces or before the last one is answered.
+func TestRequestsOnOneConnection(t *testing.T) {
+	c, in := dial(t, start(t, 10))
+	for i := range 3 {
+		for _, piece := range []string{"GET /x", fmt.Sprint(i), " HTTP/1.1\r\nHost", ": h\r\n\r\n"} {
+			if _, err := c.Write([]byte(piece)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		expect(t, in, "200", fmt.Sprintf("GET /x%d", i))
+	}
+	if _, err := c.Write([]byte("GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	expect(t, in, "200", "GET /a")
+	expect(t, in, "200", "GET /b")
+}
+
+func expect(t *testing.T, in *bufio.Reader, status, body string) {
+	t.Helper()
+	line, err := in.ReadString('\n')
+	if err != nil || !strings.Contains(line, " "+status+" ") {
+		t.Fatalf("status line %q, %v", line, err)
+	}
+	n := 0
+	for {
+		h, err := in.ReadString('\n')
+		if err != nil {
+			t.Fatal(err)
+		}
+		if h == "\r\n" {
+			break
+		}
+		_, _ = fmt.Sscanf(h, "Content-Length: %d", &n)
+	}
+	buf := make([]byte, n)
+	for at := 0; at < n; {
+		k, err := in.Read(buf[at:])
+		if err != nil {
+			t.Fatal(err)
+		}
+		at += k
+	}
+	if body != "" && string(buf) != body {
+		t.Fatalf("body %q, wanted %q", buf, body)
+	}
+}
+
+// What is not HTTP, or too large, is refused and the connection closed.
+func TestMalformedIsClosed(t *testing.T) {
+	addr := start(t, 10)
+	for _, raw := range []string{"nonsense\r\n\r\n", "POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n"} {
+		c, in := dial(t, addr)
+		if _, err := c.Write([]byte(raw)); err != nil {
+			t.Fatal(err)
+		}
+		expect(t, in, "400", "")
+		if _, err := in.ReadByte(); err == nil {
+			t.Errorf("%q: the connection stays open", raw)
+		}
+	}
+}
+
+// Beyond the limit of connections new ones are closed, and old ones served.
+func TestConnectionsAreBounded(t *testing.T) {
+	addr := start(t, 1)
+	c, in := dial(t, addr)
+	if _, err := c.Write([]byte("GET /1 HTTP/1.1\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	expect(t, in, "200", "GET /1")
+	_, over := dial(t, addr)
+	if _, err := over.ReadByte(); err == nil {
+		t.Error("a connection over the limit was served")
+	}
+	if _, err := c.Write([]byte("GET /2 HTTP/1.1\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	expect(t, in, "200", "GET /2")
+}
