--- a/leader/core.go
+++ b/leader/core.go
@@ -346,6 +346,13 @@
 		j.notAt = now.Add(constants.PartialGap)
 	}
 	rec.Normalize()
+	value := state.Encode(rec)
+	if len(value) > c.set.ValueBytes() {
+		// A job in too many pieces would outgrow a value of the state service;
+		// it waits until some of them are closed and join.
+		j.notAt = now.Add(constants.RetryMax)
+		return Commit{}, false
+	}
 	for _, b := range books {
 		p := c.parts[b.part]
 		p.bookings = append(p.bookings, booking{job: rec.ID, spot: s.Spot,
@@ -360,7 +367,7 @@
 	slog.Debug("assigning", "job", rec.ID, "plan", fmt.Sprint(plan))
 	return Commit{ID: rec.ID, Txn: wire.Txn{
 		If:   []wire.Condition{{Key: state.KeyLeader, Version: c.termVer}, {Key: state.KeyJob(rec.ID), Version: j.version}},
-		Then: []wire.Change{{Put: state.KeyJob(rec.ID), Value: state.Encode(rec)}},
+		Then: []wire.Change{{Put: state.KeyJob(rec.ID), Value: value}},
 	}}, true
 }
 
--- a/node/actors.go
+++ b/node/actors.go
@@ -141,8 +141,8 @@
 	cfg := part.Config{
 		Part: name, Node: set.Node, Report: set.Report(), LeaseEnd: set.LeaseEnd(),
 		IdleSpot: set.Operator.IdleSpot, IdleOrdinary: set.Operator.IdleOrdinary, UseSpot: set.Operator.UseSpot,
-		SparePercent: set.Operator.SparePercent, ListLag: time.Duration(set.Params.Cloud.ListLagS * float64(time.Second)),
-		TxnOps: set.Params.State.TxnOps, ValueBytes: int(set.Params.State.ValueKB * 1024), Order: leader.NewOrder(set.Params.Objectives),
+		ListLag:    time.Duration(set.Params.Cloud.ListLagS * float64(time.Second)),
+		ValueBytes: set.ValueBytes(), Order: leader.NewOrder(set.Params.Objectives),
 	}
 	a := &partActor{part: name, store: c.io.Later, cloud: c.io.Cloud, self: actor.NewRef(), control: c.self,
 		workers: c.io.Workers(), revision: c.revision}
--- a/part/core.go
+++ b/part/core.go
@@ -20,10 +20,8 @@
 	IdleSpot     time.Duration
 	IdleOrdinary time.Duration
 	UseSpot      bool
-	SparePercent float64
 	ListLag      time.Duration
-	TxnOps       int
-	ValueBytes   int
+	ValueBytes   int // the state service's limit on a record
 	Order        leader.Order
 }
 
--- a/part/core_test.go
+++ b/part/core_test.go
@@ -36,7 +36,7 @@
 		k := state.KeyMachine("a", m.Name)
 		byKey[k], keyV[k] = m, 11
 	}
-	cfg := Config{Part: "a", Report: 3 * time.Second, LeaseEnd: leaseEnd, IdleSpot: time.Hour, IdleOrdinary: time.Hour, UseSpot: true, ListLag: 5 * time.Second, Order: leader.NewOrder(nil)}
+	cfg := Config{Part: "a", Report: 3 * time.Second, LeaseEnd: leaseEnd, IdleSpot: time.Hour, IdleOrdinary: time.Hour, UseSpot: true, ListLag: 5 * time.Second, ValueBytes: 8192, Order: leader.NewOrder(nil)}
 	types := []wire.MachineType{{Name: "box", CPUs: 8, MemoryGB: 32, Price: 1, SpotPrice: 0.4, BootS: 10, Zones: []string{"a"}}}
 	r.Core = New(cfg, r.term, 50, r.now, types, jobs, versions, byKey, keyV)
 	r.SetAuthority(r.now.Add(time.Hour))
--- a/part/place.go
+++ b/part/place.go
@@ -951,6 +951,7 @@
 				changed = true
 			}
 		}
+		closed := rec.Clone()
 		for k, t := range j.tasks {
 			if t.leaving && rec.End == "" {
 				cutOut(rec, k)
@@ -961,6 +962,15 @@
 			continue
 		}
 		rec.Normalize()
+		if len(state.Encode(rec)) > c.cfg.ValueBytes*9/10 {
+			// Scattered gaps would outgrow the state service's values: what is
+			// to leave stays here, and only what closed is written.
+			for _, t := range j.tasks {
+				t.leaving = false
+			}
+			rec = closed
+			rec.Normalize()
+		}
 		if rec.End == "" && !rec.Spec.IsService() && rec.AllClosed() {
 			rec.End = wire.JobDone
 		}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -93,15 +93,13 @@
 	LeaseLife    time.Duration // membership.lease.ms
 	IdleSpot     time.Duration // rent.idle.spot.s
 	IdleOrdinary time.Duration // rent.idle.ordinary.s
-	SparePercent float64       // rent.spare.percent
 	UseSpot      bool          // rent.spot
-	MinRoster    int           // rent.least.machines
 }
 
 func defaults() Operator {
 	return Operator{
 		LeaseLife: 3500 * time.Millisecond, IdleSpot: 30 * time.Second, IdleOrdinary: 60 * time.Second,
-		SparePercent: 10, UseSpot: true,
+		UseSpot: true,
 	}
 }
 
@@ -272,8 +270,6 @@
 	o.LeaseLife = time.Duration(number("membership.lease.ms", float64(o.LeaseLife.Milliseconds()), 2000, 60000)) * time.Millisecond
 	o.IdleSpot = time.Duration(number("rent.idle.spot.s", o.IdleSpot.Seconds(), 0, 86400) * float64(time.Second))
 	o.IdleOrdinary = time.Duration(number("rent.idle.ordinary.s", o.IdleOrdinary.Seconds(), 0, 86400) * float64(time.Second))
-	o.SparePercent = number("rent.spare.percent", o.SparePercent, 0, 1000)
-	o.MinRoster = int(number("rent.least.machines", float64(o.MinRoster), 0, 10000))
 	if v, ok := p.Get("rent.spot"); ok {
 		switch v {
 		case "true", "false":
@@ -330,5 +326,8 @@
 	return d, false
 }
 
+// ValueBytes is the state service's limit on a value.
+func (s *Settings) ValueBytes() int { return int(s.Params.State.ValueKB * 1024) }
+
 // Seconds turns a number of seconds into a duration.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
