--- a/constants/constants.go
+++ b/constants/constants.go
@@ -149,6 +149,12 @@
 	// QueueShare is how much work, as a share of its capacity, may wait with an
 	// owner that gets no more machines (share).
 	QueueShare = 0.1
+	// MaxGiven bounds the tasks given to an owner at once beyond what it has
+	// room for (tasks).
+	MaxGiven = 400
+	// MaxQueued bounds the work that waits with an owner (CPUs): more than the
+	// cloud's largest rental of 50 usual machines could take.
+	MaxQueued = 2000.0
 	// PartialGap is the least time between two assignments of a job of which
 	// some tasks find no room yet: fewer, larger writes.
 	PartialGap = 500 * time.Millisecond
--- a/leader/core.go
+++ b/leader/core.go
@@ -510,7 +510,9 @@
 		if s.OneZone && k.cap < left || len(out) > 0 && s.OneZone {
 			continue
 		}
-		t := min(k.cap, left)
+		// An owner is not given more than it could rent for in a while: what
+		// waits with it costs it time in every round.
+		t := min(k.cap, left, constants.MaxGiven, max(0, int((constants.MaxQueued-k.queued)/max(s.CPUs, 0.1))))
 		if !k.rent && k.fresh && !s.IsService() {
 			// No machine is to be had: the tasks wait here for the first room
 			// of any part. A few wait with the owner, so that what falls free
--- a/leader/core_test.go
+++ b/leader/core_test.go
@@ -253,3 +253,29 @@
 		}
 	}
 }
+
+// A job of the largest size is handed over in portions.
+func TestHugeJobComesInPortions(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(facts(), 1, now, nil, nil)
+	c.SetAuthority(now.Add(time.Hour))
+	for _, z := range []string{"a", "b", "c"} {
+		c.Pushed(now, figures(z, 1, 16, 1))
+	}
+	c.ApplyJob(now, "run-1", &state.Job{ID: "run-1", Spec: wire.Submission{ID: "run-1", Team: "free", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: wire.MaxTasks, CPUs: 1, MemoryGB: 1}}, 5)
+	acts := c.Step(now)
+	if len(acts) != 1 {
+		t.Fatalf("%d assignments", len(acts))
+	}
+	rec, err := state.Decode(acts[0].Txn.Then[0].Put, acts[0].Txn.Then[0].Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	for _, ch := range rec.(*state.Job).Chunks {
+		n += ch.Tasks()
+	}
+	if n == 0 || n > 5000 {
+		t.Fatalf("%d tasks handed over at once", n)
+	}
+}
--- a/part/place.go
+++ b/part/place.go
@@ -951,7 +951,7 @@
 				changed = true
 			}
 		}
-		closed := rec.Clone()
+		closed, someClosed := rec.Clone(), changed
 		for k, t := range j.tasks {
 			if t.leaving && rec.End == "" {
 				cutOut(rec, k)
@@ -968,6 +968,9 @@
 			for _, t := range j.tasks {
 				t.leaving = false
 			}
+			if !someClosed {
+				continue
+			}
 			rec = closed
 			rec.Normalize()
 		}
