--- a/constants/constants.go
+++ b/constants/constants.go
@@ -196,6 +196,15 @@
 	AttemptBits = 24
 	// MaxRosterWrites bounds writes of machine records under way (writes).
 	MaxRosterWrites = 8
+	// NoticeMoves is how many tasks leave a machine that is about to be taken
+	// in one step, so that room is found for each (tasks).
+	NoticeMoves = 2
+	// NoticeMargin is kept between the end of saving and the end of a machine.
+	NoticeMargin = 3 * time.Second
+	// NoticeDoubt is how many times longer than the notice a task must be
+	// expected to run before it is moved: estimates are often wrong by half
+	// (factor).
+	NoticeDoubt = 1.5
 	// CloudListEvery is how often an owner reads the cloud's list.
 	CloudListEvery = 10 * time.Second
 	// RefusedPause is how long a refused kind of machine is not asked for.
--- a/part/core.go
+++ b/part/core.go
@@ -605,6 +605,7 @@
 			c.place(now)
 			c.rent(now)
 		}
+		c.leaveNoticed(now)
 		c.consolidate(now)
 		c.giveBack(now)
 		c.closeChunks(now)
--- a/part/core_test.go
+++ b/part/core_test.go
@@ -331,3 +331,37 @@
 	slog.SetDefault(slog.New(slog.DiscardHandler))
 	os.Exit(m.Run())
 }
+
+// On a spot notice a task that can save is told to, early enough to finish
+// saving, and no earlier than it must.
+func TestNoticeLeavesTimeToSave(t *testing.T) {
+	r := newRig(nil)
+	r.up("m-1")
+	j := array("run-1", 1, "a")
+	j.Spec.CheckpointS, j.Spec.SaveS, j.Spec.EstimateS = 30, 5, 500
+	r.submit(j)
+	s := started(r.wait(time.Millisecond), "m-1")
+	if len(s) != 1 {
+		t.Fatalf("started %v", s)
+	}
+	running := wire.TaskStatus{Task: s[0].Task, Attempt: s[0].Attempt, State: wire.TaskRunning}
+	noticed := r.now
+	for seq := uint64(10); r.now.Sub(noticed) < 20*time.Second; seq++ {
+		r.now = r.now.Add(time.Second)
+		rep := report("m-1", 1, seq, r.term, running)
+		left := 20 - r.now.Sub(noticed).Seconds()
+		rep.NoticeS = &left
+		r.Step(r.now)
+		reply, _ := r.Report(r.now, rep)
+		for _, c := range reply.Commands {
+			if c.Op != wire.OpStop {
+				continue
+			}
+			if left < *c.GraceS || *c.GraceS < j.Spec.SaveS || left > 12 {
+				t.Fatalf("told to stop %g s before the end, with %g s to save in", left, *c.GraceS)
+			}
+			return
+		}
+	}
+	t.Fatal("never told to save")
+}
--- a/part/place.go
+++ b/part/place.go
@@ -12,6 +12,7 @@
 
 	"ravenport/constants"
 	"ravenport/leader"
+	"ravenport/settings"
 	"ravenport/state"
 	"ravenport/wire"
 )
@@ -621,6 +622,42 @@
 	c.dirty, c.pushDirty = true, true
 }
 
+// leaveNoticed moves work off machines that the cloud is about to take: what
+// can save is told to in time, services and arrays that will not be done start
+// again elsewhere while there is room.
+func (c *Core) leaveNoticed(now time.Time) {
+	for _, m := range c.machines {
+		if m.notice.IsZero() || m.returning || !m.up {
+			continue
+		}
+		left := m.notice.Sub(now)
+		moves := 0
+		for _, h := range sortedHolds(m) {
+			t := c.taskOf(h)
+			if t == nil || t.hold != h || h.stop || h.exited() || moves >= constants.NoticeMoves {
+				continue
+			}
+			s := &t.job.rec.Spec
+			ends := settings.Seconds(s.EstimateS)
+			if !h.runSince.IsZero() {
+				ends -= now.Sub(h.runSince)
+			}
+			switch {
+			case !h.instant && left > h.grace(c)+constants.NoticeMargin:
+				continue // it saves at the last moment
+			case !h.instant:
+			case !s.IsService() && float64(ends) < constants.NoticeDoubt*float64(left):
+				continue // it may well be done before
+			case c.bestFit(now, s) == nil:
+				continue
+			}
+			h.stop = true
+			m.wantCommand = true
+			moves++
+		}
+	}
+}
+
 // consolidate empties ordinary machines that the part can do without, by
 // moving services one at a time to machines that hold their image: a service
 // is away for a moment, while a machine with one service on it costs as much
@@ -799,6 +836,8 @@
 			// Returning it makes what was on it surely gone, long before its
 			// lease ends.
 			why = "silent"
+		case m.up && !m.notice.IsZero() && now.After(m.notice):
+			why = "taken back" // it is gone; the return says so at once
 		case m.inherited && !m.up && now.Sub(c.claimed) > c.periods(constants.SilentAtTakeover) && m.unanswered > 1 && c.alone(now, m, heard, up):
 			why = "silent since the takeover"
 		}
