--- a/part/core_test.go
+++ b/part/core_test.go
@@ -365,3 +365,46 @@
 	}
 	t.Fatal("never told to save")
 }
+
+// Work that can save makes room, with time to save, and only once; the task it
+// makes room for starts when it is gone.
+func TestSavingWorkMakesRoom(t *testing.T) {
+	r := newRig(nil)
+	r.up("m-1")
+	low := array("run-1", 1, "a")
+	low.Spec.CPUs, low.Spec.CheckpointS, low.Spec.SaveS = 8, 30, 5
+	r.submit(low)
+	s := started(r.wait(time.Millisecond), "m-1")
+	if len(s) != 1 {
+		t.Fatalf("started %v", s)
+	}
+	status := wire.TaskStatus{Task: s[0].Task, Attempt: s[0].Attempt, State: wire.TaskRunning}
+	r.CommandResult(r.now, "m-1", report("m-1", 1, 10, r.term, status))
+	high := array("run-2", 1, "a")
+	high.Spec.Priority = wire.PriorityProduction
+	r.submit(high)
+	stops := 0
+	for _, a := range r.wait(time.Second) {
+		if cmd, ok := a.(SendCommands); ok {
+			for _, c := range cmd.Request.Commands {
+				switch c.Op {
+				case wire.OpStart:
+					t.Fatalf("%s started before the room was there", c.Task)
+				case wire.OpStop:
+					stops++
+					if *c.GraceS < low.Spec.SaveS {
+						t.Fatalf("%g s to save in", *c.GraceS)
+					}
+				}
+			}
+		}
+	}
+	if stops != 1 {
+		t.Fatalf("%d stops", stops)
+	}
+	status.State, status.Cause, status.Saved = wire.TaskExited, wire.CauseStopped, true
+	r.CommandResult(r.now, "m-1", report("m-1", 1, 11, r.term, status))
+	if s := started(r.wait(time.Second), "m-1"); len(s) != 1 || s[0].Task != "run-2/0" {
+		t.Fatalf("started %v, wanted run-2/0", s)
+	}
+}
--- a/part/model.go
+++ b/part/model.go
@@ -154,6 +154,7 @@
 	fails     int
 	keep      bool
 	guarantee bool
+	roomAt    time.Time // until then, work that saves first is making room for it
 }
 
 func (t *task) waiting() bool { return t.hold == nil && !t.done && !t.uncertain && !t.leaving }
--- a/part/place.go
+++ b/part/place.go
@@ -114,7 +114,10 @@
 		return m
 	}
 	if m == nil {
-		return c.preempt(now, t, false)
+		if m = c.preempt(now, t, false); m == nil {
+			c.askToSave(now, t)
+		}
+		return m
 	}
 	if warm := c.preempt(now, t, true); warm != nil {
 		return warm
@@ -320,6 +323,47 @@
 	return best
 }
 
+// askToSave makes room for a task where only work that can save stands in its
+// way: that is stopped with time to save, and the task starts once it is gone.
+func (c *Core) askToSave(now time.Time, for_ *task) {
+	if now.Before(for_.roomAt) {
+		return
+	}
+	s := &for_.job.rec.Spec
+	n := need(s)
+	var best []*hold
+	bestCost := math.Inf(1)
+	for _, m := range c.machines {
+		if !c.usable(now, m) || !allowed(s, m.typeName, m.spot) {
+			continue
+		}
+		free, cost := m.free(), 0.0
+		var victims []*hold
+		for _, h := range sortedHolds(m) {
+			t := c.taskOf(h)
+			if n.fits(free) || h.exited() || h.stop || t == nil || t.hold != h || !mayStop(t, for_) {
+				continue
+			}
+			free = free.plus(h.needs)
+			victims = append(victims, h)
+			cost += h.needs.cpus
+		}
+		if len(victims) > 0 && n.fits(free) && cost < bestCost {
+			best, bestCost = victims, cost
+		}
+	}
+	wait := time.Duration(0)
+	for _, h := range best {
+		h.stop = true
+		h.m.wantCommand = true
+		wait = max(wait, h.grace(c))
+		slog.Debug("task saves and makes room", "task", h.key.task, "machine", h.m.name)
+	}
+	if len(best) > 0 {
+		for_.roomAt = now.Add(wait + constants.NoticeMargin)
+	}
+}
+
 // start decides an attempt. From here on the task counts as maybe there.
 func (c *Core) start(now time.Time, t *task, m *machine) {
 	c.counter++
