--- a/node/actors.go
+++ b/node/actors.go
@@ -139,7 +139,7 @@
 func newPartActor(c *control, name string, term, version uint64, now time.Time, roster map[string]*state.Machine, rosterV map[string]uint64) *partActor {
 	set := c.set
 	cfg := part.Config{
-		Part: name, Node: set.Node, Report: set.Report(), LeaseEnd: set.LeaseEnd(),
+		Part: name, Report: set.Report(), LeaseEnd: set.LeaseEnd(),
 		IdleSpot: set.Operator.IdleSpot, IdleOrdinary: set.Operator.IdleOrdinary, UseSpot: set.Operator.UseSpot,
 		ListLag:    time.Duration(set.Params.Cloud.ListLagS * float64(time.Second)),
 		ValueBytes: set.ValueBytes(), Order: leader.NewOrder(set.Params.Objectives),
@@ -254,6 +254,8 @@
 	switch act := act.(type) {
 	case part.SendCommands:
 		a.workers.Send(ctx, act.Addr, act.Request, func(r worker.Result) { a.self.Tell(commandDone{act.Machine, r}) })
+	case part.Gone:
+		a.workers.Forget(act.Addr)
 	case part.Commit:
 		go func() {
 			a.self.Tell(committed{act.ID, commit(ctx, a.store, act.Txn, act.ID)})
--- a/node/control.go
+++ b/node/control.go
@@ -354,7 +354,10 @@
 	}
 	a := newPartActor(c, part, term, version, now, roster, rosterV)
 	c.owners[part] = &child{ref: a.self, cancel: cancel, term: term}
-	go a.self.Run(ctx, a)
+	go func() {
+		a.self.Run(ctx, a)
+		a.workers.Close()
+	}()
 }
 
 func (c *control) stopOwner(part string) {
--- a/node/node.go
+++ b/node/node.go
@@ -46,6 +46,7 @@
 type Workers interface {
 	Send(ctx context.Context, addr string, req wire.CommandRequest, done func(worker.Result))
 	Forget(addr string)
+	Close()
 }
 
 // Peer is another controller.
--- a/node/standin_test.go
+++ b/node/standin_test.go
@@ -759,6 +759,8 @@
 
 func (c *simCommands) Forget(string) {}
 
+func (c *simCommands) Close() {}
+
 func (c *simCommands) Send(ctx context.Context, addr string, req wire.CommandRequest, done func(worker.Result)) {
 	w := c.n.w
 	go func() {
--- a/part/core.go
+++ b/part/core.go
@@ -14,7 +14,6 @@
 // Config is what the owner needs to know of the deployment.
 type Config struct {
 	Part         string
-	Node         string
 	Report       time.Duration // workers' report period
 	LeaseEnd     time.Duration // after the last answer that could count, a worker's lease has surely ended
 	IdleSpot     time.Duration
@@ -86,6 +85,9 @@
 // Rent asks the cloud for machines.
 type Rent struct{ Request wire.RentRequest }
 
+// Gone says that a machine is gone and its connection can be closed.
+type Gone struct{ Addr string }
+
 // Return gives machines back.
 type Return struct{ Names []string }
 
--- a/part/place.go
+++ b/part/place.go
@@ -951,6 +951,9 @@
 		m.up, m.inherited = false, false
 		m.leaseUntil = time.Time{}
 		c.gone[name] = now
+		if m.addr != "" {
+			c.actions = append(c.actions, Gone{m.addr})
+		}
 		if m.rosterVersion == 0 && !m.rosterBusy {
 			delete(c.machines, name)
 			continue
--- a/worker/commands.go
+++ b/worker/commands.go
@@ -67,3 +67,10 @@
 		delete(c.clients, addr)
 	}
 }
+
+// Close closes all connections, when the owner that used them has ended.
+func (c *Commander) Close() {
+	for addr := range c.clients {
+		c.Forget(addr)
+	}
+}
