--- a/constants/constants.go
+++ b/constants/constants.go
@@ -246,6 +246,20 @@
 	LeastLeft = 5 * time.Second
 	// FaultPause is how long a machine that failed a task is avoided.
 	FaultPause = 60 * time.Second
+	// JobFaultMachines: a job that failed on that many machines is itself at
+	// fault (machines).
+	JobFaultMachines = 3
+	// RefusedRetry is when a task whose start was refused is tried again.
+	RefusedRetry = 500 * time.Millisecond
+	// Best fit leaves a machine between 0 and 2 free (shares of its CPUs and
+	// memory); these come on top and put one reason before another (same unit).
+	ScoreCold     = 10.0 // the image must be fetched
+	ScoreShared   = 3.0  // less, for an ordinary machine with services
+	ScoreOrdinary = 5.0  // an ordinary machine that could be emptied
+	ScoreDraining = 20.0 // it is being emptied
+	// CostCold is what fetching an image weighs against work that is lost by
+	// stopping it (CPU seconds).
+	CostCold = 100.0
 	// JobFaultRetry is the longest wait before a failing task is tried again.
 	JobFaultRetry = 30 * time.Second
 )
--- a/leader/core.go
+++ b/leader/core.go
@@ -66,7 +66,7 @@
 
 // fits estimates how many tasks of the given size the room takes. The sum
 // alone hides that no single machine may have room: tasks per machine are
-// counted at one deviation above the mean.
+// counted at two deviations above the mean.
 func (r Room) fits(s *wire.Submission) int {
 	if r.Machines == 0 {
 		return 0
@@ -120,7 +120,6 @@
 	wrote   uint64
 	tries   int
 	notAt   time.Time
-	asked   map[string]bool // parts that sent tasks back since the last round
 }
 
 // Core is the leader in one term.
@@ -237,15 +236,23 @@
 		return n
 	}
 	cpus, gpus := c.teamUse(s.Team, s.ID)
-	if t.CPUsMax > 0 && s.CPUs > 0 {
-		n = min(n, int((t.CPUsMax-cpus)/s.CPUs+1e-9))
+	if t.CPUsMax > 0 {
+		n = within(n, t.CPUsMax-cpus, s.CPUs)
 	}
-	if t.GPUsMax > 0 && s.GPUs > 0 {
-		n = min(n, int((t.GPUsMax-gpus)/s.GPUs+1e-9))
+	if t.GPUsMax > 0 {
+		n = within(n, t.GPUsMax-gpus, s.GPUs)
 	}
 	return max(n, 0)
 }
 
+// within is how many of n tasks fit what is left of one resource.
+func within(n int, left, each float64) int {
+	if each <= 0 {
+		return n
+	}
+	return min(n, int(left/each+1e-9))
+}
+
 // guaranteed is how many more tasks of a job fit its team's guarantee beside
 // the team's other open work.
 func (c *Core) guaranteed(s *wire.Submission) int {
@@ -254,14 +261,7 @@
 		return 0
 	}
 	cpus, gpus := c.teamUse(s.Team, s.ID)
-	n := s.Tasks
-	if s.CPUs > 0 {
-		n = min(n, int((t.CPUs-cpus)/s.CPUs+1e-9))
-	}
-	if s.GPUs > 0 {
-		n = min(n, int((t.GPUs-gpus)/s.GPUs+1e-9))
-	}
-	return max(n, 0)
+	return max(within(within(s.Tasks, t.CPUs-cpus, s.CPUs), t.GPUs-gpus, s.GPUs), 0)
 }
 
 // Step assigns what waits, within a budget of time.
--- a/leader/core_test.go
+++ b/leader/core_test.go
@@ -59,12 +59,17 @@
 			return false
 		}
 	}
+	s.put(written(cm))
+	return true
+}
+
+// written is the record that a commit would write.
+func written(cm Commit) *state.Job {
 	rec, err := state.Decode(cm.Txn.Then[0].Put, cm.Txn.Then[0].Value)
 	if err != nil {
 		panic(err)
 	}
-	s.put(rec.(*state.Job))
-	return true
+	return rec.(*state.Job)
 }
 
 // Whatever answers are lost and whatever is written late, the tasks in open
@@ -187,11 +192,7 @@
 	if len(acts) != 1 {
 		t.Fatalf("%d assignments", len(acts))
 	}
-	rec, err := state.Decode(acts[0].Txn.Then[0].Put, acts[0].Txn.Then[0].Value)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if ch := rec.(*state.Job).Chunks; len(ch) != 1 || ch[0].Part != "b" {
+	if ch := written(acts[0]).Chunks; len(ch) != 1 || ch[0].Part != "b" {
 		t.Fatalf("chunks %+v, wanted all in b", ch)
 	}
 }
@@ -210,11 +211,7 @@
 		c.ApplyJob(now, id, &state.Job{ID: id, AcceptedMS: int64(i), Spec: wire.Submission{ID: id, Team: "free", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: 2, CPUs: 4, MemoryGB: 1}}, uint64(10+i))
 	}
 	for _, cm := range c.Step(now) {
-		rec, err := state.Decode(cm.Txn.Then[0].Put, cm.Txn.Then[0].Value)
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, ch := range rec.(*state.Job).Chunks {
+		for _, ch := range written(cm).Chunks {
 			got[ch.Part] += ch.Tasks()
 		}
 	}
@@ -267,12 +264,8 @@
 	if len(acts) != 1 {
 		t.Fatalf("%d assignments", len(acts))
 	}
-	rec, err := state.Decode(acts[0].Txn.Then[0].Put, acts[0].Txn.Then[0].Value)
-	if err != nil {
-		t.Fatal(err)
-	}
 	n := 0
-	for _, ch := range rec.(*state.Job).Chunks {
+	for _, ch := range written(acts[0]).Chunks {
 		n += ch.Tasks()
 	}
 	if n == 0 || n > 5000 {
--- a/part/core.go
+++ b/part/core.go
@@ -62,9 +62,8 @@
 }
 
 type rental struct {
-	req  wire.RentRequest
-	at   time.Time
-	sent bool
+	req wire.RentRequest
+	at  time.Time
 }
 
 // Action is something the actor has to do.
@@ -130,19 +129,13 @@
 func (c *Core) size(m *machine) {
 	if t := c.types[m.typeName]; t != nil {
 		m.typ = t
-		m.capacity = resources{t.CPUs, t.GPUs, t.MemoryGB}
+		m.capacity = sizeOf(t)
 	}
 }
 
 // SetAuthority says until when the owner may answer workers and start tasks.
 func (c *Core) SetAuthority(until time.Time) { c.authority = until }
 
-// Term is the owner's token.
-func (c *Core) Term() uint64 { return c.term }
-
-// Deposed says that a machine has shown a higher token.
-func (c *Core) Deposed() bool { return c.deposed }
-
 func (c *Core) may(now time.Time) bool { return !c.deposed && now.Before(c.authority) }
 
 func (c *Core) machine(name string) *machine {
@@ -417,15 +410,14 @@
 		j.errors[h.m.name] = true
 		t.fails++
 		// Failing on several machines, the job is at fault, not they.
-		if len(j.errors) < 3 {
-			h.m.faults++
+		if len(j.errors) < constants.JobFaultMachines {
 			h.m.avoidUntil = now.Add(constants.FaultPause)
 		}
 		wait := time.Second << min(t.fails, 5)
 		t.notBefore = now.Add(min(wait, constants.JobFaultRetry))
 	default: // refused for room, or as busy
 		slog.Warn("start refused", "task", h.key.task, "machine", h.m.name, "cause", h.cause)
-		t.notBefore = now.Add(500 * time.Millisecond)
+		t.notBefore = now.Add(constants.RefusedRetry)
 	}
 }
 
--- a/part/model.go
+++ b/part/model.go
@@ -30,6 +30,9 @@
 	return r.cpus <= in.cpus+slack && r.gpus <= in.gpus+slack && r.mem <= in.mem+slack
 }
 
+// sizeOf is what a machine of a type has.
+func sizeOf(t *wire.MachineType) resources { return resources{t.CPUs, t.GPUs, t.MemoryGB} }
+
 func need(s *wire.Submission) resources { return resources{s.CPUs, s.GPUs, s.MemoryGB} }
 
 // holdKey names one attempt of a task on one machine.
@@ -93,7 +96,6 @@
 	returning    bool
 	draining     bool // its tasks move elsewhere; it takes new ones last
 	avoidUntil   time.Time
-	faults       int
 
 	inFlight    bool // a direct command waits for its answer
 	nextDirect  time.Time
@@ -138,7 +140,6 @@
 	writing bool // a change of its record is under way
 	retryAt time.Time
 	errors  map[string]bool // machines on which its tasks failed
-	errorAt time.Time
 }
 
 // task is one task of an open chunk.
--- a/part/place.go
+++ b/part/place.go
@@ -141,21 +141,21 @@
 		if !n.fits(free) {
 			continue
 		}
-		score := c.left(m, free.minus(n))
+		score := m.left(free.minus(n))
 		if !m.images[s.Image] {
-			score += 10
+			score += constants.ScoreCold
 		}
 		if s.Spot && !m.spot {
 			// Ordinary machines with services stay whatever happens, so their
 			// gaps cost nothing; an empty one had better stay empty.
 			if m.serves(c) {
-				score -= 3
+				score -= constants.ScoreShared
 			} else {
-				score += 5
+				score += constants.ScoreOrdinary
 			}
 		}
 		if m.draining {
-			score += 20
+			score += constants.ScoreDraining
 		}
 		if best == nil || score < bestScore || score == bestScore && m.name < best.name {
 			best, bestScore = m, score
@@ -197,7 +197,7 @@
 	for _, r := range c.pendingRents {
 		if t := c.types[r.req.Type]; t != nil {
 			for range r.req.Count {
-				add(resources{t.CPUs, t.GPUs, t.MemoryGB}, r.req.Spot)
+				add(sizeOf(t), r.req.Spot)
 			}
 		}
 	}
@@ -244,7 +244,7 @@
 }
 
 // left is the share of a machine that stays free, from 0 to 2.
-func (c *Core) left(m *machine, free resources) float64 {
+func (m *machine) left(free resources) float64 {
 	l := 0.0
 	if m.capacity.cpus > 0 {
 		l += free.cpus / m.capacity.cpus
@@ -255,6 +255,11 @@
 	return l
 }
 
+// stoppable says whether an attempt is its task's own and not on its way out.
+func stoppable(h *hold, t *task) bool {
+	return t != nil && t.hold == h && !h.stop && !h.exited()
+}
+
 // mayStop says whether a task may be stopped to make room for another: for
 // one of higher priority, or, where it runs beyond its team's guarantee, for
 // one within another team's. The protocol would let guaranteed work stop also
@@ -284,7 +289,7 @@
 		var can []*hold
 		for _, h := range m.holds {
 			t := c.taskOf(h)
-			if !h.exited() && h.instant && !h.stop && t != nil && t.hold == h && mayStop(t, for_) {
+			if h.instant && stoppable(h, t) && mayStop(t, for_) {
 				can = append(can, h)
 			}
 		}
@@ -310,7 +315,7 @@
 			continue
 		}
 		if !m.images[s.Image] {
-			cost += 100
+			cost += constants.CostCold
 		}
 		if cost < bestCost || cost == bestCost && m.name < best.name {
 			best, bestVictims, bestCost = m, victims, cost
@@ -341,7 +346,7 @@
 		var victims []*hold
 		for _, h := range sortedHolds(m) {
 			t := c.taskOf(h)
-			if n.fits(free) || h.exited() || h.stop || t == nil || t.hold != h || !mayStop(t, for_) {
+			if n.fits(free) || !stoppable(h, t) || !mayStop(t, for_) {
 				continue
 			}
 			free = free.plus(h.needs)
@@ -401,7 +406,7 @@
 	for _, r := range c.pendingRents {
 		if t := c.types[r.req.Type]; t != nil {
 			for range r.req.Count {
-				bins = append(bins, &bin{resources{t.CPUs, t.GPUs, t.MemoryGB}, t.Name, r.req.Spot})
+				bins = append(bins, &bin{sizeOf(t), t.Name, r.req.Spot})
 			}
 		}
 	}
@@ -446,7 +451,7 @@
 				}
 				continue
 			}
-			bins = append(bins, &bin{resources{typ.CPUs, typ.GPUs, typ.MemoryGB}.minus(n), typ.Name, spot})
+			bins = append(bins, &bin{sizeOf(typ).minus(n), typ.Name, spot})
 			want[kind{typ.Name, spot}]++
 			total++
 		}
@@ -493,7 +498,7 @@
 	}
 	var best *wire.MachineType
 	for _, t := range c.types {
-		if c.prod.largest.fits(resources{t.CPUs, t.GPUs, t.MemoryGB}) && slices.Contains(t.Zones, c.cfg.Part) &&
+		if c.prod.largest.fits(sizeOf(t)) && slices.Contains(t.Zones, c.cfg.Part) &&
 			(best == nil || t.Price < best.Price) {
 			best = t
 		}
@@ -510,10 +515,7 @@
 func (c *Core) drains(now time.Time, j *job, t *task) bool {
 	s := &j.rec.Spec
 	within := c.cfg.Order.Within(s.Class)
-	boot := 0.0
-	for _, x := range c.types {
-		boot = max(boot, x.BootS)
-	}
+	boot := c.bootS()
 	// Estimates may be far too low: what has waited in vain is rented for.
 	if s.IsService() || within == 0 || t.guarantee || now.Sub(t.waitSince).Seconds() > boot*constants.DrainWait {
 		return false
@@ -610,7 +612,7 @@
 	var best *wire.MachineType
 	bestSpot, bestPrice := false, math.Inf(1)
 	for _, t := range c.types {
-		if !need(s).fits(resources{t.CPUs, t.GPUs, t.MemoryGB}) || !allowed(s, t.Name, false) || !slices.Contains(t.Zones, c.cfg.Part) {
+		if !need(s).fits(sizeOf(t)) || !allowed(s, t.Name, false) || !slices.Contains(t.Zones, c.cfg.Part) {
 			continue
 		}
 		for _, spot := range []bool{false, true} {
@@ -678,7 +680,7 @@
 		moves := 0
 		for _, h := range sortedHolds(m) {
 			t := c.taskOf(h)
-			if t == nil || t.hold != h || h.stop || h.exited() || moves >= constants.NoticeMoves {
+			if !stoppable(h, t) || moves >= constants.NoticeMoves {
 				continue
 			}
 			s := &t.job.rec.Spec
@@ -805,27 +807,27 @@
 func (c *Core) prodRoom(m *machine) float64 {
 	room := m.free().cpus
 	for _, h := range m.holds {
-		if t := c.taskOf(h); c.yields(h, t) {
+		if t := c.taskOf(h); h.instant && stoppable(h, t) &&
+			wire.PriorityLevel(t.job.rec.Spec.Priority) < wire.PriorityLevel(wire.PriorityProduction) {
 			room += h.needs.cpus
 		}
 	}
 	return room
 }
 
-// yields says whether an attempt can be stopped at once for production work.
-func (c *Core) yields(h *hold, t *task) bool {
-	return !h.exited() && !h.stop && h.instant && t != nil && t.hold == h &&
-		wire.PriorityLevel(t.job.rec.Spec.Priority) < wire.PriorityLevel(wire.PriorityProduction)
-}
-
 // reserve is the room (CPUs) held ready for production work: what is expected
 // to arrive while a machine would boot, and one of the largest tasks at least.
 func (c *Core) reserve(now time.Time) float64 {
+	return max(c.prod.largest.cpus, constants.ReserveFactor*c.prod.within(now, settings.Seconds(c.bootS())))
+}
+
+// bootS is the longest nominal boot time (s).
+func (c *Core) bootS() float64 {
 	boot := 0.0
 	for _, t := range c.types {
 		boot = max(boot, t.BootS)
 	}
-	return max(c.prod.largest.cpus, constants.ReserveFactor*c.prod.within(now, time.Duration(boot*float64(time.Second))))
+	return boot
 }
 
 // moveOne stops one service of a draining machine; it starts again at once
