A lost answer's reservation ends with the next record; health knows its siblings

Found by reading: a reservation whose write went unanswered was kept for the job's life, which shrank its team's limit; and a sibling's answer to a push overwrote what it had said of the state service with 'not reached', so a cut controller's health check could flap. The first has a test.

--- a/leader/core.go
+++ b/leader/core.go
@@ -117,7 +117,6 @@
 	rec     *state.Job
 	version uint64
 	busy    bool
-	wrote   uint64
 	tries   int
 	notAt   time.Time
 }
@@ -190,10 +189,10 @@
 	if version <= j.version {
 		return
 	}
-	if j.busy && version > j.wrote {
-		j.busy = false
-		delete(c.reserved, id)
-	}
+	// Whatever was under way was based on an older record and has been written
+	// by now or can only fail: the newer record says what a team uses.
+	j.busy = false
+	delete(c.reserved, id)
 	if j.rec != nil && len(rec.Unassigned()) > 0 && len(j.rec.Unassigned()) == 0 {
 		// Sent back: other parts are asked, a little later each time.
 		j.tries++
@@ -358,7 +357,7 @@
 		p.bookings = append(p.bookings, booking{job: rec.ID, spot: s.Spot,
 			cpus: float64(b.n) * s.CPUs, gpus: float64(b.n) * s.GPUs, mem: float64(b.n) * s.MemoryGB})
 	}
-	j.busy, j.wrote = true, j.version
+	j.busy = true
 	c.flying++
 	// An earlier assignment without an answer may still be applied instead of
 	// this one, so the larger of the two counts.
--- a/leader/core_test.go
+++ b/leader/core_test.go
@@ -272,3 +272,26 @@
 		t.Fatalf("%d tasks handed over at once", n)
 	}
 }
+
+// A lost answer's reservation ends with the next record; it must not take the
+// team's room for as long as the job lives.
+func TestReservationEndsWithNewerRecord(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(facts(), 1, now, nil, nil)
+	c.SetAuthority(now.Add(time.Hour))
+	c.Pushed(now, figures("a", 1, 64, 4))
+	job := &state.Job{ID: "run-1", Spec: wire.Submission{ID: "run-1", Team: "t", Kind: wire.KindService, Priority: wire.PriorityNormal, Tasks: 2, CPUs: 5, MemoryGB: 1}}
+	c.ApplyJob(now, "run-1", job, 5)
+	acts := c.Step(now)
+	if len(acts) != 1 {
+		t.Fatalf("%d assignments", len(acts))
+	}
+	c.Committed(now, "run-1", 0) // the answer was lost, but it was written
+	if cpus, _ := c.teamUse("t", ""); cpus != 10 {
+		t.Fatalf("%g CPUs counted while the write may still come, wanted 10", cpus)
+	}
+	c.ApplyJob(now, "run-1", written(acts[0]), 6)
+	if cpus, _ := c.teamUse("t", ""); cpus != 10 {
+		t.Fatalf("%g CPUs counted, wanted the 10 of the record", cpus)
+	}
+}
--- a/node/control.go
+++ b/node/control.go
@@ -34,9 +34,8 @@
 	statusAsked struct{ req request }
 	peerStatus  peer.Status
 	peerReply   struct {
-		node  string
-		reply peer.Reply
-		err   error
+		node string
+		err  error
 	}
 	leased struct { // a lease and its key were obtained
 		lease, incarnation uint64
@@ -171,7 +170,8 @@
 	case peerReply:
 		c.pushing[m.node] = false
 		if m.err == nil {
-			c.peersState[m.node] = peerView{m.reply.StateOK, now}
+			// It was heard; what it can reach it tells in its own status.
+			c.peersState[m.node] = peerView{c.peersState[m.node].stateOK, now}
 		}
 	case leased:
 		c.leased(now, m)
@@ -635,8 +635,8 @@
 		}
 		c.pushing[name] = true
 		go func() {
-			r, err := p.Push(ctx, s)
-			c.self.Tell(peerReply{name, r, err})
+			_, err := p.Push(ctx, s)
+			c.self.Tell(peerReply{name, err})
 		}()
 	}
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -32,8 +32,7 @@
 
 // Reply answers a status.
 type Reply struct {
-	Node    string `json:"node"`
-	StateOK bool   `json:"state_ok"`
+	Node string `json:"node"`
 }
 
 // Handler takes in a status; it must not block.
