--- a/cmd/ravenport/main.go
+++ b/cmd/ravenport/main.go
@@ -104,5 +104,8 @@
 func limitMemory(set *settings.Settings) {
 	if mb := set.Params.Limits.MemoryMB; mb > 0 {
 		debug.SetMemoryLimit(int64(mb * constants.HeapShare * (1 << 20)))
+		// Collections cost processor time, of which there is little, while
+		// the limit keeps the heap in bounds.
+		debug.SetGCPercent(constants.GCPercent)
 	}
 }
--- a/constants/constants.go
+++ b/constants/constants.go
@@ -45,9 +45,14 @@
 	// WatchWait is how long a watch stays open. Short enough that a hung
 	// connection is noticed soon.
 	WatchWait = 5 * time.Second
-	// WatchGap is the least time between two watches, so that a burst of
-	// changes comes in few answers and the request allowance holds.
-	WatchGap = 10 * time.Millisecond
+	// ReadShare is the part of the state service's requests that the watches of
+	// all controllers may use, and the part that their reads of the revision
+	// may; leases, writes and reads of keys have the rest (share).
+	ReadShare = 0.33
+	// ReadGapMin and ReadGapMax bound the time between two of them: enough for
+	// a burst of changes to come in few answers, and too little to be noticed.
+	ReadGapMin = 10 * time.Millisecond
+	ReadGapMax = 200 * time.Millisecond
 	// RetryMin and RetryMax bound the wait before a failed call is repeated.
 	RetryMin = 100 * time.Millisecond
 	RetryMax = 2 * time.Second
@@ -57,16 +62,20 @@
 	// AllowanceWait is how long a write that a user waits for may queue for
 	// the allowance before the user is told to come back.
 	AllowanceWait = 300 * time.Millisecond
-	// UrgentShare is the part of the write allowance's burst that writes which
-	// can wait leave to users, leases and claims (share).
-	UrgentShare = 0.4
+	// LaterShare is the part of the write allowance that one controller's
+	// writes that can wait may use (share).
+	LaterShare = 0.5
 	// CloudTimeout bounds a call to the cloud.
 	CloudTimeout = 5 * time.Second
 	// CommandTimeout bounds a direct command: the next report carries the
 	// same commands anyway.
 	CommandTimeout = 2 * time.Second
-	// CommandFanout bounds direct commands under way at once (calls).
-	CommandFanout = 32
+	// CommandFanout bounds direct commands under way at once (calls): each is
+	// a socket, and a silent machine holds one for CommandTimeout.
+	CommandFanout = 200
+	// IdleCommands bounds the connections to workers that are kept open for
+	// the next command (connections).
+	IdleCommands = 100
 )
 
 // Membership, authority and leases.
@@ -89,6 +98,8 @@
 	// HeapShare is the part of the machine's memory that the heap may take
 	// before the collector works harder (share).
 	HeapShare = 0.6
+	// GCPercent is how much the heap may grow between two collections (percent).
+	GCPercent = 400
 	// MemberTick is how often membership looks at its deadlines.
 	MemberTick = 100 * time.Millisecond
 	// ClaimStep separates the claims of candidates of different rank.
@@ -170,12 +181,28 @@
 const (
 	// PartTick is how often an owner looks at its deadlines without events.
 	PartTick = 250 * time.Millisecond
+	// PartGap is the least time between two steps of an owner: what arrives in
+	// between is decided together.
+	PartGap = 20 * time.Millisecond
+	// SlowStep is how often an owner looks at its whole fleet for leases,
+	// silence, notices and machines to do without.
+	SlowStep = 100 * time.Millisecond
+	// PlaceEvery is how often everything is placed anew without a cause.
+	PlaceEvery = time.Second
+	// RentGap is the least time between two looks at what to rent.
+	RentGap = 250 * time.Millisecond
+	// FillLooks bounds the jobs of which tasks are looked at for the room that
+	// falls free on one machine (jobs).
+	FillLooks = 8
 	// PartBudget bounds one round of placing.
 	PartBudget = 5 * time.Millisecond
 	// PushEvery is how often an owner pushes its aggregate when nothing
 	// changes; changes are pushed after PushGap.
 	PushEvery = time.Second
 	PushGap   = 100 * time.Millisecond
+	// PushGapMachine lengthens PushGap for each machine of a part: taking its
+	// figures costs in proportion.
+	PushGapMachine = 300 * time.Microsecond
 	// RepeatCommand is when a direct command without effect is sent again.
 	RepeatCommand = time.Second
 	// ProbePeriods: a machine unheard for that many report periods is asked
@@ -184,9 +211,19 @@
 	// SilentPeriods: a machine unheard for that many report periods, that did
 	// not answer when asked, has failed (periods).
 	SilentPeriods = 2.2
-	// StrayMemory is how long a controller tells of a machine that reported to
-	// it in place of its owner: two report periods of a usual deployment.
-	StrayMemory = 6 * time.Second
+	// StrayPeriods is how long a report to another controller counts for the
+	// machine's owner (periods).
+	StrayPeriods = 2.0
+	// DeafPeriods is when a machine that does not show the token it is sent
+	// is given up: it may take a period to report, 4 s for each controller
+	// whose answer it misses, and as long again for a lost one (periods).
+	DeafPeriods = 4.0
+	// TakeoverAsk is how long a new owner of many machines waits for their own
+	// reports, which come within a second or two, before it asks them.
+	TakeoverAsk = 1500 * time.Millisecond
+	// AsksAStep bounds the machines that are asked directly in one step: each
+	// question costs a connection.
+	AsksAStep = 32
 	// GoneMemory is how long a returned machine's late reports are refused.
 	GoneMemory = 15 * time.Minute
 	// SilentAtTakeover: the same for a new owner, which asks at once (periods).
@@ -194,8 +231,18 @@
 	// AttemptBits is the part of an attempt number that counts within a
 	// term (bits).
 	AttemptBits = 24
-	// MaxRosterWrites bounds writes of machine records under way (writes).
-	MaxRosterWrites = 8
+	// EpochBits is the part of a token that counts within a term (bits).
+	EpochBits = 20
+	// RosterGap is the least time between two writes of the roster: a wave of
+	// boots or returns becomes one change of a page and not one a machine.
+	RosterGap = 500 * time.Millisecond
+	// RosterPages bounds the pages in one such write (pages).
+	RosterPages = 3
+	// RosterEntryBytes is what a machine takes of a page at most: name, type
+	// and address with their field names (bytes).
+	RosterEntryBytes = 110
+	// PageFill is how much of a value a page may take (percent).
+	PageFill = 90
 	// NoticeMoves is how many tasks leave a machine that is about to be taken
 	// in one step, so that room is found for each (tasks).
 	NoticeMoves = 2
@@ -215,15 +262,19 @@
 	// BootPatience is when, in nominal boot times, it is returned: some take
 	// several of them, and a few never come up but cost all the same (factor).
 	BootPatience = 3.0
-	// ExitedBump is how many exited attempts that must not be forgotten yet
-	// a machine may hold before the owner raises its own term (attempts).
-	ExitedBump = 150
+	// ExitedRaise is how many exited attempts that must not be forgotten yet
+	// a machine may hold before it is sent a higher token, under which they
+	// can be: each makes its every report longer (attempts).
+	ExitedRaise = 4
 	// KeepWait is how long tasks wait in a part that gets no more machines
 	// before they are sent back to the leader.
 	KeepWait = 5 * time.Second
 	// MoveGap separates two looks at whether a machine can be emptied, and so
 	// two moved services: the last one has usually started again by then.
 	MoveGap = time.Second
+	// MachinesAMove: for each that many ordinary machines, one service more is
+	// moved at once (machines).
+	MachinesAMove = 40
 	// SpareFor is how long a part must have been able to do without a machine
 	// before it is emptied, so that a lull between two jobs empties none.
 	SpareFor = 10 * time.Second
--- a/frontdoor/frontdoor.go
+++ b/frontdoor/frontdoor.go
@@ -75,6 +75,7 @@
 		came time.Time
 	}
 	finished struct{}
+	readNow  struct{}
 )
 
 // poll is a question about a job that waits for a read.
@@ -107,15 +108,17 @@
 	counts  map[string]map[string][2]int
 	next    []*poll // arrived since the last read began
 	reading bool
-	waiting []*poll // read, waiting for the feed
-	busy    int     // requests that wait for the state service
+	readAt  time.Time     // when the last read began
+	gap     time.Duration // between two reads
+	waiting []*poll       // read, waiting for the feed
+	busy    int           // requests that wait for the state service
 	stats   stats
 	down    time.Time // until then the state service counts as away
 }
 
 // New makes a front door that is spoken to through self.
 func New(set *settings.Settings, store Store, self *actor.Ref) *Door {
-	return &Door{set: set, store: store, self: self, jobs: map[string]known{}, counts: map[string]map[string][2]int{}, stats: newStats()}
+	return &Door{set: set, store: store, self: self, jobs: map[string]known{}, counts: map[string]map[string][2]int{}, stats: newStats(), gap: set.ReadGap()}
 }
 
 // Receive implements actor.Handler.
@@ -139,6 +142,9 @@
 		d.created(ctx, m)
 	case finished:
 		d.busy--
+	case readNow:
+		d.reading = false
+		d.read(ctx)
 	case Metrics:
 		d.metrics(m.Req)
 	case Tick:
@@ -217,6 +223,12 @@
 		return
 	}
 	d.reading = true
+	if wait := d.readAt.Add(d.gap).Sub(time.Now()); wait > 0 {
+		// The polls that come until then share one read.
+		time.AfterFunc(wait, func() { d.self.Tell(readNow{}) })
+		return
+	}
+	d.readAt = time.Now()
 	polls := d.next
 	d.next = nil
 	go func() {
@@ -229,11 +241,14 @@
 
 func (d *Door) readDone(ctx context.Context, m readDone) {
 	d.reading = false
-	if m.err != nil {
+	limited := errors.Is(m.err, state.ErrLimited)
+	if m.err != nil && !limited {
 		d.down = time.Now().Add(constants.DownFor)
 	}
 	for _, p := range m.polls {
 		switch {
+		case limited && time.Since(p.came) < constants.AnswerLimit/2:
+			d.next = append(d.next, p) // another read, with those that came since
 		case m.err != nil:
 			d.busy--
 			Refuse(p.req, 503, "state service away")
--- a/httpwire/client.go
+++ b/httpwire/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 )
 
@@ -15,6 +16,7 @@
 	limits Limits
 	dial   time.Duration
 	idle   chan *clientConn
+	closed atomic.Bool
 }
 
 type clientConn struct {
@@ -128,6 +130,9 @@
 		}
 		select {
 		case c.idle <- conn:
+			if c.closed.Load() {
+				c.drain() // closed while the call was under way
+			}
 		default:
 			conn.Close()
 		}
@@ -140,8 +145,13 @@
 	return errors.As(err, &ne) && ne.Timeout()
 }
 
-// Close ends the idle connections.
+// Close ends the idle connections; one in use ends with its call.
 func (c *Client) Close() {
+	c.closed.Store(true)
+	c.drain()
+}
+
+func (c *Client) drain() {
 	for {
 		select {
 		case conn := <-c.idle:
--- a/node/actors.go
+++ b/node/actors.go
@@ -21,7 +21,6 @@
 // Messages to leader and owners.
 type (
 	authority time.Time // may act until then
-	raise     struct{ term, version uint64 }
 	committed struct {
 		id       string
 		revision uint64 // 0: not known to have been written
@@ -44,7 +43,7 @@
 		machines []string
 		all      bool // every live controller was heard from lately
 	}
-	wake struct{}
+	wake struct{ soon bool }
 	halt struct{ done func() } // stop for good, then say so
 )
 
@@ -128,21 +127,23 @@
 	control  *actor.Ref
 	workers  Workers
 	revision uint64
-	ticks    bool
+	ticks    bool // a wake of PartTick is on its way
+	soon     bool // and one for the next step
+	stepAt   time.Time
 	pushAt   time.Time
+	countAt  time.Time
 	listAt   time.Time
 	listing  bool
-	asked    bool // for a new term
 	over     bool // halted
 }
 
-func newPartActor(c *control, name string, term, version uint64, now time.Time, roster map[string]*state.Machine, rosterV map[string]uint64) *partActor {
+func newPartActor(c *control, name string, term, version uint64, now time.Time, roster map[string]*state.Page, rosterV map[string]uint64) *partActor {
 	set := c.set
 	cfg := part.Config{
 		Part: name, Report: set.Report(), LeaseEnd: set.LeaseEnd(),
 		IdleSpot: set.Operator.IdleSpot, IdleOrdinary: set.Operator.IdleOrdinary, UseSpot: set.Operator.UseSpot,
 		ListLag:    time.Duration(set.Params.Cloud.ListLagS * float64(time.Second)),
-		ValueBytes: set.ValueBytes(), Order: leader.NewOrder(set.Params.Objectives),
+		ValueBytes: set.ValueBytes(), TxnOps: set.Params.State.TxnOps, Order: leader.NewOrder(set.Params.Objectives),
 	}
 	a := &partActor{part: name, store: c.io.Later, cloud: c.io.Cloud, self: actor.NewRef(), control: c.self,
 		workers: c.io.Workers(), revision: c.revision}
@@ -152,6 +153,7 @@
 	return a
 }
 
+// Receive implements actor.Handler.
 func (a *partActor) Receive(ctx context.Context, msg any) {
 	now := time.Now()
 	if a.over {
@@ -174,9 +176,6 @@
 		a.beat(now, m)
 	case authority:
 		a.core.SetAuthority(time.Time(m))
-	case raise:
-		a.asked = false
-		a.core.Raise(m.term, m.version)
 	case committed:
 		a.core.Committed(now, m.id, m.revision)
 	case commandDone:
@@ -202,8 +201,21 @@
 	case typesRead:
 		a.core.SetTypes(m.types)
 	case wake:
-		a.ticks = false
+		if m.soon {
+			a.soon = false
+		} else {
+			a.ticks = false
+		}
 	}
+	if wait := a.stepAt.Add(constants.PartGap).Sub(now); wait > 0 {
+		// What comes until then is decided together.
+		if !a.soon {
+			a.soon = true
+			time.AfterFunc(wait, func() { a.self.Tell(wake{soon: true}) })
+		}
+		return
+	}
+	a.stepAt = now
 	for _, act := range a.core.Step(now) {
 		a.do(ctx, act)
 	}
@@ -225,14 +237,15 @@
 
 // after does what is not the core's: ticks, pushes and the cloud's list.
 func (a *partActor) after(ctx context.Context, now time.Time) {
-	if a.core.WantsNewTerm() && !a.asked {
-		a.asked = true
-		a.control.Tell(wantTerm{a.part})
-	}
 	due := now.Sub(a.pushAt) > constants.PushEvery
-	if due || now.Sub(a.pushAt) > constants.PushGap && a.core.PushDue() {
+	if due || now.Sub(a.pushAt) > a.core.PushGap() && a.core.PushDue() {
 		a.pushAt = now
-		a.control.Tell(partStatus{a.part, a.core.Aggregate(now, a.revision), a.core.Counts(), a.core.Summary(now)})
+		st := partStatus{part: a.part, aggregate: a.core.Aggregate(now, a.revision)}
+		if now.Sub(a.countAt) >= constants.PushEvery {
+			a.countAt = now
+			st.counts, st.summary = a.core.Counts(), a.core.Summary(now)
+		}
+		a.control.Tell(st)
 	}
 	if silent, seen := a.core.CutOff(now); silent {
 		a.control.Tell(cutOff{a.part, seen})
--- a/node/control.go
+++ b/node/control.go
@@ -66,9 +66,8 @@
 		counts    map[string][2]int
 		summary   part.Summary
 	}
-	wantTerm struct{ part string }
-	halted   struct{ claim member.Claim } // the actor stopped: the claim may go
-	cutOff   struct {                     // a part's machines fell silent together
+	halted struct{ claim member.Claim } // the actor stopped: the claim may go
+	cutOff struct {                     // a part's machines fell silent together
 		part   string
 		strays bool // and report to other controllers
 	}
@@ -90,7 +89,7 @@
 
 	jobs     map[string]*state.Job // not over, or with open chunks
 	versions map[string]uint64
-	roster   map[string]*state.Machine // by key
+	roster   map[string]*state.Page // by key
 	rosterV  map[string]uint64
 	revision uint64
 	synced   bool
@@ -135,7 +134,7 @@
 func newControl(set *settings.Settings, out Outside, self, door *actor.Ref) *control {
 	c := &control{
 		set: set, io: out, self: self, door: door,
-		jobs: map[string]*state.Job{}, versions: map[string]uint64{}, roster: map[string]*state.Machine{}, rosterV: map[string]uint64{},
+		jobs: map[string]*state.Job{}, versions: map[string]uint64{}, roster: map[string]*state.Page{}, rosterV: map[string]uint64{},
 		claiming: map[string]time.Time{}, yielded: map[string]uint64{}, owners: map[string]*child{},
 		status: map[string]partStatus{}, pushing: map[string]bool{}, peersState: map[string]peerView{}, strays: map[string]time.Time{},
 	}
@@ -199,9 +198,13 @@
 			o.ref.Tell(m)
 		}
 	case partStatus:
-		c.status[m.part] = m
 		c.pushNow = true
-		c.door.Tell(frontdoor.Counts{Part: m.part, Jobs: m.counts})
+		if m.counts != nil {
+			c.door.Tell(frontdoor.Counts{Part: m.part, Jobs: m.counts})
+		} else {
+			m.counts, m.summary = c.status[m.part].counts, c.status[m.part].summary
+		}
+		c.status[m.part] = m
 		if c.leaderRef != nil {
 			c.leaderRef.ref.Tell(m.aggregate)
 		}
@@ -215,12 +218,6 @@
 		if o := c.owners[m.part]; o != nil && (m.strays || c.peersAway(now)) {
 			c.handOn(ctx, now, state.KeyPart(m.part))
 		}
-	case wantTerm:
-		key := state.KeyPart(m.part)
-		if c.owners[m.part] != nil && c.settled(now) {
-			inc, version := c.member.NodeKey(c.set.Node)
-			c.send(ctx, now, c.member.ClaimOf(key, c.set.Node, inc, version))
-		}
 	}
 }
 
@@ -235,7 +232,7 @@
 			} else {
 				c.jobs[r.ID], c.versions[r.ID] = r, ch.Version
 			}
-		case *state.Machine:
+		case *state.Page:
 			c.roster[ch.Key], c.rosterV[ch.Key] = r, ch.Version
 		case nil:
 			delete(c.roster, ch.Key)
@@ -313,11 +310,10 @@
 			continue
 		}
 		if o = c.owners[part]; o != nil {
-			if o.term != t.Number {
-				o.term = t.Number
-				o.ref.Tell(raise{t.Number, version})
+			if o.term == t.Number {
+				continue
 			}
-			continue
+			c.stopOwner(part) // a term of its own begins anew, like any other's
 		}
 		slog.Info("part owned", "part", part, "term", t.Number)
 		c.startOwner(ctx, now, part, t.Number, version)
@@ -346,7 +342,7 @@
 
 func (c *control) startOwner(ctx context.Context, now time.Time, part string, term, version uint64) {
 	ctx, cancel := context.WithCancel(ctx)
-	roster, rosterV := map[string]*state.Machine{}, map[string]uint64{}
+	roster, rosterV := map[string]*state.Page{}, map[string]uint64{}
 	for k, r := range c.roster {
 		if r.Part == part {
 			roster[k], rosterV[k] = r, c.rosterV[k]
@@ -619,10 +615,12 @@
 	s := peer.Status{Node: c.set.Node, StateOK: c.stateOK(now), Counts: map[string]map[string][2]int{}}
 	for part, st := range c.status {
 		s.Aggregates = append(s.Aggregates, st.aggregate)
-		s.Counts[part] = st.counts
+		if due {
+			s.Counts[part] = st.counts
+		}
 	}
 	for name, at := range c.strays {
-		if now.Sub(at) > constants.StrayMemory {
+		if now.Sub(at) > time.Duration(constants.StrayPeriods*float64(c.set.Report())) {
 			delete(c.strays, name)
 			continue
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -75,7 +75,7 @@
 	c := newControl(set, out, n.self, n.door)
 	go n.door.Run(ctx, frontdoor.New(set, out.State, n.door))
 	go n.self.Run(ctx, c)
-	go state.NewFeed(out.State, func(up state.Update) { n.self.Tell(up) }).Run(ctx)
+	go state.NewFeed(out.State, set.ReadGap(), func(up state.Update) { n.self.Tell(up) }).Run(ctx)
 	go every(ctx, constants.MemberTick, func(t time.Time) {
 		n.self.Tell(tick(t))
 		n.door.Tell(frontdoor.Tick(t))
--- /dev/null
+++ b/part/chunks.go
@@ -0,0 +1,108 @@
+package part
+
+import (
+	"time"
+
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// closeChunks records what is finished, for the jobs that have changed.
+func (c *Core) closeChunks(now time.Time) {
+	for id, j := range c.toClose {
+		switch {
+		case c.jobs[id] != j:
+			delete(c.toClose, id)
+		case j.writing || now.Before(j.retryAt):
+		default:
+			delete(c.toClose, id)
+			c.closeJob(id, j)
+		}
+	}
+}
+
+// closeJob writes a job's record if it has chunks that are over or tasks that
+// leave.
+func (c *Core) closeJob(id string, j *job) {
+	over, leaving := false, false
+	for i := range j.rec.Chunks {
+		ch := &j.rec.Chunks[i]
+		over = over || ch.Part == c.cfg.Part && !ch.Closed && c.chunkOver(j, ch)
+	}
+	if j.rec.End == "" {
+		for _, t := range j.tasks {
+			leaving = leaving || t.leaving
+		}
+	}
+	if !over && !leaving {
+		return
+	}
+	rec := j.rec.Clone()
+	for i := range rec.Chunks {
+		ch := &rec.Chunks[i]
+		if ch.Part == c.cfg.Part && !ch.Closed && c.chunkOver(j, ch) {
+			ch.Closed = true
+		}
+	}
+	closed := rec
+	if leaving {
+		closed = rec.Clone()
+		for k, t := range j.tasks {
+			if t.leaving {
+				cutOut(rec, k)
+			}
+		}
+	}
+	rec.Normalize()
+	if leaving && len(state.Encode(rec)) > c.cfg.ValueBytes*9/10 {
+		// Scattered gaps would outgrow the state service's values: what is
+		// to leave stays here, and only what closed is written.
+		for _, t := range j.tasks {
+			t.leaving = false
+		}
+		c.touch(j)
+		if !over {
+			return
+		}
+		rec = closed
+		rec.Normalize()
+	}
+	if rec.End == "" && !rec.Spec.IsService() && rec.AllClosed() {
+		rec.End = wire.JobDone
+	}
+	j.writing = true
+	c.commit("job/"+id, []wire.Change{{Put: state.KeyJob(id), Value: state.Encode(rec)}},
+		wire.Condition{Key: state.KeyJob(id), Version: j.version})
+}
+
+// chunkOver says whether every task of a chunk is done or, for a job that
+// ended, surely on no machine.
+func (c *Core) chunkOver(j *job, ch *state.Chunk) bool {
+	for k := ch.From; k < ch.To; k++ {
+		t := j.tasks[k]
+		switch {
+		case t == nil:
+			return false
+		case j.rec.End != "" && t.uncertain, j.rec.End == "" && !t.done:
+			return false
+		case c.somewhere(j.rec.ID, k):
+			return false
+		}
+	}
+	return true
+}
+
+// cutOut takes one task out of its chunk.
+func cutOut(rec *state.Job, index int) {
+	for i := range rec.Chunks {
+		ch := &rec.Chunks[i]
+		if ch.Closed || index < ch.From || index >= ch.To {
+			continue
+		}
+		rest := *ch
+		rest.From = index + 1
+		ch.To = index
+		rec.Chunks = append(rec.Chunks, rest)
+		return
+	}
+}
--- a/part/core_test.go
+++ b/part/core_test.go
@@ -26,19 +26,19 @@
 	term    uint64
 }
 
-func newRig(jobs map[string]*state.Job, roster ...*state.Machine) *rig {
+func newRig(jobs map[string]*state.Job, roster ...state.Machine) *rig {
 	r := &rig{now: time.Unix(1000, 0), version: 100, term: 5}
-	versions, byKey, keyV := map[string]uint64{}, map[string]*state.Machine{}, map[string]uint64{}
+	versions, pages, pageV := map[string]uint64{}, map[string]*state.Page{}, map[string]uint64{}
 	for id := range jobs {
 		versions[id] = 10
 	}
-	for _, m := range roster {
-		k := state.KeyMachine("a", m.Name)
-		byKey[k], keyV[k] = m, 11
+	if len(roster) > 0 {
+		k := state.KeyRoster("a", 0)
+		pages[k], pageV[k] = &state.Page{Part: "a", Machines: roster}, 11
 	}
-	cfg := Config{Part: "a", Report: 3 * time.Second, LeaseEnd: leaseEnd, IdleSpot: time.Hour, IdleOrdinary: time.Hour, UseSpot: true, ListLag: 5 * time.Second, ValueBytes: 8192, Order: leader.NewOrder(nil)}
+	cfg := Config{Part: "a", Report: 3 * time.Second, LeaseEnd: leaseEnd, IdleSpot: time.Hour, IdleOrdinary: time.Hour, UseSpot: true, ListLag: 5 * time.Second, ValueBytes: 8192, TxnOps: 12, Order: leader.NewOrder(nil)}
 	types := []wire.MachineType{{Name: "box", CPUs: 8, MemoryGB: 32, Price: 1, SpotPrice: 0.4, BootS: 10, Zones: []string{"a"}}}
-	r.Core = New(cfg, r.term, 50, r.now, types, jobs, versions, byKey, keyV)
+	r.Core = New(cfg, r.term, 50, r.now, types, jobs, versions, pages, pageV)
 	r.SetAuthority(r.now.Add(time.Hour))
 	return r
 }
@@ -58,10 +58,6 @@
 		r.version++
 		r.Committed(r.now, cm.ID, r.version)
 		for _, ch := range cm.Txn.Then {
-			if ch.Put == "" {
-				r.Apply(r.now, state.Change{Key: ch.Delete, Version: r.version})
-				continue
-			}
 			rec, err := state.Decode(ch.Put, ch.Value)
 			if err != nil {
 				panic(err)
@@ -71,6 +67,9 @@
 	}
 }
 
+// token is what a worker shows that has seen the n-th token of a term.
+func token(term, n uint64) uint64 { return term<<constants.EpochBits | n }
+
 func report(name string, session, seq, token uint64, tasks ...wire.TaskStatus) *wire.Report {
 	return &wire.Report{Machine: name, Addr: name + ":1", Type: "box", Zone: "a", Session: session, Seq: seq, Token: token, Tasks: tasks}
 }
@@ -85,10 +84,14 @@
 	if _, ok := r.Report(r.now, report(name, 1, 1, 0)); !ok {
 		panic("report refused")
 	}
+	r.now = r.now.Add(constants.RosterGap)
 	r.write(r.Step(r.now))
-	r.Report(r.now, report(name, 1, 2, r.term))
+	r.Report(r.now, report(name, 1, 2, r.shown(name)))
 }
 
+// shown is the token that a worker shows which got the last answer.
+func (r *rig) shown(name string) uint64 { return r.token(r.machines[name]) }
+
 // started lists the starts sent to a machine by a direct command.
 func started(acts []Action, name string) []wire.Command {
 	var out []wire.Command
@@ -114,7 +117,7 @@
 // assigned later starts at once.
 func TestTakeoverWaitsForInheritedMachines(t *testing.T) {
 	old := array("run-1", 1, "a")
-	r := newRig(map[string]*state.Job{"run-1": old}, &state.Machine{Part: "a", Name: "m-1", Type: "box", Addr: "m-1:1"})
+	r := newRig(map[string]*state.Job{"run-1": old}, state.Machine{Name: "m-1", Type: "box", Addr: "m-1:1"})
 	r.up("m-2")
 	acts := r.wait(time.Second)
 	if n := len(started(acts, "m-2")); n != 0 {
@@ -129,12 +132,12 @@
 		if s := started(r.wait(time.Second), "m-2"); len(s) > 0 && s[0].Task == "run-1/0" {
 			t.Fatalf("started after %s, within the lease", d)
 		}
-		r.Report(r.now, report("m-2", 1, uint64(10+d/time.Second), r.term))
+		r.Report(r.now, report("m-2", 1, uint64(10+d/time.Second), token(r.term, 0)))
 	}
 	found := false
 	for range 4 {
 		r.now = r.now.Add(time.Second)
-		if reply, ok := r.Report(r.now, report("m-2", 1, uint64(100+r.now.Unix()), r.term)); ok {
+		if reply, ok := r.Report(r.now, report("m-2", 1, uint64(100+r.now.Unix()), token(r.term, 0))); ok {
 			for _, c := range reply.Commands {
 				found = found || c.Op == wire.OpStart && c.Task == "run-1/0"
 			}
@@ -162,13 +165,13 @@
 	r.up("m-2")
 	for i := range uint64(5) {
 		r.wait(time.Second)
-		r.Report(r.now, report("m-1", 1, 10+i, r.term))
+		r.Report(r.now, report("m-1", 1, 10+i, token(r.term, 0)))
 		if s := started(r.Step(r.now), "m-2"); len(s) > 0 {
 			t.Fatalf("placed a second time: %v", s)
 		}
 	}
 	// The session's end settles it.
-	r.Report(r.now, report("m-1", 2, 20, r.term))
+	r.Report(r.now, report("m-1", 2, 20, token(r.term, 0)))
 	if h := len(r.machines["m-1"].holds); h > 1 {
 		t.Fatalf("%d attempts after the session ended", h)
 	}
@@ -182,14 +185,14 @@
 	r.submit(array("run-1", 1, "a"))
 	s := started(r.wait(time.Millisecond), "m-1")
 	failed := wire.TaskStatus{Task: s[0].Task, Attempt: s[0].Attempt, State: wire.TaskExited, Cause: wire.CauseStopped}
-	reply, _ := r.Report(r.now, report("m-1", 1, 5, r.term, failed))
+	reply, _ := r.Report(r.now, report("m-1", 1, 5, token(r.term, 0), failed))
 	for _, c := range reply.Commands {
 		if c.Op == wire.OpForget {
 			t.Fatal("forgotten while a late copy could start it again")
 		}
 	}
-	r.Raise(r.term+1, 60)
-	reply, _ = r.Report(r.now, report("m-1", 1, 6, r.term+1, failed))
+	r.machines["m-1"].epoch++
+	reply, _ = r.Report(r.now, report("m-1", 1, 6, r.shown("m-1"), failed))
 	forgot := false
 	for _, c := range reply.Commands {
 		forgot = forgot || c.Op == wire.OpForget && c.Attempt == s[0].Attempt
@@ -208,14 +211,14 @@
 		r.up("m-1")
 		r.machines["m-1"].returning = true
 		r.wait(10 * time.Second)
-		if _, ok := r.Report(r.now, report("m-1", 1, 9, r.term)); ok && r.machines["m-1"].leaseUntil.Before(r.now.Add(leaseEnd)) {
+		if _, ok := r.Report(r.now, report("m-1", 1, 9, token(r.term, 0))); ok && r.machines["m-1"].leaseUntil.Before(r.now.Add(leaseEnd)) {
 			t.Fatal("an answer renewed the lease without being counted")
 		}
 	})
 	t.Run("session by command", func(t *testing.T) {
-		r := newRig(nil, &state.Machine{Part: "a", Name: "m-1", Type: "box", Addr: "m-1:1"})
+		r := newRig(nil, state.Machine{Name: "m-1", Type: "box", Addr: "m-1:1"})
 		r.wait(15 * time.Second)
-		r.CommandResult(r.now, "m-1", report("m-1", 2, 1, r.term))
+		r.CommandResult(r.now, "m-1", report("m-1", 2, 1, token(r.term, 0)))
 		if r.machines["m-1"].leaseUntil.Before(r.now.Add(leaseEnd)) {
 			t.Fatal("the new session is held to the old one's lease")
 		}
@@ -233,7 +236,7 @@
 			s := rapid.Uint64Range(1, 4).Draw(t, "session")
 			q := rapid.Uint64Range(1, 30).Draw(t, "seq")
 			newer := s > session || s == session && q > seq
-			_, ok := r.Report(r.now, report("m-1", s, q, r.term))
+			_, ok := r.Report(r.now, report("m-1", s, q, token(r.term, 0)))
 			if ok != newer {
 				t.Fatalf("(%d,%d) after (%d,%d): taken %v", s, q, session, seq, ok)
 			}
@@ -260,7 +263,7 @@
 			r.wait(100 * time.Millisecond)
 		}
 		for _, m := range r.machines {
-			if u := m.used(); !u.fits(m.capacity) {
+			if u := r.sumsOf(m).used; !u.fits(m.capacity) {
 				t.Fatalf("%s: %+v of %+v", m.name, u, m.capacity)
 			}
 		}
@@ -277,7 +280,7 @@
 	if acts := r.wait(time.Second); len(acts) != 0 {
 		t.Fatalf("acted without authority: %v", acts)
 	}
-	if _, ok := r.Report(r.now, report("m-1", 1, 9, r.term)); ok {
+	if _, ok := r.Report(r.now, report("m-1", 1, 9, token(r.term, 0))); ok {
 		t.Fatal("answered a report without authority")
 	}
 }
@@ -295,7 +298,7 @@
 		r.now = r.now.Add(time.Second)
 		seq++
 		for i := 1; i < 4; i++ {
-			rep := report(fmt.Sprintf("m-%d", i), 1, seq, r.term)
+			rep := report(fmt.Sprintf("m-%d", i), 1, seq, r.shown(fmt.Sprintf("m-%d", i)))
 			rep.Spot = true // idle ordinary ones would be given back
 			r.Report(r.now, rep)
 		}
@@ -315,7 +318,7 @@
 	if !returned["m-0"] || len(returned) != 1 {
 		t.Fatalf("returned %v, wanted m-0 alone", returned)
 	}
-	r.wait(constants.StrayMemory + 2*time.Second)
+	r.wait(r.strayMemory() + 2*time.Second)
 	r.Strays(r.now, []string{"m-1", "m-2", "m-3"}, true)
 	if silent, strays := r.CutOff(r.now); !silent || !strays {
 		t.Fatalf("silent %v, strays %v: the owner does not see that it is cut off", silent, strays)
@@ -348,7 +351,7 @@
 	noticed := r.now
 	for seq := uint64(10); r.now.Sub(noticed) < 20*time.Second; seq++ {
 		r.now = r.now.Add(time.Second)
-		rep := report("m-1", 1, seq, r.term, running)
+		rep := report("m-1", 1, seq, token(r.term, 0), running)
 		left := 20 - r.now.Sub(noticed).Seconds()
 		rep.NoticeS = &left
 		r.Step(r.now)
@@ -379,7 +382,7 @@
 		t.Fatalf("started %v", s)
 	}
 	status := wire.TaskStatus{Task: s[0].Task, Attempt: s[0].Attempt, State: wire.TaskRunning}
-	r.CommandResult(r.now, "m-1", report("m-1", 1, 10, r.term, status))
+	r.CommandResult(r.now, "m-1", report("m-1", 1, 10, token(r.term, 0), status))
 	high := array("run-2", 1, "a")
 	high.Spec.Priority = wire.PriorityProduction
 	r.submit(high)
@@ -403,7 +406,7 @@
 		t.Fatalf("%d stops", stops)
 	}
 	status.State, status.Cause, status.Saved = wire.TaskExited, wire.CauseStopped, true
-	r.CommandResult(r.now, "m-1", report("m-1", 1, 11, r.term, status))
+	r.CommandResult(r.now, "m-1", report("m-1", 1, 11, token(r.term, 0), status))
 	if s := started(r.wait(time.Second), "m-1"); len(s) != 1 || s[0].Task != "run-2/0" {
 		t.Fatalf("started %v, wanted run-2/0", s)
 	}
--- /dev/null
+++ b/part/empty.go
@@ -0,0 +1,169 @@
+package part
+
+import (
+	"log/slog"
+	"sort"
+	"time"
+
+	"ravenport/constants"
+	"ravenport/settings"
+	"ravenport/wire"
+)
+
+// leaveNoticed moves work off machines that the cloud is about to take: what
+// can save is told to in time, services and arrays that will not be done start
+// again elsewhere while there is room.
+func (c *Core) leaveNoticed(now time.Time) {
+	for _, m := range c.fleet {
+		if m.notice.IsZero() || m.returning || !m.up {
+			continue
+		}
+		left := m.notice.Sub(now)
+		moves := 0
+		for _, h := range m.holds {
+			t := c.taskOf(h)
+			if !stoppable(h, t) || moves >= constants.NoticeMoves {
+				continue
+			}
+			s := &t.job.rec.Spec
+			ends := settings.Seconds(s.EstimateS)
+			if !h.runSince.IsZero() {
+				ends -= now.Sub(h.runSince)
+			}
+			switch {
+			case !h.instant && left > h.grace(c)+constants.NoticeMargin:
+				continue // it saves at the last moment
+			case !h.instant:
+			case !s.IsService() && float64(ends) < constants.NoticeDoubt*float64(left):
+				continue // it may well be done before
+			case c.bestFit(now, s) == nil:
+				continue
+			}
+			h.stop = true
+			m.stale, m.wantCommand = true, true
+			moves++
+		}
+	}
+}
+
+// consolidate empties ordinary machines that the part can do without, by
+// moving services one at a time to machines that hold their image: a service
+// is away for a moment, while a machine with one service on it costs as much
+// as a full one. How many are emptied at once grows with the part.
+func (c *Core) consolidate(now time.Time) {
+	if !c.rebuilt || now.Sub(c.lastMove) < constants.MoveGap {
+		return
+	}
+	c.lastMove = now
+	var ms []*machine
+	moving, draining := 0, 0
+	total := 0.0
+	for _, m := range c.fleet {
+		if m.spot || !c.usable(now, m) {
+			m.spareSince = time.Time{}
+			continue
+		}
+		ms = append(ms, m)
+		total += c.prodRoom(m)
+		if m.draining {
+			draining++
+		}
+		for _, h := range m.holds {
+			if h.stop && !h.exited() {
+				moving++
+			}
+		}
+	}
+	most := 1 + len(ms)/constants.MachinesAMove
+	if moving >= most || len(ms) < 2 || c.unplaced.cpus > 0 {
+		return
+	}
+	sort.Slice(ms, func(a, b int) bool {
+		if x, y := c.sumsOf(ms[a]).used.cpus, c.sumsOf(ms[b]).used.cpus; x != y {
+			return x < y
+		}
+		return ms[a].name > ms[b].name
+	})
+	keep := c.reserve(now) + c.prod.largest.cpus
+	looked := 0
+	for _, m := range ms {
+		// Without it the part must keep its room ready, and have room for what
+		// is on it; those emptied already count as gone.
+		if total-m.capacity.cpus < keep {
+			if m.draining {
+				m.draining = false
+				draining--
+			}
+			m.spareSince = time.Time{}
+			continue
+		}
+		if looked++; looked > 4*most || !c.spare(now, m) {
+			if m.draining {
+				m.draining = false
+				draining--
+			}
+			m.spareSince = time.Time{}
+			continue
+		}
+		total -= m.capacity.cpus
+		switch {
+		case m.draining:
+			if moving < most && c.moveOne(now, m) {
+				moving++
+			}
+		case m.spareSince.IsZero():
+			m.spareSince = now
+		case now.Sub(m.spareSince) > constants.SpareFor && draining < most:
+			slog.Info("draining machine", "machine", m.name, "cpus", c.sumsOf(m).used.cpus)
+			m.draining = true
+			draining++
+		}
+	}
+}
+
+// spare says whether all that is on a machine would fit on the part's others,
+// services on ordinary ones that hold their image.
+func (c *Core) spare(now time.Time, m *machine) bool {
+	taken := map[*machine]resources{}
+	for _, h := range m.holds {
+		t := c.taskOf(h)
+		if h.exited() || t == nil {
+			continue
+		}
+		s := &t.job.rec.Spec
+		var to *machine
+		var left float64
+		for _, o := range c.fleet {
+			if o == m || o.draining || s.IsService() && !o.images[s.Image] || !allowed(s, o.typeName, o.spot) || !c.usable(now, o) {
+				continue
+			}
+			free := c.free(o).minus(taken[o])
+			if h.needs.fits(free) && (to == nil || free.cpus < left || free.cpus == left && o.name < to.name) {
+				to, left = o, free.cpus
+			}
+		}
+		if to == nil {
+			return false
+		}
+		taken[to] = taken[to].plus(h.needs)
+	}
+	return true
+}
+
+// moveOne stops one service of a draining machine; it starts again at once
+// where there is room for it.
+func (c *Core) moveOne(now time.Time, m *machine) bool {
+	for _, h := range m.holds {
+		t := c.taskOf(h)
+		if h.state != wire.TaskRunning || t == nil || t.hold != h || h.stop || !t.job.rec.Spec.IsService() || !h.instant {
+			continue
+		}
+		if to := c.bestFit(now, &t.job.rec.Spec); to != nil && !to.draining && to.images[t.job.rec.Spec.Image] {
+			h.stop = true
+			m.stale, m.wantCommand = true, true
+			slog.Debug("moving service", "task", h.key.task, "from", m.name, "to", to.name)
+			return true
+		}
+	}
+	return false
+}
--- a/part/model.go
+++ b/part/model.go
@@ -1,10 +1,16 @@
 // Package part is a part's owner: it rebuilds what runs from its machines'
 // reports, places tasks by best fit and rents and returns machines. It is
 // pure: messages, state and time in, actions out; an actor does the I/O.
+//
+// Its files: model (what it knows), core (messages and steps), report (what a
+// report proves), place, rent, silence (and returns), empty (notices and
+// machines to do without), chunks (job records), roster, push (figures).
 package part
 
 import (
 	"math"
+	"slices"
+	"sort"
 	"time"
 
 	"ravenport/constants"
@@ -23,6 +29,11 @@
 	return resources{r.cpus - o.cpus, r.gpus - o.gpus, r.mem - o.mem}
 }
 
+// times is the amount n tasks take.
+func (r resources) times(n int) resources {
+	return resources{r.cpus * float64(n), r.gpus * float64(n), r.mem * float64(n)}
+}
+
 // slack forgives rounding in sums of decimal amounts.
 const slack = 1e-6
 
@@ -41,6 +52,12 @@
 	attempt uint64
 }
 
+// taskKey names a task.
+type taskKey struct {
+	job   string
+	index int
+}
+
 // hold is an attempt that is, or may be, on a machine.
 type hold struct {
 	key      holdKey
@@ -52,7 +69,9 @@
 	needs    resources
 	image    string
 	listed   bool   // a report of this session has shown it
+	seen     uint64 // the look at a report that last showed it
 	direct   bool   // a direct command may have carried its start; such a one can be repeated late
+	directed uint64 // the highest token under which one may have
 	sentSeq  uint64 // the report whose answer last carried the start
 	stop     bool   // to be stopped though its task is still wanted
 	instant  bool   // stopping takes no saving
@@ -75,56 +94,151 @@
 	spot       bool
 	capacity   resources
 
-	rosterVersion uint64 // 0: not in the durable roster
-	rosterAddr    string // address as in the roster
-	rosterBusy    bool
-	rosterSent    string    // address in the write under way
-	dropAt        time.Time // when taking it off the roster is tried again
+	page       int       // of the roster; pageless: on none
+	rosterAddr string    // address as in the durable roster
+	durable    bool      // is in the durable roster
+	dropAt     time.Time // when it may leave the roster
 
 	session, seq uint64
 	minSession   uint64 // earlier sessions have surely ended
 	token        uint64 // highest token that it has reported
+	epoch        uint64 // what the owner's tokens to it end in
 	heard        time.Time
 	leaseUntil   time.Time // after it, the session last known has surely ended
 	inherited    bool      // stood in the roster when the term began
 	up           bool      // has reported in this term
-	holds        map[holdKey]*hold
+	holds        []*hold   // by attempt
+	sums         sums
+	stale        bool // sums are to be made anew
 	images       map[string]bool
 	notice       time.Time // when the cloud takes it; zero: no notice
 	rentedAt     time.Time
 	idleSince    time.Time
 	returning    bool
 	draining     bool // its tasks move elsewhere; it takes new ones last
+	spareSince   time.Time
 	avoidUntil   time.Time
 
-	inFlight    bool // a direct command waits for its answer
-	nextDirect  time.Time
-	wantCommand bool
-	strayAt     time.Time // when it last reported to another controller
-	unanswered  int       // direct commands since it was last heard of
+	inFlight     bool // a direct command waits for its answer
+	nextDirect   time.Time
+	wantCommand  bool
+	strayAt      time.Time // when it last reported to another controller
+	unanswered   int       // direct commands since it was last heard of
+	doubtAt      time.Time // since when it is asked to show that answers reach it; zero: no doubt
+	doubtToken   uint64    // the token that it must show
+	lost         bool      // holds an unwanted attempt that a late command could still bring
+	warned       bool      // impossible fields were logged
+	answersSince int       // answers since its report last changed as ordered
+}
+
+// sums are what a machine's attempts add up to.
+type sums struct {
+	used     resources // instantly stopping ones left out: a stop and a start travel in one list and are carried out in order
+	live     int       // attempts that have not exited
+	services int
+	yielding float64 // CPUs that production work may have at once
+	exited   int     // exited attempts that a direct command started
 }
 
-// verified says that the machine has seen the owner's token in its present
-// session, so nothing that earlier owners sent can be carried out any more
-// and its report shows all that is there.
-func (m *machine) verified(term uint64) bool { return m.up && m.token == term }
+// verified says that the machine has seen one of the owner's tokens, so
+// nothing that earlier owners sent can be carried out any more and its report
+// shows all that is there.
+func (m *machine) verified(term uint64) bool { return m.up && m.token>>constants.EpochBits == term }
 
-// used is what its attempts take, instantly stopping ones left out: a stop
-// and a start travel in one list and are carried out in order.
-func (m *machine) used() resources {
-	var u resources
+// doubted says that answers and commands may not reach the machine.
+func (m *machine) doubted() bool { return !m.doubtAt.IsZero() }
+
+// find returns the attempt with a key, or nil.
+func (m *machine) find(k holdKey) *hold {
 	for _, h := range m.holds {
-		if !h.exited() && !(h.stop && h.instant) {
-			u = u.plus(h.needs)
+		if h.key.attempt == k.attempt && h.key.task == k.task {
+			return h
 		}
 	}
-	return u
+	return nil
 }
 
-func (m *machine) free() resources { return m.capacity.minus(m.used()) }
+// busy says whether any attempt has not exited.
+func (c *Core) busy(m *machine) bool { return c.sumsOf(m).live > 0 }
+
+// free is what is left of a machine.
+func (c *Core) free(m *machine) resources { return m.capacity.minus(c.sumsOf(m).used) }
 
-func (m *machine) busy() bool {
+// prodRoom is what production work can have of an ordinary machine (CPUs):
+// what is free, and what lower work holds that can be stopped at once.
+func (c *Core) prodRoom(m *machine) float64 {
+	s := c.sumsOf(m)
+	return m.capacity.cpus - s.used.cpus + s.yielding
+}
+
+// sumsOf keeps a machine's sums; they are made anew only after a change.
+func (c *Core) sumsOf(m *machine) *sums {
+	if !m.stale {
+		return &m.sums
+	}
+	m.stale = false
+	m.sums = sums{}
 	for _, h := range m.holds {
+		if h.exited() {
+			if h.direct {
+				m.sums.exited++
+			}
+			continue
+		}
+		m.sums.live++
+		if !(h.stop && h.instant) {
+			m.sums.used = m.sums.used.plus(h.needs)
+		}
+		t := c.taskOf(h)
+		if t == nil {
+			continue
+		}
+		s := &t.job.rec.Spec
+		if s.IsService() {
+			m.sums.services++
+		}
+		if h.instant && stoppable(h, t) && wire.PriorityLevel(s.Priority) < wire.PriorityLevel(wire.PriorityProduction) {
+			m.sums.yielding += h.needs.cpus
+		}
+	}
+	return &m.sums
+}
+
+// addHold puts an attempt on its machine, in the order of attempts.
+func (c *Core) addHold(h *hold) {
+	m := h.m
+	i := len(m.holds)
+	for i > 0 && m.holds[i-1].key.attempt > h.key.attempt {
+		i--
+	}
+	m.holds = slices.Insert(m.holds, i, h)
+	m.stale = true
+	k := taskKey{h.jobID, h.index}
+	c.byTask[k] = append(c.byTask[k], h)
+}
+
+// dropHold takes an attempt off its machine.
+func (c *Core) dropHold(h *hold) {
+	m := h.m
+	if i := slices.Index(m.holds, h); i >= 0 {
+		m.holds = slices.Delete(m.holds, i, i+1)
+	}
+	m.stale = true
+	k := taskKey{h.jobID, h.index}
+	hs := c.byTask[k]
+	if i := slices.Index(hs, h); i >= 0 {
+		hs = slices.Delete(hs, i, i+1)
+	}
+	if len(hs) == 0 {
+		delete(c.byTask, k)
+	} else {
+		c.byTask[k] = hs
+	}
+}
+
+// somewhere says whether any attempt of a task may be on any machine.
+func (c *Core) somewhere(jobID string, index int) bool {
+	for _, h := range c.byTask[taskKey{jobID, index}] {
 		if !h.exited() {
 			return true
 		}
@@ -140,6 +254,9 @@
 	writing bool // a change of its record is under way
 	retryAt time.Time
 	errors  map[string]bool // machines on which its tasks failed
+
+	stale   bool    // waiting is to be made anew
+	waiting []*task // those within the guarantee first, then by index
 }
 
 // task is one task of an open chunk.
@@ -160,6 +277,58 @@
 
 func (t *task) waiting() bool { return t.hold == nil && !t.done && !t.uncertain && !t.leaving }
 
+// touch says that a job's tasks have changed, so that a round's cost follows
+// what changed.
+func (c *Core) touch(j *job) {
+	if !j.stale {
+		j.stale = true
+		c.touched = append(c.touched, j)
+	}
+}
+
+// check says that a job's chunks may have something to record.
+func (c *Core) check(j *job) { c.toClose[j.rec.ID] = j }
+
+// refresh brings the lists of waiting tasks up to date.
+func (c *Core) refresh() {
+	for _, j := range c.touched {
+		j.stale = false
+		j.waiting = j.waiting[:0]
+		if c.jobs[j.rec.ID] == j && j.rec.End == "" {
+			for _, t := range j.tasks {
+				if t.waiting() {
+					j.waiting = append(j.waiting, t)
+				}
+			}
+		}
+		if len(j.waiting) == 0 {
+			delete(c.waiting, j)
+			continue
+		}
+		sort.Slice(j.waiting, func(a, b int) bool {
+			x, y := j.waiting[a], j.waiting[b]
+			if x.guarantee != y.guarantee {
+				return x.guarantee
+			}
+			return x.index < y.index
+		})
+		c.waiting[j] = true
+	}
+	c.touched = c.touched[:0]
+}
+
+// ready lists a job's waiting tasks that may start now.
+func (c *Core) ready(now time.Time, j *job) []*task {
+	var out []*task
+	for _, t := range j.waiting {
+		// A stray attempt must be gone first.
+		if t.waiting() && !now.Before(t.notBefore) && !c.somewhere(j.rec.ID, t.index) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
 // arrivals follows how much work of a sort arrives, as an average that
 // forgets over constants.ArrivalMemory.
 type arrivals struct {
--- /dev/null
+++ b/part/push.go
@@ -0,0 +1,149 @@
+package part
+
+import (
+	"time"
+
+	"ravenport/constants"
+	"ravenport/leader"
+	"ravenport/wire"
+)
+
+// Aggregate is what the owner pushes to the leader: the free room of the
+// machines that take tasks and, less what already waits for it, of those that
+// are coming.
+func (c *Core) Aggregate(now time.Time, revision uint64) leader.Aggregate {
+	a := leader.Aggregate{Part: c.cfg.Part, Term: c.term, Revision: revision, Waiting: c.unplaced.cpus,
+		Warm: map[string]float64{}, RentOrdinary: !now.Before(c.refused[false]), RentSpot: c.cfg.UseSpot && !now.Before(c.refused[true])}
+	add := func(free resources, spot bool) {
+		r := &a.Ordinary
+		if spot {
+			r = &a.Spot
+		}
+		r.Machines++
+		r.CPUs.Add(free.cpus)
+		r.GPUs.Add(free.gpus)
+		r.Memory.Add(free.mem)
+	}
+	for _, m := range c.fleet {
+		if c.coming(now, m) {
+			a.Capacity += m.capacity.cpus
+			continue
+		}
+		if !c.usable(now, m) {
+			continue
+		}
+		a.Capacity += m.capacity.cpus
+		add(c.free(m), m.spot)
+		if m.spot {
+			continue
+		}
+		a.Yielding += c.sumsOf(m).yielding
+		room := c.prodRoom(m)
+		for image := range m.images {
+			a.Warm[image] += room
+		}
+	}
+	for _, b := range c.roomComing {
+		add(b.free, b.spot)
+	}
+	for _, r := range []*leader.Room{&a.Ordinary, &a.Spot} {
+		r.CPUs.Finish(r.Machines)
+		r.GPUs.Finish(r.Machines)
+		r.Memory.Finish(r.Machines)
+	}
+	return a
+}
+
+// PushDue says whether the aggregate has changed since it was last taken.
+func (c *Core) PushDue() bool { d := c.pushDirty; c.pushDirty = false; return d }
+
+// Others takes in what the other parts push. Tasks that wait for machines that
+// are not to be had go up again only when some other part has room.
+func (c *Core) Others(now time.Time, as []leader.Aggregate) {
+	for _, a := range as {
+		if a.Part != c.cfg.Part {
+			c.others[a.Part] = other{a, now}
+		}
+	}
+}
+
+type other struct {
+	agg leader.Aggregate
+	at  time.Time
+}
+
+// Counts returns the tasks of each job that run here, and those that are done
+// in chunks not closed yet, for display.
+func (c *Core) Counts() map[string][2]int {
+	out := make(map[string][2]int, len(c.jobs))
+	for id, j := range c.jobs {
+		var n [2]int
+		for _, t := range j.tasks {
+			switch {
+			case t.done:
+				n[1]++
+			case t.hold != nil && (t.hold.state == wire.TaskRunning || t.hold.state == wire.TaskSaving):
+				n[0]++
+			}
+		}
+		if n[0]+n[1] > 0 {
+			out[id] = n
+		}
+	}
+	return out
+}
+
+// Summary is an owner's view of its part, for operators.
+type Summary struct {
+	Rebuilt     bool    `json:"rebuilt"`
+	Up          int     `json:"machines_up"`
+	Spot        int     `json:"machines_spot"`
+	Booting     int     `json:"machines_booting"`
+	Silent      int     `json:"machines_silent"`
+	Deaf        int     `json:"machines_in_doubt"` // heard, but not known to hear
+	Draining    int     `json:"machines_draining"`
+	Returning   int     `json:"machines_returning"`
+	Attempts    int     `json:"attempts"` // tasks that are, or may be, on machines
+	Waiting     int     `json:"tasks_waiting"`
+	WaitingCPUs float64 `json:"waiting_cpus"`
+	RefusedSpot bool    `json:"spot_refused"` // the cloud had none a moment ago
+	Refused     bool    `json:"ordinary_refused"`
+}
+
+// Summary counts what the owner knows.
+func (c *Core) Summary(now time.Time) Summary {
+	s := Summary{Rebuilt: c.rebuilt, WaitingCPUs: c.unplaced.cpus, RefusedSpot: now.Before(c.refused[true]), Refused: now.Before(c.refused[false])}
+	for _, m := range c.fleet {
+		switch {
+		case m.returning:
+			s.Returning++
+		case !m.up:
+			s.Booting++
+		default:
+			s.Up++
+			if m.spot {
+				s.Spot++
+			}
+			if c.silent(now, m) {
+				s.Silent++
+			}
+			if m.doubted() {
+				s.Deaf++
+			}
+			if m.draining {
+				s.Draining++
+			}
+		}
+		s.Attempts += c.sumsOf(m).live
+	}
+	c.refresh()
+	for j := range c.waiting {
+		s.Waiting += len(j.waiting)
+	}
+	return s
+}
+
+// PushGap is the least time between two pushes of a part of this size.
+func (c *Core) PushGap() time.Duration {
+	return constants.PushGap + time.Duration(len(c.fleet))*constants.PushGapMachine
+}
--- /dev/null
+++ b/part/rent.go
@@ -0,0 +1,273 @@
+package part
+
+import (
+	"fmt"
+	"log/slog"
+	"math"
+	"slices"
+	"time"
+
+	"ravenport/constants"
+	"ravenport/wire"
+)
+
+// bootAge is a machine's age in nominal boot times.
+func (c *Core) bootAge(now time.Time, m *machine) float64 {
+	boot := 60.0
+	if m.typ != nil {
+		boot = max(1, m.typ.BootS)
+	}
+	return now.Sub(m.rentedAt).Seconds() / boot
+}
+
+// bootS is the longest nominal boot time (s).
+func (c *Core) bootS() float64 {
+	boot := 0.0
+	for _, t := range c.types {
+		boot = max(boot, t.BootS)
+	}
+	return boot
+}
+
+// coming says whether a machine that has not come up yet is still counted on.
+func (c *Core) coming(now time.Time, m *machine) bool {
+	return !m.up && !m.inherited && !m.returning && m.typ != nil && c.bootAge(now, m) < constants.BootUsual
+}
+
+// arriving lists the room of machines that are not up yet or may not take
+// tasks yet.
+func (c *Core) arriving(now time.Time) []coming {
+	var out []coming
+	for _, m := range c.fleet {
+		if c.coming(now, m) {
+			out = append(out, coming{m.capacity, m.typeName, m.spot})
+		} else if m.up && (!m.verified(c.term) || !m.durable || m.rosterAddr != m.addr) && !m.returning && m.typ != nil && !c.silent(now, m) {
+			out = append(out, coming{c.free(m), m.typeName, m.spot})
+		}
+	}
+	for _, r := range c.pendingRents {
+		if t := c.types[r.req.Type]; t != nil {
+			for range r.req.Count {
+				out = append(out, coming{sizeOf(t), t.Name, r.req.Spot})
+			}
+		}
+	}
+	return out
+}
+
+// holdsOf is how many tasks of a size a room takes.
+func (r resources) holdsOf(n resources) int {
+	k := math.MaxInt32
+	for _, x := range [][2]float64{{n.cpus, r.cpus}, {n.gpus, r.gpus}, {n.mem, r.mem}} {
+		if x[0] > 0 {
+			k = min(k, int((x[1]+slack)/x[0]))
+		}
+	}
+	return max(k, 0)
+}
+
+// rent asks for machines for what waits and fits on nothing that is coming.
+func (c *Core) rent(now time.Time) {
+	c.lastRent = now
+	c.unplaced = resources{}
+	c.roomComing = c.arriving(now)
+	if len(c.types) == 0 || !c.rebuilt {
+		return
+	}
+	type kind struct {
+		typ  string
+		spot bool
+	}
+	want := map[kind]int{}
+	c.refresh()
+	q, _ := c.queue(now)
+	for _, j := range q {
+		s := &j.rec.Spec
+		n := need(s)
+		tasks := c.ready(now, j)
+		c.unplaced = c.unplaced.plus(n.times(len(tasks)))
+		for i := range c.roomComing {
+			if len(tasks) == 0 {
+				break
+			}
+			b := &c.roomComing[i]
+			if n.fits(b.free) && allowed(s, b.typ, b.spot) {
+				k := min(len(tasks), b.free.holdsOf(n))
+				b.free = b.free.minus(n.times(k))
+				tasks = tasks[k:]
+			}
+		}
+		if len(tasks) == 0 {
+			continue
+		}
+		typ, spot, ok := c.pick(now, s)
+		away := 0
+		var bin *coming
+		for _, t := range tasks {
+			switch {
+			case bin != nil && n.fits(bin.free):
+				bin.free = bin.free.minus(n)
+			case !t.keep:
+				c.sendBack(j, t) // it does not fit: the next part is asked
+			case c.drains(now, j, t):
+			case ok:
+				c.roomComing = append(c.roomComing, coming{sizeOf(typ).minus(n), typ.Name, spot})
+				bin = &c.roomComing[len(c.roomComing)-1]
+				want[kind{typ.Name, spot}]++
+			case now.Sub(t.waitSince) > constants.KeepWait && c.elsewhere(now, s, away):
+				c.sendBack(j, t)
+				away++
+			}
+		}
+	}
+	if len(want) == 0 {
+		if typ, n := c.reserveMissing(now); n > 0 {
+			want[kind{typ, false}] = n
+		}
+	}
+	for k, n := range want {
+		for ; n > 0; n -= wire.MaxRent {
+			c.rentSeq++
+			req := wire.RentRequest{
+				// The term makes the name this owner's alone, for ever.
+				Request: fmt.Sprintf("rv-%s-%d-%d", c.cfg.Part, c.term, c.rentSeq),
+				Type:    k.typ, Zone: c.cfg.Part, Spot: k.spot, Count: min(n, wire.MaxRent),
+			}
+			c.pendingRents[req.Request] = &rental{req: req, at: now}
+			c.actions = append(c.actions, Rent{req})
+			slog.Info("renting", "part", c.cfg.Part, "type", k.typ, "spot", k.spot, "count", req.Count)
+		}
+	}
+}
+
+// reserveMissing is how many ordinary machines of which type are missing to
+// keep room ready for production work.
+func (c *Core) reserveMissing(now time.Time) (string, int) {
+	if c.prod.largest.cpus == 0 || now.Before(c.refused[false]) {
+		return "", 0
+	}
+	room := 0.0
+	for _, m := range c.fleet {
+		if !m.spot && !m.returning && m.typ != nil && m.up && m.notice.IsZero() {
+			room += c.prodRoom(m)
+		}
+	}
+	for _, b := range c.roomComing {
+		if !b.spot {
+			room += b.free.cpus
+		}
+	}
+	missing := c.reserve(now) - room
+	if missing <= 0 {
+		return "", 0
+	}
+	var best *wire.MachineType
+	for _, t := range c.types {
+		if c.prod.largest.fits(sizeOf(t)) && slices.Contains(t.Zones, c.cfg.Part) &&
+			(best == nil || t.Price < best.Price) {
+			best = t
+		}
+	}
+	if best == nil {
+		return "", 0
+	}
+	return best.Name, int(math.Ceil(missing / max(best.CPUs, 1)))
+}
+
+// reserve is the room (CPUs) held ready for production work: what is expected
+// to arrive while a machine would boot, and one of the largest tasks at least.
+func (c *Core) reserve(now time.Time) float64 {
+	return max(c.prod.largest.cpus, constants.ReserveFactor*c.prod.within(now, time.Duration(c.bootS()*float64(time.Second))))
+}
+
+// drains says whether the machines that are there will get round to a waiting
+// task before a machine rented for it could be up, and well within its
+// class's objective: renting for it would only cost.
+func (c *Core) drains(now time.Time, j *job, t *task) bool {
+	s := &j.rec.Spec
+	within := c.cfg.Order.Within(s.Class)
+	boot := c.bootS()
+	// Estimates may be far too low: what has waited in vain is rented for.
+	if s.IsService() || within == 0 || t.guarantee || now.Sub(t.waitSince).Seconds() > boot*constants.DrainWait {
+		return false
+	}
+	if c.drainAt != now {
+		c.drainAt, c.drainWork, c.drainCPUs = now, 0, 0
+		for _, m := range c.fleet {
+			if m.draining || !c.usable(now, m) {
+				continue
+			}
+			c.drainCPUs += m.capacity.cpus
+			for _, h := range m.holds {
+				o := c.taskOf(h)
+				if h.exited() || o == nil {
+					continue
+				}
+				if o.job.rec.Spec.IsService() {
+					c.drainCPUs -= h.needs.cpus
+					continue
+				}
+				left := o.job.rec.Spec.EstimateS
+				if !h.runSince.IsZero() {
+					left -= now.Sub(h.runSince).Seconds()
+				}
+				c.drainWork += h.needs.cpus * max(left, constants.LeastLeft.Seconds())
+			}
+		}
+	}
+	work := c.drainWork + s.CPUs*s.EstimateS
+	limit := min(boot*constants.DrainBoots, within.Seconds()*constants.DrainShare)
+	if c.drainCPUs < s.CPUs || work > c.drainCPUs*limit {
+		return false
+	}
+	c.drainWork = work
+	return true
+}
+
+// pick chooses the cheapest kind of machine for a task that can be had.
+func (c *Core) pick(now time.Time, s *wire.Submission) (*wire.MachineType, bool, bool) {
+	var best *wire.MachineType
+	bestSpot, bestPrice := false, math.Inf(1)
+	for _, t := range c.types {
+		if !need(s).fits(sizeOf(t)) || !allowed(s, t.Name, false) || !slices.Contains(t.Zones, c.cfg.Part) {
+			continue
+		}
+		for _, spot := range []bool{false, true} {
+			if spot && (!s.Spot || !c.cfg.UseSpot) || now.Before(c.refused[spot]) {
+				continue
+			}
+			price := t.Price
+			if spot {
+				price = t.SpotPrice
+			}
+			price /= max(t.CPUs, 1)
+			if price < bestPrice || price == bestPrice && t.Name < best.Name {
+				best, bestSpot, bestPrice = t, spot, price
+			}
+		}
+	}
+	return best, bestSpot, best != nil
+}
+
+// Rented takes in the answer to a rental: the machines, or that none is to be
+// had. An unanswered rental is repeated by the actor under the same name.
+func (c *Core) Rented(now time.Time, request string, names []string, refused bool) {
+	r := c.pendingRents[request]
+	if r == nil {
+		return
+	}
+	delete(c.pendingRents, request)
+	if refused || len(names) < r.req.Count {
+		slog.Info("cloud has no more machines", "part", c.cfg.Part, "spot", r.req.Spot, "asked", r.req.Count, "got", len(names))
+		c.refused[r.req.Spot] = now.Add(constants.RefusedPause)
+	}
+	for _, name := range names {
+		m := c.machine(name)
+		if m.typeName == "" {
+			m.typeName, m.spot, m.rentedAt = r.req.Type, r.req.Spot, r.at
+			c.size(m)
+		}
+		c.enrol(m)
+	}
+	c.dirty, c.pushDirty = true, true
+}
--- /dev/null
+++ b/part/report.go
@@ -0,0 +1,418 @@
+package part
+
+import (
+	"log/slog"
+	"time"
+
+	"ravenport/constants"
+	"ravenport/wire"
+)
+
+// Report answers a worker's report; ok is false when the owner must not.
+func (c *Core) Report(now time.Time, r *wire.Report) (reply wire.ReportReply, ok bool) {
+	if r.Zone != c.cfg.Part {
+		return reply, false
+	}
+	c.outranked(r)
+	if !c.may(now) {
+		return reply, false
+	}
+	if _, gone := c.gone[r.Machine]; gone {
+		return reply, false // held back on its way: the machine is gone for good
+	}
+	// A machine whose return was asked for is answered like any other until
+	// the cloud confirms it: an answer that renews its lease without counting
+	// it would let the owner believe that the lease had ended.
+	m := c.machine(r.Machine)
+	if !c.newer(m, r) {
+		return reply, false // late or repeated: nothing in it counts
+	}
+	c.arrive(now, m, r)
+	c.absorb(now, m, r, true)
+	c.heard(now, m, r)
+	m.leaseUntil = now.Add(c.cfg.LeaseEnd)
+	if c.usable(now, m) && !c.fill(now, m) {
+		c.dirty = true
+	}
+	if (m.lost || c.sumsOf(m).exited >= constants.ExitedRaise) && m.token == c.token(m) {
+		m.epoch++ // once the machine shows the new token they can be forgotten
+	}
+	reply = wire.ReportReply{Token: c.token(m), Commands: c.orders(now, m, true)}
+	return reply, true
+}
+
+// outranked stops the owner for good once a machine has seen a later term.
+func (c *Core) outranked(r *wire.Report) {
+	if r.Token>>constants.EpochBits <= c.term {
+		return
+	}
+	if !c.deposed {
+		slog.Warn("a machine has seen a higher token", "machine", r.Machine, "token", r.Token, "term", c.term)
+	}
+	c.deposed = true
+}
+
+func (c *Core) newer(m *machine, r *wire.Report) bool {
+	if r.Session < m.minSession {
+		return false
+	}
+	return r.Session > m.session || r.Session == m.session && r.Seq > m.seq
+}
+
+// heard takes note that a machine lives. Whether it hears is another matter:
+// a machine whose reports arrive while answers and commands do not reach it
+// loses its lease unnoticed. One that does not show the token it was answered
+// with, or leaves a direct command unanswered, is in doubt until it shows a
+// token that is sent to it from then on. A late copy of a report cannot: it is
+// older than that token.
+func (c *Core) heard(now time.Time, m *machine, r *wire.Report) {
+	m.heard, m.unanswered = now, 0
+	switch {
+	case m.doubted() && m.token >= m.doubtToken:
+		m.doubtAt = time.Time{}
+		c.dirty = true
+	case !m.doubted() && m.answersSince > 0 && m.token < c.token(m):
+		c.doubt(now, m)
+	}
+	m.answersSince++
+	if m.token == c.token(m) {
+		m.answersSince = 0
+	}
+}
+
+// doubt asks a machine to show that answers or commands reach it.
+func (c *Core) doubt(now time.Time, m *machine) {
+	if m.doubted() || !m.up {
+		return
+	}
+	m.epoch++
+	m.doubtAt, m.doubtToken = now, c.token(m)
+}
+
+// arrive notes what a report says of the machine itself.
+func (c *Core) arrive(now time.Time, m *machine, r *wire.Report) {
+	if !m.up {
+		m.up = true
+		m.idleSince = now
+		c.dirty, c.pushDirty = true, true
+		if m.typeName == "" {
+			slog.Info("unexpected machine adopted", "machine", m.name)
+			m.rentedAt = now
+		}
+	}
+	if m.typeName != r.Type {
+		m.typeName = r.Type
+		m.typ, m.capacity = nil, resources{}
+		c.size(m)
+	}
+	m.spot, m.addr = r.Spot, r.Addr
+	if !m.returning && (!m.durable || m.rosterAddr != m.addr) {
+		c.enrol(m)
+	}
+}
+
+// absorb takes in a report's task list. beat tells an own report of the
+// worker from the answer to a direct command.
+func (c *Core) absorb(now time.Time, m *machine, r *wire.Report, beat bool) {
+	if r.Session > m.session {
+		// The earlier session's end killed and forgot everything.
+		c.releaseAll(now, m)
+		m.session = r.Session
+		m.token = 0
+		m.answersSince = 0
+		// A session has a lease of its own from its first moment on, also when
+		// the owner hears of it by a direct command's answer.
+		m.leaseUntil = now.Add(c.cfg.LeaseEnd)
+	}
+	m.seq = r.Seq
+	if was := m.token; r.Token > was {
+		m.token = r.Token
+		if !(m.up && was>>constants.EpochBits == c.term) && m.verified(c.term) {
+			c.dirty = true // it may take tasks now
+		}
+	}
+	if r.NoticeS != nil && m.notice.IsZero() {
+		m.notice = now.Add(time.Duration(*r.NoticeS * float64(time.Second)))
+		slog.Info("machine will be taken back", "machine", m.name, "in_s", *r.NoticeS)
+	} else if r.NoticeS == nil {
+		m.notice = time.Time{}
+	}
+	c.look++
+	c.freed, m.lost = false, false
+	for i := range r.Tasks {
+		c.absorbTask(now, m, &r.Tasks[i])
+	}
+	for i := len(m.holds) - 1; i >= 0; i-- {
+		h := m.holds[i]
+		if h.seen == c.look {
+			continue
+		}
+		switch {
+		case h.listed:
+			c.release(now, h) // forgotten on our command
+		case beat && r.Seq > h.sentSeq && (!h.direct || h.directed < m.token):
+			// The answer that carried the start was dropped or lost, and an
+			// answer is never carried out late; nor is a direct command under a
+			// token lower than the machine's: it is not there. A wanted one is
+			// sent again, to the same machine, under the same attempt.
+			if !c.wanted(h) {
+				c.release(now, h)
+			}
+		case beat && !c.wanted(h):
+			m.lost = true // a higher token will settle it
+		}
+	}
+	if c.busy(m) {
+		m.idleSince = time.Time{}
+	} else if m.idleSince.IsZero() {
+		m.idleSince = now
+	}
+	if !c.rebuilt {
+		c.checkRebuilt(now)
+	}
+}
+
+// absorbTask takes in one task of a report.
+func (c *Core) absorbTask(now time.Time, m *machine, ts *wire.TaskStatus) {
+	h := m.find(holdKey{ts.Task, ts.Attempt})
+	if h == nil {
+		jobID, index, ok := wire.SplitTask(ts.Task)
+		if !ok {
+			if !m.warned {
+				m.warned = true
+				slog.Warn("a machine reports what is no task", "machine", m.name)
+			}
+			return
+		}
+		// Left by an earlier owner, or by a command whose answer was lost. The
+		// term in its number bounds the tokens under which it was ever sent.
+		h = &hold{key: holdKey{ts.Task, ts.Attempt}, jobID: jobID, index: index, m: m, direct: true, instant: true}
+		h.directed = (ts.Attempt>>constants.AttemptBits+1)<<constants.EpochBits - 1
+		if j := c.jobs[jobID]; j != nil {
+			c.fillHold(h, j)
+		}
+		c.addHold(h)
+	}
+	was := h.state
+	h.seen = c.look
+	if h.listed && was == ts.State {
+		if t := c.taskOf(h); t != nil && t.hold == nil && !t.done && !h.exited() {
+			c.matchHold(t, h) // a stray whose task has lost its own attempt
+		}
+		return
+	}
+	h.listed = true
+	h.state, h.cause = ts.State, ts.Cause
+	m.stale = true
+	if h.state == wire.TaskRunning && was != wire.TaskRunning {
+		h.runSince = now
+		if j := c.jobs[h.jobID]; j != nil {
+			slog.Debug("task runs", "task", ts.Task, "class", j.rec.Spec.Class, "machine", m.name, "spot", m.spot,
+				"accepted_s", float64(now.UnixMilli()-j.rec.AcceptedMS)/1000, "sent_s", now.Sub(h.sentAt).Seconds(), "cached", m.images[h.image])
+		}
+	}
+	if h.state == wire.TaskRunning && h.image != "" {
+		m.images[h.image] = true
+	}
+	if h.exited() && was != wire.TaskExited && !h.runSince.IsZero() {
+		if j := c.jobs[h.jobID]; j != nil {
+			slog.Debug("task ended", "task", ts.Task, "cause", h.cause, "machine", m.name, "ran_s", now.Sub(h.runSince).Seconds(), "estimate_s", j.rec.Spec.EstimateS)
+		}
+	}
+	c.pushDirty = true
+	c.freed = c.freed || h.exited()
+	t := c.taskOf(h)
+	if t == nil {
+		if j := c.jobs[h.jobID]; j != nil && h.exited() {
+			c.check(j)
+		}
+		return
+	}
+	if h.exited() && was != wire.TaskExited && h.cause != wire.CauseDone {
+		c.dirty = true
+		if t.hold == h {
+			c.failed(now, t, h)
+		}
+	}
+	c.matchHold(t, h)
+}
+
+// failed notes that an attempt ended without its task being done.
+func (c *Core) failed(now time.Time, t *task, h *hold) {
+	t.waitSince = now
+	switch h.cause {
+	case wire.CauseStopped:
+		return
+	case wire.CauseError, wire.CauseUnknown:
+		slog.Warn("task failed", "task", h.key.task, "machine", h.m.name, "cause", h.cause)
+		j := t.job
+		if j.errors == nil {
+			j.errors = map[string]bool{}
+		}
+		j.errors[h.m.name] = true
+		t.fails++
+		// Failing on several machines, the job is at fault, not they.
+		if len(j.errors) < constants.JobFaultMachines {
+			h.m.avoidUntil = now.Add(constants.FaultPause)
+		}
+		wait := time.Second << min(t.fails, 5)
+		t.notBefore = now.Add(min(wait, constants.JobFaultRetry))
+	default: // refused for room, or as busy
+		slog.Warn("start refused", "task", h.key.task, "machine", h.m.name, "cause", h.cause)
+		t.notBefore = now.Add(constants.RefusedRetry)
+	}
+}
+
+// CommandResult takes in what came of a direct command. r is nil without an
+// answer; the commands may then still be carried out.
+func (c *Core) CommandResult(now time.Time, name string, r *wire.Report) {
+	m := c.machines[name]
+	if m == nil {
+		return
+	}
+	m.inFlight = false
+	if r == nil {
+		m.unanswered++
+		m.nextDirect = now.Add(constants.RepeatCommand)
+		c.doubt(now, m)
+		return
+	}
+	c.outranked(r)
+	if r.Machine != name || c.deposed || !c.newer(m, r) {
+		return
+	}
+	c.arrive(now, m, r)
+	c.absorb(now, m, r, false)
+	c.dirty = c.dirty || c.freed
+	// It answered a call: commands do reach it.
+	m.heard, m.unanswered = now, 0
+	if m.doubted() && m.token >= m.doubtToken {
+		m.doubtAt = time.Time{}
+		c.dirty = true
+	}
+}
+
+// orders lists what a machine should do: stops, then forgets, then starts, so
+// that room is free when a start needs it.
+func (c *Core) orders(now time.Time, m *machine, beat bool) []wire.Command {
+	out := []wire.Command{}
+	var starts []wire.Command
+	for _, h := range m.holds {
+		switch {
+		case h.exited():
+			if beat && c.forgettable(h) {
+				out = append(out, wire.Command{Op: wire.OpForget, Task: h.key.task, Attempt: h.key.attempt})
+			}
+		case !c.wanted(h):
+			// A saving task is left to finish unless its time is up.
+			if h.state == wire.TaskSaving && now.Sub(h.told) < h.grace(c) {
+				continue
+			}
+			g := 0.0
+			if h.told.IsZero() {
+				h.told = now
+				g = h.grace(c).Seconds()
+			}
+			out = append(out, wire.Command{Op: wire.OpStop, Task: h.key.task, Attempt: h.key.attempt, GraceS: &g})
+		case h.state == stateSent && m.verified(c.term):
+			if beat {
+				h.sentSeq = m.seq
+			} else {
+				h.direct = true
+				h.directed = max(h.directed, c.token(m))
+			}
+			h.sentAt = now
+			starts = append(starts, wire.Command{Op: wire.OpStart, Task: h.key.task, Attempt: h.key.attempt})
+		}
+	}
+	m.wantCommand = false
+	return append(out, starts...)
+}
+
+// grace is the time a stopped attempt gets to save: its saving time, if it
+// can save and something may come of it.
+func (h *hold) grace(c *Core) time.Duration {
+	t := c.taskOf(h)
+	if h.instant || t == nil || t.job.rec.End != "" {
+		return 0
+	}
+	return time.Duration((t.job.rec.Spec.SaveS + 0.5) * float64(time.Second))
+}
+
+// forgettable says whether an exited attempt may be forgotten by its machine.
+// An attempt started by a direct command must be kept while that command
+// could arrive once more, late: forgotten, it would start again. A done task
+// must be kept until its chunk is closed, or a new owner would run it again.
+func (c *Core) forgettable(h *hold) bool {
+	if h.direct && h.directed >= h.m.token {
+		return false
+	}
+	if h.cause != wire.CauseDone {
+		return true
+	}
+	t := c.taskOf(h)
+	return t == nil || t.job.rec.Spec.IsService()
+}
+
+// direct sends waiting commands straight to the machines: orders first, then
+// questions, of which a few go out in a step so that a wave of silent machines
+// holds nobody up.
+func (c *Core) direct(now time.Time) {
+	asks := 0
+	flying := 0
+	for _, m := range c.fleet {
+		if m.inFlight {
+			flying++
+		}
+	}
+	for _, m := range c.fleet {
+		if m.inFlight || m.returning || m.addr == "" || now.Before(m.nextDirect) {
+			continue
+		}
+		probe := c.questionable(now, m)
+		if !probe && !m.wantCommand && !c.overdue(now, m) {
+			continue
+		}
+		if flying >= constants.CommandFanout {
+			return
+		}
+		req := wire.CommandRequest{Token: c.token(m), Session: max(m.session, 1), Commands: []wire.Command{}}
+		if !probe && m.session > 0 {
+			req.Commands = c.orders(now, m, false)
+			if len(req.Commands) == 0 {
+				continue
+			}
+		} else if asks++; asks > constants.AsksAStep {
+			continue
+		}
+		m.inFlight = true
+		flying++
+		m.nextDirect = now.Add(constants.RepeatCommand / 4)
+		c.actions = append(c.actions, SendCommands{Machine: m.name, Addr: m.addr, Request: req})
+	}
+}
+
+// questionable says whether a machine is asked directly: an inherited one for
+// what is on it, once it had the time to report by itself, one that missed its
+// report whether it still is there, and one in doubt whether it hears.
+func (c *Core) questionable(now time.Time, m *machine) bool {
+	switch {
+	case m.inherited && !m.verified(c.term):
+		return len(c.fleet) <= constants.AsksAStep || now.Sub(c.claimed) > constants.TakeoverAsk
+	case !m.up:
+		return false
+	case m.doubted():
+		return true
+	}
+	return now.Sub(m.heard) > c.periods(constants.ProbePeriods)
+}
+
+// overdue says whether a machine has a decided start without effect.
+func (c *Core) overdue(now time.Time, m *machine) bool {
+	for _, h := range m.holds {
+		if h.state == stateSent && now.Sub(h.sentAt) > constants.RepeatCommand && c.wanted(h) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/part/roster.go
@@ -0,0 +1,209 @@
+package part
+
+import (
+	"log/slog"
+	"sort"
+	"time"
+
+	"ravenport/constants"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// pageless is the page of a machine that is on none.
+const pageless = -1
+
+// page is one page of the part's roster. It is written as a whole, one write
+// at a time, so that a rental or a wave of boots costs a change or two and not
+// one for each machine.
+type page struct {
+	number  int
+	version uint64
+	names   map[string]bool // machines that belong on it
+	stored  map[string]bool // machines that the durable page names
+	dirty   bool
+	sent    []state.Machine // content of the write under way
+}
+
+// applyPage takes in a page as the state service has it.
+func (c *Core) applyPage(now time.Time, r *state.Page, version uint64) {
+	p := c.page(r.Number)
+	if version <= p.version {
+		return
+	}
+	c.stored(p, r.Machines, version)
+	for i := range r.Machines {
+		e := &r.Machines[i]
+		if _, gone := c.gone[e.Name]; gone && c.machines[e.Name] == nil {
+			p.dirty = true // written before its return was known
+			continue
+		}
+		m := c.machine(e.Name)
+		if m.page != r.Number && m.page != pageless {
+			continue
+		}
+		m.page = r.Number
+		p.names[e.Name] = true
+		m.durable, m.rosterAddr = true, e.Addr
+		if m.addr == "" {
+			m.addr = e.Addr
+		}
+		if m.typeName == "" {
+			m.typeName, m.spot = e.Type, e.Spot
+			c.size(m)
+		}
+		if m.rentedAt.IsZero() {
+			m.rentedAt = now
+			if age := now.Unix() - e.RentedS; e.RentedS > 0 && age > 0 && age < 3600 {
+				m.rentedAt = now.Add(-time.Duration(age) * time.Second)
+			}
+		}
+		if m.rosterAddr != m.addr && m.addr != "" {
+			p.dirty = true
+		}
+	}
+	c.dirty = true
+}
+
+func (c *Core) page(n int) *page {
+	p := c.pages[n]
+	if p == nil {
+		p = &page{number: n, names: map[string]bool{}, stored: map[string]bool{}}
+		c.pages[n] = p
+	}
+	return p
+}
+
+// stored notes what a page durably holds: a machine on no durable page gets no
+// task, and one that left its page for good is forgotten.
+func (c *Core) stored(p *page, entries []state.Machine, version uint64) {
+	p.version = version
+	was := p.stored
+	p.stored = make(map[string]bool, len(entries))
+	for _, e := range entries {
+		p.stored[e.Name] = true
+	}
+	for name := range was {
+		if m := c.machines[name]; m != nil && m.page == p.number && !p.stored[name] {
+			m.durable, m.rosterAddr = false, ""
+		}
+	}
+	for name := range p.names {
+		if m := c.machines[name]; m != nil && m.returning && !m.dropAt.IsZero() && !p.stored[name] {
+			delete(p.names, name)
+			c.removeMachine(m)
+		}
+	}
+}
+
+// enrol gives a machine a place in the roster.
+func (c *Core) enrol(m *machine) {
+	if m.page != pageless {
+		c.pages[m.page].dirty = true
+		return
+	}
+	full := max(1, c.cfg.ValueBytes*constants.PageFill/100/constants.RosterEntryBytes)
+	for n := 0; ; n++ {
+		p := c.page(n)
+		if len(p.names) < full {
+			m.page = n
+			p.names[m.name] = true
+			p.dirty = true
+			return
+		}
+	}
+}
+
+// entries is what a page should hold now.
+func (c *Core) entries(p *page) []state.Machine {
+	out := []state.Machine{}
+	for name := range p.names {
+		m := c.machines[name]
+		if m == nil || !m.dropAt.IsZero() {
+			continue
+		}
+		e := state.Machine{Name: name, Type: m.typeName, Spot: m.spot, Addr: m.addr}
+		if m.addr == "" {
+			e.RentedS = m.rentedAt.Unix()
+		}
+		out = append(out, e)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Name < out[b].Name })
+	return out
+}
+
+// roster writes the pages that changed: no machine gets a task before it
+// stands there with its address.
+func (c *Core) roster(now time.Time) {
+	if c.rosterBusy || now.Sub(c.rosterAt) < constants.RosterGap {
+		return
+	}
+	var ps []*page
+	for _, p := range c.pages {
+		if p.dirty {
+			ps = append(ps, p)
+		}
+	}
+	if len(ps) == 0 {
+		return
+	}
+	sort.Slice(ps, func(a, b int) bool { return ps[a].number < ps[b].number })
+	ps = ps[:min(len(ps), constants.RosterPages, max(1, c.cfg.TxnOps))]
+	var changes []wire.Change
+	var conds []wire.Condition
+	for _, p := range ps {
+		p.dirty = false
+		p.sent = c.entries(p)
+		key := state.KeyRoster(c.cfg.Part, p.number)
+		changes = append(changes, wire.Change{Put: key, Value: state.Encode(state.Page{Machines: p.sent})})
+		conds = append(conds, wire.Condition{Key: key, Version: p.version})
+	}
+	c.rosterBusy, c.rosterAt = true, now
+	c.commit("roster/", changes, conds...)
+}
+
+// rosterWritten takes in what came of a write of pages.
+func (c *Core) rosterWritten(now time.Time, revision uint64) {
+	c.rosterBusy = false
+	for _, p := range c.pages {
+		if p.sent == nil {
+			continue
+		}
+		sent := p.sent
+		p.sent = nil
+		if revision == 0 {
+			// If it was carried out all the same the feed brings the page, and
+			// the next write is based on that.
+			p.dirty = true
+			c.rosterAt = now.Add(constants.RetryMin)
+			continue
+		}
+		if revision <= p.version {
+			continue // the feed was faster
+		}
+		c.stored(p, sent, revision)
+		for _, e := range sent {
+			if m := c.machines[e.Name]; m != nil {
+				m.durable, m.rosterAddr = true, e.Addr
+			}
+		}
+		c.dirty = true
+	}
+}
+
+// leaveRoster takes a returned machine off the roster.
+func (c *Core) leaveRoster(now time.Time, m *machine) {
+	if m.page == pageless {
+		c.removeMachine(m)
+		return
+	}
+	m.dropAt = now
+	p := c.pages[m.page]
+	if !p.stored[m.name] && p.sent == nil {
+		delete(p.names, m.name) // it never stood there
+		c.removeMachine(m)
+		return
+	}
+	p.dirty = true
+	slog.Debug("leaving the roster", "machine", m.name)
+}
--- /dev/null
+++ b/part/silence.go
@@ -0,0 +1,192 @@
+package part
+
+import (
+	"log/slog"
+	"time"
+
+	"ravenport/constants"
+	"ravenport/wire"
+)
+
+func (c *Core) silent(now time.Time, m *machine) bool {
+	return now.Sub(m.heard) > c.periods(constants.SilentPeriods)
+}
+
+// lapse forgets what was on machines whose lease has surely ended.
+func (c *Core) lapse(now time.Time) {
+	for _, m := range c.fleet {
+		if m.leaseUntil.IsZero() || now.Before(m.leaseUntil) {
+			continue
+		}
+		if len(m.holds) > 0 || m.inherited {
+			slog.Info("machine's lease has ended", "machine", m.name, "tasks", len(m.holds))
+		}
+		c.releaseAll(now, m)
+		if m.session > 0 {
+			m.minSession = m.session + 1
+		}
+		m.inherited = false
+		m.up = false
+		m.leaseUntil = time.Time{}
+		c.dirty = true
+		c.checkRebuilt(now)
+	}
+}
+
+// giveBack returns machines that are idle, never came up, or are silent or
+// deaf beyond hope.
+func (c *Core) giveBack(now time.Time) {
+	var names []string
+	heard, up := 0, 0
+	for _, m := range c.fleet {
+		if m.up && !m.returning {
+			up++
+			if !c.silent(now, m) && !m.doubted() {
+				heard++
+			}
+		}
+	}
+	for _, m := range c.fleet {
+		if m.returning || len(names) >= wire.MaxReturn {
+			continue
+		}
+		why := ""
+		idle := c.cfg.IdleOrdinary
+		if m.spot {
+			idle = c.cfg.IdleSpot
+		}
+		switch {
+		case !m.up && !m.inherited && c.bootAge(now, m) > constants.BootPatience:
+			why = "did not come up"
+		case m.up && !m.idleSince.IsZero() && (m.draining || now.Sub(m.idleSince) > idle) && !c.busy(m) && m.verified(c.term):
+			why = "idle"
+		case m.up && c.silent(now, m) && m.unanswered > 0 && c.alone(now, m, heard, up):
+			// Returning it makes what was on it surely gone, long before its
+			// lease ends.
+			why = "silent"
+		case m.up && m.doubted() && now.Sub(m.doubtAt) > c.periods(constants.DeafPeriods) && heard*2 > up:
+			// It is heard, here or by others, and hears nothing: its lease
+			// runs out whatever it reports. Nobody's hearing of it counts.
+			why = "deaf"
+		case m.up && !m.notice.IsZero() && now.After(m.notice):
+			why = "taken back" // it is gone; the return says so at once
+		case m.inherited && !m.up && now.Sub(c.claimed) > c.periods(constants.SilentAtTakeover) && m.unanswered > 1 && c.alone(now, m, heard, up):
+			why = "silent since the takeover"
+		}
+		if why != "" {
+			slog.Info("returning machine", "machine", m.name, "why", why, "spot", m.spot)
+			m.returning = true
+			names = append(names, m.name)
+		}
+	}
+	if len(names) > 0 {
+		c.actions = append(c.actions, Return{names})
+	}
+}
+
+// alone says whether a silent machine is silent by itself: the owner hears
+// most others, or all controllers are heard and none of them was reported to.
+// Otherwise it is the owner that is cut off.
+func (c *Core) alone(now time.Time, m *machine, heard, up int) bool {
+	if now.Sub(m.strayAt) < c.strayMemory() {
+		return false
+	}
+	return heard*2 > up || now.Sub(c.siblingsAt) < constants.PushEvery*2
+}
+
+// strayMemory is how long a report to another controller counts.
+func (c *Core) strayMemory() time.Duration { return c.periods(constants.StrayPeriods) }
+
+// CutOff says whether most machines have fallen silent together, and whether
+// most of those have been reporting to other controllers: then it is the
+// owner that they cannot reach.
+func (c *Core) CutOff(now time.Time) (silent, strays bool) {
+	up, quiet, seen := 0, 0, 0
+	for _, m := range c.fleet {
+		if !m.up || m.returning {
+			continue
+		}
+		up++
+		if c.silent(now, m) {
+			quiet++
+			if now.Sub(m.strayAt) < c.strayMemory() {
+				seen++
+			}
+		}
+	}
+	return quiet*2 > up, seen*2 > up
+}
+
+// Strays takes in which machines reported to another controller.
+func (c *Core) Strays(now time.Time, names []string, all bool) {
+	for _, n := range names {
+		if m := c.machines[n]; m != nil {
+			m.strayAt = now
+		}
+	}
+	if all {
+		c.siblingsAt = now
+	}
+}
+
+// Returned takes in the cloud's word that machines and all on them are gone.
+func (c *Core) Returned(now time.Time, names []string) {
+	for _, name := range names {
+		m := c.machines[name]
+		if m == nil {
+			continue
+		}
+		c.releaseAll(now, m)
+		m.up, m.inherited = false, false
+		m.returning = true
+		m.leaseUntil = time.Time{}
+		c.gone[name] = now
+		if m.addr != "" {
+			c.actions = append(c.actions, Gone{m.addr})
+		}
+		c.leaveRoster(now, m)
+	}
+	c.checkRebuilt(now)
+}
+
+// Listed takes in the cloud's list, which lags: it brings unexpected machines
+// to light and those that failed, and proves nothing else.
+func (c *Core) Listed(now time.Time, list []wire.CloudMachine) {
+	for name, at := range c.gone {
+		if now.Sub(at) > constants.GoneMemory {
+			delete(c.gone, name)
+		}
+	}
+	var failed []string
+	for i := range list {
+		l := &list[i]
+		if l.Zone != c.cfg.Part {
+			continue
+		}
+		m := c.machines[l.Name]
+		if l.State == wire.MachineFailed {
+			if m == nil || !m.returning {
+				failed = append(failed, l.Name)
+			}
+			if m != nil {
+				m.returning = true
+			}
+			continue
+		}
+		if _, gone := c.gone[l.Name]; gone {
+			continue // the list lags: returned a moment ago
+		}
+		if m == nil && l.State == wire.MachineBooting && time.Duration(l.AgeS*float64(time.Second)) > 2*c.cfg.ListLag {
+			m = c.machine(l.Name)
+			m.typeName, m.spot = l.Type, l.Spot
+			m.rentedAt = now.Add(-time.Duration(l.AgeS * float64(time.Second)))
+			c.size(m)
+			slog.Info("unexpected machine found in the cloud's list", "machine", l.Name)
+		}
+	}
+	for len(failed) > 0 {
+		k := min(len(failed), wire.MaxReturn)
+		c.actions = append(c.actions, Return{failed[:k]})
+		failed = failed[k:]
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -326,6 +326,14 @@
 	return d, false
 }
 
+// ReadGap is the least time between two watches of one controller, and between
+// two reads of the revision: together they use up to their share of the state
+// service's requests, which all controllers have together.
+func (s *Settings) ReadGap() time.Duration {
+	rps := max(s.Params.State.RPS, 1) * constants.ReadShare / float64(max(1, len(s.Nodes())))
+	return min(max(Seconds(1/rps), constants.ReadGapMin), constants.ReadGapMax)
+}
+
 // ValueBytes is the state service's limit on a value.
 func (s *Settings) ValueBytes() int { return int(s.Params.State.ValueKB * 1024) }
 
--- a/state/client.go
+++ b/state/client.go
@@ -41,7 +41,8 @@
 	watches *httpwire.Client
 	reads   *rate.Limiter
 	writes  *rate.Limiter
-	later   bool // leaves some of the write allowance to others
+	waiting *rate.Limiter // of writes that can wait
+	later   bool          // this client's writes can wait
 }
 
 // Later returns the same client for writes that can wait: they leave part of
@@ -53,40 +54,36 @@
 }
 
 // allow waits for the write allowance. Writes that users wait for are refused
-// at once when it would take long; the user is told when to come back.
+// at once when it would take long; the user is told when to come back. Those
+// that can wait do so in the order in which they came.
 func (c *Client) allow(ctx context.Context, n int) error {
-	n = min(n, c.writes.Burst())
-	if !c.later {
-		r := c.writes.ReserveN(time.Now(), n)
-		if d := r.Delay(); d > constants.AllowanceWait {
-			r.Cancel()
-			return ErrLimited
-		} else if d > 0 {
-			pause(ctx, d)
+	if c.later {
+		if err := c.waiting.WaitN(ctx, min(n, c.waiting.Burst())); err != nil {
+			return err
 		}
-		return ctx.Err()
 	}
-	for c.writes.Tokens() < float64(n)+float64(c.writes.Burst())*constants.UrgentShare {
-		pause(ctx, constants.RetryMin/2+rand.N(constants.RetryMin/2))
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
+	r := c.writes.ReserveN(time.Now(), min(n, c.writes.Burst()))
+	if d := r.Delay(); d > constants.AllowanceWait && !c.later {
+		r.Cancel()
+		return ErrLimited
+	} else if d > 0 {
+		pause(ctx, d)
 	}
-	return c.writes.WaitN(ctx, n)
+	return ctx.Err()
 }
 
 // NewClient makes a client of the service at addr with the settings' limits.
 func NewClient(addr string, rps, writeRPS float64) *Client {
 	lim := httpwire.Limits{Header: constants.MaxHeader, Body: constants.ClientMaxBody}
-	share := func(r float64) *rate.Limiter {
-		r *= constants.StateShare
-		return rate.NewLimiter(rate.Limit(r), max(1, int(r)))
+	share := func(r, part float64) *rate.Limiter {
+		return rate.NewLimiter(rate.Limit(r*part), max(1, int(r*part)))
 	}
 	return &Client{
 		calls:   httpwire.NewClient(addr, constants.IdleConns, constants.DialTimeout, lim),
 		watches: httpwire.NewClient(addr, 1, constants.DialTimeout, lim),
-		reads:   share(rps),
-		writes:  share(writeRPS),
+		reads:   share(rps, constants.StateShare),
+		writes:  share(writeRPS, constants.StateShare),
+		waiting: share(writeRPS, constants.LaterShare),
 	}
 }
 
--- a/state/feed.go
+++ b/state/feed.go
@@ -37,11 +37,13 @@
 	client Source
 	sink   func(Update)
 	known  map[string]uint64
+	gap    time.Duration // between two watches
 }
 
-// NewFeed makes a feed that hands its updates to sink, in order.
-func NewFeed(c Source, sink func(Update)) *Feed {
-	return &Feed{client: c, sink: sink, known: map[string]uint64{}}
+// NewFeed makes a feed that hands its updates to sink, in order. It leaves gap
+// between two watches, so that a burst of changes comes in few answers.
+func NewFeed(c Source, gap time.Duration, sink func(Update)) *Feed {
+	return &Feed{client: c, sink: sink, known: map[string]uint64{}, gap: gap}
 }
 
 // Run follows the state service until ctx ends.
@@ -68,7 +70,7 @@
 				slog.Info("feed reaches the state service again", "after_ms", time.Since(lost).Milliseconds())
 				lost = time.Time{}
 			}
-			pause(ctx, constants.WatchGap)
+			pause(ctx, f.gap)
 			continue
 		case errors.Is(err, ErrCompacted):
 			slog.Warn("feed fell behind and reads everything again")
--- a/state/records.go
+++ b/state/records.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 
 	"ravenport/wire"
@@ -12,13 +13,13 @@
 
 // Keys. Everything stands under one prefix so that one watch sees it all.
 const (
-	Prefix        = "rv/"
-	KeyLeader     = Prefix + "leader"
-	KeyBarrier    = Prefix + "barrier" // never written; reading it tells the revision
-	nodePrefix    = Prefix + "node/"
-	partPrefix    = Prefix + "part/"
-	machinePrefix = Prefix + "machine/"
-	jobPrefix     = Prefix + "job/"
+	Prefix       = "rv/"
+	KeyLeader    = Prefix + "leader"
+	KeyBarrier   = Prefix + "barrier" // never written; reading it tells the revision
+	nodePrefix   = Prefix + "node/"
+	partPrefix   = Prefix + "part/"
+	rosterPrefix = Prefix + "roster/"
+	jobPrefix    = Prefix + "job/"
 )
 
 // KeyNode is the key that lives as long as a controller's lease.
@@ -27,8 +28,10 @@
 // KeyPart is the key of a part's term.
 func KeyPart(part string) string { return partPrefix + part }
 
-// KeyMachine is the roster entry of a machine.
-func KeyMachine(part, name string) string { return machinePrefix + part + "/" + name }
+// KeyRoster is a page of a part's roster.
+func KeyRoster(part string, page int) string {
+	return rosterPrefix + part + "/" + strconv.Itoa(page)
+}
 
 // KeyJob is the key of a job.
 func KeyJob(id string) string { return jobPrefix + id }
@@ -51,16 +54,23 @@
 	Cut bool `json:"cut,omitempty"`
 }
 
+// Page is one page of a part's roster. A roster of a thousand machines with a
+// key for each would take minutes of the state service's changes.
+type Page struct {
+	Part     string    `json:"-"`
+	Number   int       `json:"-"`
+	Machines []Machine `json:"m"`
+}
+
 // Machine is a roster entry: a machine that may hold tasks.
 type Machine struct {
-	Part string `json:"-"`
-	Name string `json:"-"`
-	Type string `json:"type"`
-	Spot bool   `json:"spot,omitempty"`
-	Addr string `json:"addr,omitempty"`
-	// RentedMS is the time of day of the rental, for machines that have not
-	// come up yet.
-	RentedMS int64 `json:"rented,omitempty"`
+	Name string `json:"n"`
+	Type string `json:"t"`
+	Spot bool   `json:"s,omitempty"`
+	Addr string `json:"a,omitempty"` // empty: it has not come up, nothing was sent to it
+	// RentedS is the time of day of the rental (s), for machines that have
+	// not come up yet.
+	RentedS int64 `json:"r,omitempty"`
 }
 
 // Job is a job's record.
@@ -170,7 +180,7 @@
 	return b
 }
 
-// Decode reads the record under key: *Node, *Term, *Machine or *Job. It
+// Decode reads the record under key: *Node, *Term, *Page or *Job. It
 // returns nil for a key of another kind.
 func Decode(key string, data []byte) (any, error) {
 	var v any
@@ -181,12 +191,13 @@
 		v = &Term{Part: key[len(partPrefix):]}
 	case strings.HasPrefix(key, nodePrefix):
 		v = &Node{Name: key[len(nodePrefix):]}
-	case strings.HasPrefix(key, machinePrefix):
-		part, name, ok := strings.Cut(key[len(machinePrefix):], "/")
-		if !ok {
+	case strings.HasPrefix(key, rosterPrefix):
+		part, page, _ := strings.Cut(key[len(rosterPrefix):], "/")
+		n, err := strconv.Atoi(page)
+		if err != nil {
 			return nil, nil
 		}
-		v = &Machine{Part: part, Name: name}
+		v = &Page{Part: part, Number: n}
 	case strings.HasPrefix(key, jobPrefix):
 		v = &Job{ID: key[len(jobPrefix):]}
 	default:
--- a/worker/commands.go
+++ b/worker/commands.go
@@ -5,16 +5,18 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"ravenport/constants"
 	"ravenport/httpwire"
 	"ravenport/wire"
 )
 
-// Commander keeps a connection to each worker that it has called. It belongs
+// Commander keeps connections to the workers that it called last. It belongs
 // to one actor; only Send's calls run on goroutines of their own.
 type Commander struct {
 	clients map[string]*httpwire.Client
+	recent  []string // whose connections may be open, the oldest first
 }
 
 // NewCommander makes a commander without connections.
@@ -35,6 +37,11 @@
 		cl = httpwire.NewClient(addr, 1, constants.DialTimeout,
 			httpwire.Limits{Header: constants.MaxHeader, Body: constants.ClientMaxBody})
 		c.clients[addr] = cl
+		c.recent = append(c.recent, addr)
+		// A fleet has more machines than this process has sockets to spare.
+		for len(c.recent) > constants.IdleCommands {
+			c.Forget(c.recent[0])
+		}
 	}
 	go func() { done(send(ctx, cl, req)) }()
 }
@@ -65,6 +72,9 @@
 	if cl := c.clients[addr]; cl != nil {
 		cl.Close()
 		delete(c.clients, addr)
+		if i := slices.Index(c.recent, addr); i >= 0 {
+			c.recent = slices.Delete(c.recent, i, i+1)
+		}
 	}
 }
 
