All demand is heard by owners at once; the leader keeps sums instead of scanning

Cause: what waited for machines that were coming counted as a queue, and a part was given 2000 CPUs of it at most, so a cold start rented in steps. Now only what nothing coming takes counts.

--- a/constants/constants.go
+++ b/constants/constants.go
@@ -152,6 +152,9 @@
 const (
 	// LeaderTick is how often the leader looks at its queue without events.
 	LeaderTick = 200 * time.Millisecond
+	// LeaderGap is the least time between two looks: what comes in between is
+	// decided together.
+	LeaderGap = 10 * time.Millisecond
 	// LeaderBudget bounds one round of decisions; the next goes on where it
 	// stopped.
 	LeaderBudget = 5 * time.Millisecond
@@ -162,10 +165,10 @@
 	QueueShare = 0.1
 	// MaxGiven bounds the tasks given to an owner at once beyond what it has
 	// room for (tasks).
-	MaxGiven = 400
-	// MaxQueued bounds the work that waits with an owner (CPUs): more than the
-	// cloud's largest rental of 50 usual machines could take.
-	MaxQueued = 2000.0
+	MaxGiven = 1000
+	// MaxQueued bounds the work that waits with an owner without room that is
+	// coming (CPUs): several of the cloud's largest rentals of 50 machines.
+	MaxQueued = 8000.0
 	// PartialGap is the least time between two assignments of a job of which
 	// some tasks find no room yet: fewer, larger writes.
 	PartialGap = 500 * time.Millisecond
--- a/leader/core.go
+++ b/leader/core.go
@@ -50,14 +50,14 @@
 	Revision uint64  `json:"rev"` // the records that the figures reflect
 	Ordinary Room    `json:"ord"` // coming machines included
 	Spot     Room    `json:"spot"`
-	Waiting  float64 `json:"wait"` // CPUs that wait for room
+	Waiting  float64 `json:"wait"` // CPUs that wait though no room for them is coming
 	// Rentable says whether the part may still get machines of the kind.
 	RentOrdinary bool `json:"ro"`
 	RentSpot     bool `json:"rs"`
 	// Yielding is ordinary room (CPUs) held by work that production work may
 	// stop.
 	Yielding float64 `json:"y"`
-	// Capacity is all of the machines that take tasks (CPUs).
+	// Capacity is all of the machines that take tasks or are coming (CPUs).
 	Capacity float64 `json:"cap"`
 	// Warm is, by image, ordinary room (CPUs), yielding room included, on
 	// machines that hold the image already.
@@ -119,6 +119,8 @@
 	busy    bool
 	tries   int
 	notAt   time.Time
+	waits   bool       // tasks of it are in no chunk
+	open    [2]float64 // CPUs and GPUs of its open chunks
 }
 
 // Core is the leader in one term.
@@ -127,10 +129,12 @@
 	order     Order
 	termVer   uint64
 	parts     map[string]*partState
-	jobs      map[string]*jobState // all that are not over
+	jobs      map[string]*jobState  // all that are not over
+	waiting   map[string]*jobState  // those with tasks in no chunk
+	use       map[string][2]float64 // by team: CPUs and GPUs of open chunks and of assignments under way
 	flying    int
 	authority time.Time
-	from      int
+	resume    *Place                // where the last round stopped
 	reserved  map[string][2]float64 // by job: CPUs and GPUs of assignments under way
 	began     time.Time
 }
@@ -143,7 +147,7 @@
 
 // New makes the core at the moment when the feed showed the claim.
 func New(set *settings.Settings, termVersion uint64, now time.Time, jobs map[string]*state.Job, versions map[string]uint64) *Core {
-	c := &Core{set: set, order: NewOrder(set.Params.Objectives), termVer: termVersion, began: now, parts: map[string]*partState{}, jobs: map[string]*jobState{}, reserved: map[string][2]float64{}}
+	c := &Core{set: set, order: NewOrder(set.Params.Objectives), termVer: termVersion, began: now, parts: map[string]*partState{}, jobs: map[string]*jobState{}, waiting: map[string]*jobState{}, use: map[string][2]float64{}, reserved: map[string][2]float64{}}
 	for _, z := range set.Params.Zones {
 		c.parts[z] = &partState{}
 	}
@@ -178,8 +182,12 @@
 	over := rec.End != "" && rec.AllOver()
 	j := c.jobs[id]
 	if over {
+		if j != nil {
+			c.count(j, [2]float64{})
+			c.reserve(id, j.rec.Spec.Team, [2]float64{})
+		}
 		delete(c.jobs, id)
-		delete(c.reserved, id)
+		delete(c.waiting, id)
 		return
 	}
 	if j == nil {
@@ -192,40 +200,55 @@
 	// Whatever was under way was based on an older record and has been written
 	// by now or can only fail: the newer record says what a team uses.
 	j.busy = false
-	delete(c.reserved, id)
-	if j.rec != nil && len(rec.Unassigned()) > 0 && len(j.rec.Unassigned()) == 0 {
+	c.reserve(id, rec.Spec.Team, [2]float64{})
+	waits := rec.End == "" && len(rec.Unassigned()) > 0
+	if j.rec != nil && waits && !j.waits {
 		// Sent back: other parts are asked, a little later each time.
 		j.tries++
 		j.notAt = now.Add(time.Duration(min(j.tries-1, 8)) * 500 * time.Millisecond)
 	}
-	j.rec, j.version = rec, version
+	j.rec, j.version, j.waits = rec, version, waits
+	if waits {
+		c.waiting[id] = j
+	} else {
+		delete(c.waiting, id)
+	}
+	n := 0
+	for _, ch := range rec.Chunks {
+		if !ch.Closed {
+			n += ch.Tasks()
+		}
+	}
+	c.count(j, [2]float64{float64(n) * rec.Spec.CPUs, float64(n) * rec.Spec.GPUs})
 }
 
-// teamUse sums what a team's open chunks may take, assignments of other jobs
-// under way included. Only durable evidence frees room: a chunk counts until
-// it is closed.
-func (c *Core) teamUse(team, except string) (cpus, gpus float64) {
-	for id, j := range c.jobs {
-		s := &j.rec.Spec
-		if s.Team != team {
-			continue
-		}
-		n := 0
-		for _, ch := range j.rec.Chunks {
-			if !ch.Closed {
-				n += ch.Tasks()
-			}
-		}
-		cpus += float64(n) * s.CPUs
-		gpus += float64(n) * s.GPUs
-		if id == except {
-			continue
-		}
-		r := c.reserved[id]
-		cpus += r[0]
-		gpus += r[1]
+// count keeps the sum of what a team's open chunks may take. Only durable
+// evidence frees room: a chunk counts until it is closed.
+func (c *Core) count(j *jobState, open [2]float64) {
+	c.add(j.rec.Spec.Team, j.open, open)
+	j.open = open
+}
+
+// reserve notes what an assignment under way may take.
+func (c *Core) reserve(id, team string, r [2]float64) {
+	c.add(team, c.reserved[id], r)
+	if r == ([2]float64{}) {
+		delete(c.reserved, id)
+	} else {
+		c.reserved[id] = r
 	}
-	return cpus, gpus
+}
+
+func (c *Core) add(team string, was, is [2]float64) {
+	u := c.use[team]
+	c.use[team] = [2]float64{u[0] - was[0] + is[0], u[1] - was[1] + is[1]}
+}
+
+// teamUse is what a team's open chunks may take, assignments of jobs other
+// than one under way included.
+func (c *Core) teamUse(team, except string) (cpus, gpus float64) {
+	u, r := c.use[team], c.reserved[except]
+	return u[0] - r[0], u[1] - r[1]
 }
 
 // admit says how many of n more tasks a team's limit allows.
@@ -249,7 +272,7 @@
 	if each <= 0 {
 		return n
 	}
-	return min(n, int(left/each+1e-9))
+	return min(n, int(left/each+1e-6))
 }
 
 // guaranteed is how many more tasks of a job fit its team's guarantee beside
@@ -268,32 +291,35 @@
 	if !now.Before(c.authority) {
 		return nil
 	}
-	var q []*jobState
-	for _, j := range c.jobs {
-		if j.rec.End == "" && !j.busy && !now.Before(j.notAt) && len(j.rec.Unassigned()) > 0 {
+	q := make([]*jobState, 0, len(c.waiting))
+	places := make(map[*jobState]Place, len(c.waiting))
+	for _, j := range c.waiting {
+		if !j.busy && !now.Before(j.notAt) {
 			q = append(q, j)
+			places[j] = c.order.Place(now, j.rec, c.guaranteed(&j.rec.Spec) > 0)
 		}
 	}
-	places := make(map[*jobState]Place, len(q))
-	for _, j := range q {
-		places[j] = c.order.Place(now, j.rec, c.guaranteed(&j.rec.Spec) > 0)
-	}
 	sort.Slice(q, func(a, b int) bool { return places[q[a]].Before(places[q[b]]) })
 	began := time.Now()
 	start := 0
-	if c.from < len(q) {
-		start = c.from
+	if c.resume != nil {
+		// Whatever came or went in between: after the job where it stopped.
+		start = sort.Search(len(q), func(i int) bool { return c.resume.Before(places[q[i]]) })
+		c.resume = nil
 	}
-	c.from = 0
 	var out []Commit
 	for i := start; i < len(q); i++ {
-		if c.flying >= constants.MaxAssignments || time.Since(began) > constants.LeaderBudget {
-			c.from = i
-			break
+		if c.flying >= constants.MaxAssignments {
+			break // those that come first go first once some have been written
 		}
 		if cm, ok := c.assign(now, q[i]); ok {
 			out = append(out, cm)
 		}
+		if i+1 < len(q) && time.Since(began) > constants.LeaderBudget {
+			p := places[q[i]]
+			c.resume = &p
+			break
+		}
 	}
 	return out
 }
@@ -362,7 +388,7 @@
 	// An earlier assignment without an answer may still be applied instead of
 	// this one, so the larger of the two counts.
 	r := c.reserved[rec.ID]
-	c.reserved[rec.ID] = [2]float64{max(r[0], float64(given)*s.CPUs), max(r[1], float64(given)*s.GPUs)}
+	c.reserve(rec.ID, s.Team, [2]float64{max(r[0], float64(given)*s.CPUs), max(r[1], float64(given)*s.GPUs)})
 	slog.Debug("assigning", "job", rec.ID, "plan", fmt.Sprint(plan))
 	return Commit{ID: rec.ID, Txn: wire.Txn{
 		If:   []wire.Condition{{Key: state.KeyLeader, Version: c.termVer}, {Key: state.KeyJob(rec.ID), Version: j.version}},
@@ -416,6 +442,7 @@
 		fit, cap    int
 		sum, queued float64
 		rent, fresh bool
+		size        float64 // CPUs of machines that are there, coming or will be rented
 		deep        float64 // CPUs that may wait in the part though no machine is coming
 		warm        int     // production tasks that need not wait for their image
 	}
@@ -433,7 +460,9 @@
 			for _, b := range p.bookings {
 				sub(&a.Ordinary, &a.Spot, b)
 				k.queued += b.cpus
+				k.size += b.cpus
 			}
+			k.size += a.Capacity + a.Waiting
 			k.fit = a.Takes(s)
 			k.sum = a.Ordinary.CPUs.Sum
 			if s.Spot {
@@ -494,7 +523,8 @@
 	if left == 0 {
 		return out
 	}
-	// No room in sight: whoever can rent and has the shortest queue.
+	// No room in sight: whoever can rent and is smallest, so that the parts grow
+	// alike; else whoever has the shortest queue.
 	sort.SliceStable(cs, func(a, b int) bool {
 		x, y := cs[a], cs[b]
 		if x.fresh != y.fresh {
@@ -503,6 +533,9 @@
 		if x.rent != y.rent {
 			return x.rent
 		}
+		if x.rent {
+			return x.size < y.size
+		}
 		return x.queued < y.queued
 	})
 	for _, k := range cs {
--- a/node/actors.go
+++ b/node/actors.go
@@ -77,7 +77,9 @@
 	core  *leader.Core
 	store Store
 	self  *actor.Ref
-	ticks bool
+	ticks bool // a wake of LeaderTick is on its way
+	soon  bool // and one for the next step
+	at    time.Time
 	over  bool // halted
 }
 
@@ -104,8 +106,20 @@
 	case committed:
 		a.core.Committed(now, m.id, m.revision)
 	case wake:
-		a.ticks = false
+		if m.soon {
+			a.soon = false
+		} else {
+			a.ticks = false
+		}
+	}
+	if wait := a.at.Add(constants.LeaderGap).Sub(now); wait > 0 {
+		if !a.soon {
+			a.soon = true
+			time.AfterFunc(wait, func() { a.self.Tell(wake{soon: true}) })
+		}
+		return
 	}
+	a.at = now
 	for _, cm := range a.core.Step(now) {
 		go func() {
 			a.self.Tell(committed{cm.ID, commit(ctx, a.store, cm.Txn, "assignment of "+cm.ID)})
--- a/part/core.go
+++ b/part/core.go
@@ -72,6 +72,7 @@
 	drainWork    float64   // CPU seconds before the machines that are there
 	drainCPUs    float64   // what those can give to arrays
 	unplaced     resources // waiting demand after the last round
+	excess       float64   // what of it (CPUs) nothing that is coming will take
 	roomComing   []coming  // room of machines that are coming and not spoken for
 }
 
--- a/part/push.go
+++ b/part/push.go
@@ -12,7 +12,7 @@
 // machines that take tasks and, less what already waits for it, of those that
 // are coming.
 func (c *Core) Aggregate(now time.Time, revision uint64) leader.Aggregate {
-	a := leader.Aggregate{Part: c.cfg.Part, Term: c.term, Revision: revision, Waiting: c.unplaced.cpus,
+	a := leader.Aggregate{Part: c.cfg.Part, Term: c.term, Revision: revision, Waiting: c.excess,
 		Warm: map[string]float64{}, RentOrdinary: !now.Before(c.refused[false]), RentSpot: c.cfg.UseSpot && !now.Before(c.refused[true])}
 	add := func(free resources, spot bool) {
 		r := &a.Ordinary
@@ -25,11 +25,10 @@
 		r.Memory.Add(free.mem)
 	}
 	for _, m := range c.fleet {
-		if c.coming(now, m) {
-			a.Capacity += m.capacity.cpus
-			continue
-		}
 		if !c.usable(now, m) {
+			if c.coming(now, m) {
+				a.Capacity += m.capacity.cpus
+			}
 			continue
 		}
 		a.Capacity += m.capacity.cpus
@@ -46,6 +45,11 @@
 	for _, b := range c.roomComing {
 		add(b.free, b.spot)
 	}
+	for _, r := range c.pendingRents {
+		if t := c.types[r.req.Type]; t != nil {
+			a.Capacity += t.CPUs * float64(r.req.Count)
+		}
+	}
 	for _, r := range []*leader.Room{&a.Ordinary, &a.Spot} {
 		r.CPUs.Finish(r.Machines)
 		r.GPUs.Finish(r.Machines)
--- a/part/rent.go
+++ b/part/rent.go
@@ -69,7 +69,7 @@
 // rent asks for machines for what waits and fits on nothing that is coming.
 func (c *Core) rent(now time.Time) {
 	c.lastRent = now
-	c.unplaced = resources{}
+	c.unplaced, c.excess = resources{}, 0
 	c.roomComing = c.arriving(now)
 	if len(c.types) == 0 || !c.rebuilt {
 		return
@@ -104,9 +104,11 @@
 		away := 0
 		var bin *coming
 		for _, t := range tasks {
+			c.excess += n.cpus
 			switch {
 			case bin != nil && n.fits(bin.free):
 				bin.free = bin.free.minus(n)
+				c.excess -= n.cpus
 			case !t.keep:
 				c.sendBack(j, t) // it does not fit: the next part is asked
 			case c.drains(now, j, t):
@@ -114,6 +116,7 @@
 				c.roomComing = append(c.roomComing, coming{sizeOf(typ).minus(n), typ.Name, spot})
 				bin = &c.roomComing[len(c.roomComing)-1]
 				want[kind{typ.Name, spot}]++
+				c.excess -= n.cpus
 			case now.Sub(t.waitSince) > constants.KeepWait && c.elsewhere(now, s, away):
 				c.sendBack(j, t)
 				away++
