--- a/frontdoor/frontdoor.go
+++ b/frontdoor/frontdoor.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"ravenport/actor"
@@ -113,12 +114,32 @@
 	waiting []*poll       // read, waiting for the feed
 	busy    int           // requests that wait for the state service
 	stats   stats
+	cancels *Cancels
 	down    time.Time // until then the state service counts as away
 }
 
+// Cancels is the revision of the latest cancellation that this process knows
+// of. It is raised before a user is told, from whatever goroutine tells.
+type Cancels struct{ revision atomic.Uint64 }
+
+// Revision is that of the latest cancellation known.
+func (c *Cancels) Revision() uint64 { return c.revision.Load() }
+
+func (c *Cancels) raise(end string, revision uint64) {
+	if end != wire.JobCancelled {
+		return
+	}
+	for {
+		was := c.revision.Load()
+		if was >= revision || c.revision.CompareAndSwap(was, revision) {
+			return
+		}
+	}
+}
+
 // New makes a front door that is spoken to through self.
-func New(set *settings.Settings, store Store, self *actor.Ref) *Door {
-	return &Door{set: set, store: store, self: self, jobs: map[string]known{}, counts: map[string]map[string][2]int{}, stats: newStats(), gap: set.ReadGap()}
+func New(set *settings.Settings, store Store, self *actor.Ref, cancels *Cancels) *Door {
+	return &Door{cancels: cancels, set: set, store: store, self: self, jobs: map[string]known{}, counts: map[string]map[string][2]int{}, stats: newStats(), gap: set.ReadGap()}
 }
 
 // Receive implements actor.Handler.
@@ -159,6 +180,7 @@
 			continue
 		}
 		d.jobs[j.ID] = summary(j)
+		d.cancels.raise(j.End, ch.Version)
 	}
 	d.rev = up.Revision
 	d.down = time.Time{}
@@ -319,13 +341,14 @@
 	defer d.self.Tell(finished{})
 	ctx, cancel := context.WithTimeout(ctx, constants.AnswerLimit)
 	defer cancel()
-	rec, _, err := d.fetch(ctx, p.id)
+	rec, version, err := d.fetch(ctx, p.id)
 	switch {
 	case err != nil:
 		Refuse(p.req, 503, "state service away")
 	case rec == nil:
 		d.absent(p)
 	default:
+		d.cancels.raise(rec.End, version)
 		k := summary(rec)
 		s := wire.JobState{ID: p.id, Status: k.end, Done: k.closed}
 		if k.end == "" {
@@ -394,7 +417,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, constants.AnswerLimit)
 		defer cancel()
-		err := d.commit(ctx, txn)
+		_, err := d.commit(ctx, txn)
 		d.self.Tell(created{s, m.Req, err, came})
 	}()
 }
@@ -425,12 +448,12 @@
 // commit writes what a user waits for. A refusal for the allowance alone is
 // tried again for a moment; one because the state service is away is the
 // user's answer, at once.
-func (d *Door) commit(ctx context.Context, txn wire.Txn) error {
+func (d *Door) commit(ctx context.Context, txn wire.Txn) (uint64, error) {
 	began := time.Now()
 	for {
-		_, err := d.store.Commit(ctx, txn)
+		revision, err := d.store.Commit(ctx, txn)
 		if !errors.Is(err, state.ErrLimited) || time.Since(began) > constants.AllowanceWait {
-			return err
+			return revision, err
 		}
 		t := time.NewTimer(constants.RetryMin/2 + rand.N(constants.RetryMin))
 		select {
@@ -509,6 +532,7 @@
 			return "", nil
 		}
 		if rec.End != "" {
+			d.cancels.raise(rec.End, version)
 			return rec.End, nil
 		}
 		rec.End = wire.JobCancelled
@@ -516,10 +540,11 @@
 			If:   []wire.Condition{{Key: state.KeyJob(id), Version: version}},
 			Then: []wire.Change{{Put: state.KeyJob(id), Value: state.Encode(rec)}},
 		}
-		err = d.commit(ctx, txn)
+		revision, err := d.commit(ctx, txn)
 		var conflict *state.Conflict
 		switch {
 		case err == nil:
+			d.cancels.raise(rec.End, revision)
 			return rec.End, nil
 		case errors.As(err, &conflict), errors.Is(err, state.ErrUnknown):
 			// Another change came first, or it is not known whether this one
--- a/node/control.go
+++ b/node/control.go
@@ -33,9 +33,16 @@
 	health      struct{ req request }
 	statusAsked struct{ req request }
 	peerStatus  peer.Status
-	peerReply   struct {
-		node string
-		err  error
+	peerAsk     struct { // a status that asks for a promise
+		status peer.Status
+		answer chan<- peer.Reply // has room for the answer
+	}
+	peerReply struct {
+		node  string
+		sent  time.Time
+		asked bool
+		reply peer.Reply
+		err   error
 	}
 	leased struct { // a lease and its key were obtained
 		lease, incarnation uint64
@@ -109,6 +116,11 @@
 	typesAt     time.Time
 	typesBusy   bool
 
+	cancels       *frontdoor.Cancels
+	started       time.Time
+	promisedUntil time.Time            // until then nothing is claimed
+	grants        map[string]time.Time // by controller: when what it promised was asked for
+
 	owners     map[string]*child
 	leaderRef  *child
 	ledSince   time.Time
@@ -129,11 +141,13 @@
 	ref    *actor.Ref
 	cancel context.CancelFunc
 	term   uint64
+
+	version uint64
 }
 
-func newControl(set *settings.Settings, out Outside, self, door *actor.Ref) *control {
+func newControl(set *settings.Settings, out Outside, self, door *actor.Ref, cancels *frontdoor.Cancels) *control {
 	c := &control{
-		set: set, io: out, self: self, door: door,
+		set: set, io: out, self: self, door: door, cancels: cancels, started: time.Now(), grants: map[string]time.Time{},
 		jobs: map[string]*state.Job{}, versions: map[string]uint64{}, roster: map[string]*state.Page{}, rosterV: map[string]uint64{},
 		claiming: map[string]time.Time{}, yielded: map[string]uint64{}, owners: map[string]*child{},
 		status: map[string]partStatus{}, pushing: map[string]bool{}, peersState: map[string]peerView{}, strays: map[string]time.Time{},
@@ -166,8 +180,12 @@
 		c.tick(ctx, now)
 	case peerStatus:
 		c.peerStatus(now, peer.Status(m))
+	case peerAsk:
+		c.peerStatus(now, m.status)
+		m.answer <- c.promise(now, m.status)
 	case peerReply:
 		c.pushing[m.node] = false
+		c.granted(now, m)
 		if m.err == nil {
 			// It was heard; what it can reach it tells in its own status.
 			c.peersState[m.node] = peerView{c.peersState[m.node].stateOK, now}
@@ -286,12 +304,11 @@
 func (c *control) settled(now time.Time) bool { return c.synced && now.Before(c.until()) }
 
 func (c *control) spreadAuthority(now time.Time) {
-	u := authority(c.until())
 	for _, o := range c.owners {
-		o.ref.Tell(u)
+		o.ref.Tell(authority(c.ownersUntil()))
 	}
 	if c.leaderRef != nil {
-		c.leaderRef.ref.Tell(u)
+		c.leaderRef.ref.Tell(authority(c.until()))
 	}
 }
 
@@ -349,7 +366,8 @@
 		}
 	}
 	a := newPartActor(c, part, term, version, now, roster, rosterV)
-	c.owners[part] = &child{ref: a.self, cancel: cancel, term: term}
+	c.owners[part] = &child{ref: a.self, cancel: cancel, term: term, version: version}
+	clear(c.grants) // they were given for other terms
 	go func() {
 		a.self.Run(ctx, a)
 		a.workers.Close()
@@ -371,7 +389,7 @@
 		c.readTypes(ctx, now)
 	}
 	c.roles(ctx, now)
-	for _, cl := range c.member.Step(now, c.incarnation, c.settled(now)) {
+	for _, cl := range c.member.Step(now, c.incarnation, c.settled(now) && !c.claimsHeld(now)) {
 		if at, ok := c.claiming[cl.Key]; ok && now.Sub(at) < constants.StateTimeout+time.Second {
 			continue
 		}
@@ -384,6 +402,9 @@
 	}
 	// A hand-over that failed leaves a term without an owner: take a new one.
 	for key, term := range c.yielded {
+		if c.claimsHeld(now) {
+			break
+		}
 		t, _ := c.member.Term(key)
 		if t.Number != term {
 			delete(c.yielded, key)
@@ -607,12 +628,13 @@
 
 // push tells the other controllers this one's aggregates.
 func (c *control) push(ctx context.Context, now time.Time) {
-	due := now.Sub(c.pushAt) > constants.PushEvery
+	ask := c.asks(now)
+	due := now.Sub(c.pushAt) > constants.PushEvery || len(ask) > 0 && now.Sub(c.pushAt) > constants.PromiseEvery
 	if !due && !(c.pushNow && now.Sub(c.pushAt) >= constants.PushGap) {
 		return
 	}
 	c.pushAt, c.pushNow = now, false
-	s := peer.Status{Node: c.set.Node, StateOK: c.stateOK(now), Counts: map[string]map[string][2]int{}}
+	s := peer.Status{Node: c.set.Node, StateOK: c.stateOK(now), Ask: ask, Counts: map[string]map[string][2]int{}}
 	for part, st := range c.status {
 		s.Aggregates = append(s.Aggregates, st.aggregate)
 		if due {
@@ -633,8 +655,8 @@
 		}
 		c.pushing[name] = true
 		go func() {
-			_, err := p.Push(ctx, s)
-			c.self.Tell(peerReply{name, err})
+			r, err := p.Push(ctx, s)
+			c.self.Tell(peerReply{name, now, len(s.Ask) > 0, r, err})
 		}()
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -72,8 +72,9 @@
 // Start starts a controller's actors; they run until ctx ends.
 func Start(ctx context.Context, set *settings.Settings, out Outside) *Controller {
 	n := &Controller{node: set.Node, self: actor.NewRef(), door: actor.NewRef()}
-	c := newControl(set, out, n.self, n.door)
-	go n.door.Run(ctx, frontdoor.New(set, out.State, n.door))
+	cancels := &frontdoor.Cancels{}
+	c := newControl(set, out, n.self, n.door, cancels)
+	go n.door.Run(ctx, frontdoor.New(set, out.State, n.door, cancels))
 	go n.self.Run(ctx, c)
 	go state.NewFeed(out.State, set.ReadGap(), func(up state.Update) { n.self.Tell(up) }).Run(ctx)
 	go every(ctx, constants.MemberTick, func(t time.Time) {
@@ -83,10 +84,23 @@
 	return n
 }
 
-// PeerStatus takes in what another controller tells of itself.
+// PeerStatus takes in what another controller tells of itself, and answers
+// whether it is promised what it asks for.
 func (n *Controller) PeerStatus(s peer.Status) peer.Reply {
-	n.self.Tell(peerStatus(s))
-	return peer.Reply{Node: n.node}
+	if len(s.Ask) == 0 {
+		n.self.Tell(peerStatus(s))
+		return peer.Reply{Node: n.node}
+	}
+	answer := make(chan peer.Reply, 1)
+	n.self.Tell(peerAsk{s, answer})
+	t := time.NewTimer(constants.PeerTimeout)
+	defer t.Stop()
+	select {
+	case r := <-answer:
+		return r
+	case <-t.C:
+		return peer.Reply{Node: n.node}
+	}
 }
 
 // Run runs a controller with its servers until ctx ends or one of them fails.
--- /dev/null
+++ b/node/promise.go
@@ -0,0 +1,96 @@
+package node
+
+import (
+	"time"
+
+	"ravenport/constants"
+	"ravenport/peer"
+	"ravenport/state"
+)
+
+// While nobody reaches the state service, controllers promise each other to
+// claim nothing, so that owners may go on answering their workers. The argument
+// is point 12 of docs/safety.md.
+
+// quiet says that nothing has come from the state service for a moment.
+func (c *control) quiet(now time.Time) bool {
+	return c.synced && now.Sub(c.heardAt) > constants.PromiseQuiet
+}
+
+// asks lists the terms for which promises are asked now.
+func (c *control) asks(now time.Time) []peer.Held {
+	if !c.quiet(now) || c.lease == 0 || len(c.set.Peers) == 0 {
+		return nil
+	}
+	var out []peer.Held
+	for part, o := range c.owners {
+		out = append(out, peer.Held{Key: state.KeyPart(part), Term: o.term, Version: o.version})
+	}
+	return out
+}
+
+// promise answers whether this controller claims nothing for a while.
+func (c *control) promise(now time.Time, s peer.Status) peer.Reply {
+	r := peer.Reply{Node: c.set.Node, Cancels: c.cancels.Revision()}
+	if !c.quiet(now) {
+		return r // it can ask the state service, and so could the other one
+	}
+	for _, h := range s.Ask {
+		t, version := c.member.Term(h.Key)
+		holder, alive := c.member.Holder(h.Key)
+		if !alive || holder != s.Node || t.Number != h.Term || version != h.Version {
+			return r
+		}
+		if at, ok := c.claiming[h.Key]; ok && now.Sub(at) < 2*constants.StateTimeout {
+			return r
+		}
+	}
+	c.promisedUntil = now.Add(constants.PromiseLife)
+	r.Promise = true
+	return r
+}
+
+// claimsHeld says that no claim may be made: this controller has promised, or
+// its forerunner, ended a moment ago, may have.
+func (c *control) claimsHeld(now time.Time) bool {
+	return now.Before(c.promisedUntil) || now.Sub(c.started) < constants.PromiseLife
+}
+
+// granted takes in what another controller answered. A promise counts from
+// before it was asked for, and only if this one's feed has every cancellation
+// that the other may have told of.
+func (c *control) granted(now time.Time, m peerReply) {
+	if !m.asked {
+		return
+	}
+	if m.err != nil || !m.reply.Promise || m.reply.Cancels > c.revision {
+		delete(c.grants, m.node)
+		return
+	}
+	c.grants[m.node] = m.sent
+	c.spreadAuthority(now)
+}
+
+// ownersUntil is when the authority of the owners here ends: as drawn out by
+// promises of all other controllers, if there are.
+func (c *control) ownersUntil() time.Time {
+	u := c.until()
+	if u.IsZero() || len(c.set.Peers) == 0 || c.cancels.Revision() > c.revision {
+		return u
+	}
+	var first time.Time
+	for _, p := range c.set.Peers {
+		q, ok := c.grants[p.Node]
+		if !ok {
+			return u
+		}
+		if first.IsZero() || q.Before(first) {
+			first = q
+		}
+	}
+	life := time.Duration(float64(min(c.authority, constants.PromiseLife))*(1-constants.ClockDrift)) - constants.AuthorityMargin
+	if x := first.Add(life); x.After(u) {
+		return x
+	}
+	return u
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -26,13 +26,28 @@
 	// Strays are machines that lately reported here although another
 	// controller owns them: they live, and it is their owner that is cut off.
 	Strays []string `json:"strays,omitempty"`
+	// Ask names the terms under which the sender would go on owning parts while
+	// nobody reaches the state service; see docs/safety.md, point 12.
+	Ask []Held `json:"ask,omitempty"`
 	// Counts are tasks running, and done in open chunks, by part and job.
 	Counts map[string]map[string][2]int `json:"counts,omitempty"`
 }
 
+// Held is a term that a controller holds.
+type Held struct {
+	Key     string `json:"key"`
+	Term    uint64 `json:"term"`
+	Version uint64 `json:"ver"`
+}
+
 // Reply answers a status.
 type Reply struct {
 	Node string `json:"node"`
+	// Promise: for constants.PromiseLife from when it was asked, this controller
+	// claims nothing.
+	Promise bool `json:"promise,omitempty"`
+	// Cancels is the revision of the latest cancellation that it knows of.
+	Cancels uint64 `json:"cancels,omitempty"`
 }
 
 // Handler takes in a status; it must not block.
