Waiting is bounded: overdue jobs come first, and room is collected for large ones

Cause: the order weighed work against age (350 tasks counted for 280 s) and sent what had missed its objectives to the back: starvation by design under lasting overload; small services took a team's room bit by bit; a record without room put its job off for ever. Tests show each, and fail without the guard.

--- a/constants/constants.go
+++ b/constants/constants.go
@@ -181,6 +181,12 @@
 	// PartialGap is the least time between two assignments of a job of which
 	// some tasks find no room yet: fewer, larger writes.
 	PartialGap = 500 * time.Millisecond
+	// BeginWithin is how long a job waits before it comes before all others of
+	// its priority if nothing of it has begun: users expect even the largest to
+	// begin within four minutes, and room for it may have to come together.
+	BeginWithin = 150 * time.Second
+	// CollectFor is how long room is kept for one job at the cost of others.
+	CollectFor = 60 * time.Second
 	// WorkPerSecond is how much more work of a job weighs as much as a second
 	// of waiting when jobs queue (CPU seconds per second): small jobs pass
 	// large ones that came shortly before, and are not passed for ever.
@@ -284,6 +290,9 @@
 	// MoveGap separates two looks at whether a machine can be emptied, and so
 	// two moved services: the last one has usually started again by then.
 	MoveGap = time.Second
+	// MachinesACollect: for each that many machines, one more may be kept for a
+	// task that finds no room for long (machines).
+	MachinesACollect = 50
 	// MachinesAMove: for each that many ordinary machines, one service more is
 	// moved at once (machines).
 	MachinesAMove = 40
--- a/leader/core.go
+++ b/leader/core.go
@@ -137,6 +137,7 @@
 	resume    *Place                // where the last round stopped
 	reserved  map[string][2]float64 // by job: CPUs and GPUs of assignments under way
 	began     time.Time
+	limited   bool // the last job was kept waiting by its team's limit
 }
 
 // Commit is a changed record to be written.
@@ -296,7 +297,7 @@
 	for _, j := range c.waiting {
 		if !j.busy && !now.Before(j.notAt) {
 			q = append(q, j)
-			places[j] = c.order.Place(now, j.rec, c.guaranteed(&j.rec.Spec) > 0)
+			places[j] = c.order.Place(now, j.rec, c.guaranteed(&j.rec.Spec) > 0, len(j.rec.Chunks) > 0)
 		}
 	}
 	sort.Slice(q, func(a, b int) bool { return places[q[a]].Before(places[q[b]]) })
@@ -308,12 +309,18 @@
 		c.resume = nil
 	}
 	var out []Commit
+	held := map[string]bool{} // teams whose room is being collected
 	for i := start; i < len(q); i++ {
+		if held[q[i].rec.Spec.Team] {
+			continue
+		}
 		if c.flying >= constants.MaxAssignments {
 			break // those that come first go first once some have been written
 		}
 		if cm, ok := c.assign(now, q[i]); ok {
 			out = append(out, cm)
+		} else if c.limited && c.collects(now, q[i].rec) {
+			held[q[i].rec.Spec.Team] = true
 		}
 		if i+1 < len(q) && time.Since(began) > constants.LeaderBudget {
 			p := places[q[i]]
@@ -324,8 +331,18 @@
 	return out
 }
 
+// collects says whether a job that its team's limit keeps waiting holds back
+// the team's others, so that room comes together for it: a large service is
+// admitted whole, and small ones would take every bit that falls free. It does
+// so for a while only, since services may never make room.
+func (c *Core) collects(now time.Time, rec *state.Job) bool {
+	age := time.Duration(now.UnixMilli()-rec.AcceptedMS) * time.Millisecond
+	return Overdue(now, rec, len(rec.Chunks) > 0) && age < constants.BeginWithin+constants.CollectFor
+}
+
 // assign decides on a job's unassigned tasks.
 func (c *Core) assign(now time.Time, j *jobState) (Commit, bool) {
+	c.limited = false
 	s := &j.rec.Spec
 	rec := j.rec.Clone()
 	want := 0
@@ -335,6 +352,7 @@
 	}
 	n := c.admit(s, want)
 	if s.IsService() && n < want || n == 0 {
+		c.limited = true
 		return Commit{}, false
 	}
 	guaranteed := c.guaranteed(s)
@@ -373,10 +391,15 @@
 	rec.Normalize()
 	value := state.Encode(rec)
 	if len(value) > c.set.ValueBytes() {
-		// A job in too many pieces would outgrow a value of the state service;
-		// it waits until some of them are closed and join.
-		j.notAt = now.Add(constants.RetryMax)
-		return Commit{}, false
+		// A job in too many pieces would outgrow a value of the state service.
+		// A piece that joins its neighbour takes no room: so it is never put
+		// off for ever.
+		if rec = c.join(j, n); rec == nil {
+			j.notAt = now.Add(constants.RetryMax)
+			return Commit{}, false
+		}
+		value = state.Encode(rec)
+		books, given = nil, n
 	}
 	for _, b := range books {
 		p := c.parts[b.part]
@@ -396,6 +419,34 @@
 	}}, true
 }
 
+// join gives a job's first unassigned range, up to n tasks of it, to the part
+// that has the open chunk next to it, as part of that chunk; nil if it may not.
+func (c *Core) join(j *jobState, n int) *state.Job {
+	caps := c.caps(j)
+	for _, r := range j.rec.Unassigned() {
+		for i, ch := range j.rec.Chunks {
+			if ch.Closed || ch.To != r[0] && ch.From != r[1] {
+				continue
+			}
+			k := min(n, r[1]-r[0], caps[ch.Part])
+			if k <= 0 {
+				continue
+			}
+			rec := j.rec.Clone()
+			if ch.To == r[0] {
+				rec.Chunks[i].To += k
+			} else {
+				rec.Chunks[i].From -= k
+			}
+			rec.Normalize()
+			if len(state.Encode(rec)) <= c.set.ValueBytes() {
+				return rec
+			}
+		}
+	}
+	return nil
+}
+
 // Committed takes in what came of a commit; revision is 0 when it failed.
 func (c *Core) Committed(now time.Time, id string, revision uint64) {
 	c.flying--
--- a/leader/core_test.go
+++ b/leader/core_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"ravenport/constants"
 	_ "ravenport/internal/testseed"
 	"ravenport/settings"
 	"ravenport/state"
@@ -223,7 +224,7 @@
 }
 
 // A job that can still meet its objective comes before one that missed it;
-// priority and guarantee come before both.
+// priority, a long wait without a beginning, and guarantee come before both.
 func TestOrder(t *testing.T) {
 	o := NewOrder([]settings.Objective{{Kind: "finished", Class: "c", WithinS: 90}})
 	now := time.Unix(10000, 0)
@@ -231,19 +232,21 @@
 		return &state.Job{ID: id, AcceptedMS: now.UnixMilli() - int64(age*1000), Spec: wire.Submission{ID: id, Class: "c", Kind: wire.KindArray, Priority: priority, Tasks: 1, CPUs: 1, EstimateS: estimate}}
 	}
 	in := []struct {
-		rec        *state.Job
-		guaranteed bool
+		rec               *state.Job
+		guaranteed, begun bool
 	}{
-		{job("prod", 0, 10, wire.PriorityProduction), false},
-		{job("guaranteed", 0, 10, wire.PriorityNormal), true},
-		{job("older", 50, 10, wire.PriorityNormal), false},
-		{job("newer", 5, 10, wire.PriorityNormal), false},
-		{job("missed", 100, 10, wire.PriorityNormal), false},
-		{job("low", 50, 10, wire.PriorityLow), true},
+		{job("prod", 0, 10, wire.PriorityProduction), false, false},
+		{job("overdue", constants.BeginWithin.Seconds()+1, 10, wire.PriorityNormal), false, false},
+		{job("guaranteed", 0, 10, wire.PriorityNormal), true, false},
+		{job("older", 50, 10, wire.PriorityNormal), false, false},
+		{job("newer", 5, 10, wire.PriorityNormal), false, false},
+		{job("begun", constants.BeginWithin.Seconds()+1, 10, wire.PriorityNormal), false, true},
+		{job("missed", 100, 10, wire.PriorityNormal), false, false},
+		{job("low", 50, 10, wire.PriorityLow), true, false},
 	}
 	for i := range in {
 		for k := i + 1; k < len(in); k++ {
-			a, b := o.Place(now, in[i].rec, in[i].guaranteed), o.Place(now, in[k].rec, in[k].guaranteed)
+			a, b := o.Place(now, in[i].rec, in[i].guaranteed, in[i].begun), o.Place(now, in[k].rec, in[k].guaranteed, in[k].begun)
 			if !a.Before(b) || b.Before(a) {
 				t.Errorf("%s does not come before %s", in[i].rec.ID, in[k].rec.ID)
 			}
@@ -295,3 +298,99 @@
 		t.Fatalf("%g CPUs counted, wanted the 10 of the record", cpus)
 	}
 }
+
+// A record that has no room for one more piece still takes tasks, as part of a
+// chunk that is there: a job in many pieces is not put off for ever.
+func TestFullRecordStillGrows(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := facts()
+	c := New(set, 1, now, nil, nil)
+	c.SetAuthority(now.Add(time.Hour))
+	for _, z := range []string{"a", "b", "c"} {
+		c.Pushed(now, figures(z, 1, 16, 1))
+	}
+	job := &state.Job{ID: "run-1", Spec: wire.Submission{ID: "run-1", Team: "free", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: 2000, CPUs: 1, MemoryGB: 1}}
+	for i := 0; len(state.Encode(job)) < set.ValueBytes()-40; i++ { // gaps between chunks of parts in turn
+		job.Chunks = append(job.Chunks, state.Chunk{From: 4 * i, To: 4*i + 2, Part: string('a' + rune(i%3)), Keep: true})
+	}
+	left := 2000
+	for rev := uint64(5); len(job.Unassigned()) > 0; rev++ {
+		c.ApplyJob(now, "run-1", job, rev)
+		acts := c.Step(now)
+		if len(acts) != 1 {
+			t.Fatalf("%d assignments with %d tasks left", len(acts), left)
+		}
+		c.Committed(now, "run-1", rev+1)
+		if job = written(acts[0]); len(acts[0].Txn.Then[0].Value) > set.ValueBytes() {
+			t.Fatalf("a record of %d bytes", len(acts[0].Txn.Then[0].Value))
+		}
+		n := 0
+		for _, r := range job.Unassigned() {
+			n += r[1] - r[0]
+		}
+		if n >= left {
+			t.Fatalf("still %d tasks left", n)
+		}
+		left = n
+		now = now.Add(time.Second)
+		for _, z := range []string{"a", "b", "c"} {
+			c.Pushed(now, figures(z, rev+1, 16, 1))
+		}
+	}
+}
+
+// A service that needs all that its team may use gets it, though small ones of
+// the team come past all the time.
+func TestLargeServiceIsAdmitted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(facts(), 1, now, nil, nil)
+	rev := uint64(0)
+	type run struct {
+		job *state.Job
+		end time.Time
+	}
+	jobs := map[string]*run{}
+	put := func(j *state.Job) {
+		rev++
+		c.ApplyJob(now, j.ID, j, rev)
+	}
+	submit := func(id string, tasks int) {
+		j := &state.Job{ID: id, AcceptedMS: now.UnixMilli(), Spec: wire.Submission{ID: id, Team: "t", Kind: wire.KindService, Priority: wire.PriorityNormal, Tasks: tasks, CPUs: 2, MemoryGB: 1}}
+		jobs[id] = &run{job: j, end: now.Add(40 * time.Second)}
+		put(j)
+	}
+	began := now
+	for i := 0; now.Sub(began) < 4*time.Minute; i++ {
+		c.SetAuthority(now.Add(time.Hour))
+		if i%10 == 0 {
+			submit(fmt.Sprintf("run-small-%d", i), 1)
+		}
+		if i == 100 {
+			submit("run-large", 10) // all 20 CPUs
+		}
+		for _, z := range []string{"a", "b", "c"} {
+			c.Pushed(now, figures(z, rev, 64, 4))
+		}
+		for _, cm := range c.Step(now) {
+			if cm.ID == "run-large" {
+				return
+			}
+			j := written(cm)
+			jobs[cm.ID].job, jobs[cm.ID].end = j, now.Add(40*time.Second)
+			put(j)
+			c.Committed(now, cm.ID, rev)
+		}
+		for _, r := range jobs { // what has run for a while is cancelled and closed
+			if len(r.job.Chunks) > 0 && now.After(r.end) && r.job.End == "" {
+				r.job = r.job.Clone()
+				r.job.End = wire.JobCancelled
+				for k := range r.job.Chunks {
+					r.job.Chunks[k].Closed = true
+				}
+				put(r.job)
+			}
+		}
+		now = now.Add(200 * time.Millisecond)
+	}
+	t.Fatal("not admitted within four minutes")
+}
--- a/leader/order.go
+++ b/leader/order.go
@@ -10,8 +10,9 @@
 	"ravenport/wire"
 )
 
-// Order ranks jobs that wait: by priority, then guaranteed work, then those of which an objective
-// can still be met before those that missed it, then by age and work.
+// Order ranks jobs that wait: by priority, then those that have waited long and
+// nothing of which has begun, then guaranteed work, then those of which an
+// objective can still be met before those that missed it, then by age and work.
 type Order struct {
 	within map[string][]time.Duration // by class, rising
 }
@@ -41,6 +42,7 @@
 // Place is a job's place in the order; smaller comes first.
 type Place struct {
 	priority int
+	overdue  int     // 0: nothing of it has begun, and it is time
 	borrowed int     // 1: beyond the team's guarantee
 	band     int     // objectives missed so far
 	score    float64 // seconds: when it was accepted, later for more work
@@ -48,14 +50,24 @@
 	id       string
 }
 
+// Overdue says whether a job of which nothing has begun has waited so long that
+// it comes before all others of its priority: without this, large jobs and those
+// that missed their objectives would starve under lasting overload.
+func Overdue(now time.Time, rec *state.Job, begun bool) bool {
+	return !begun && now.UnixMilli()-rec.AcceptedMS > constants.BeginWithin.Milliseconds()
+}
+
 // Place ranks a job; guaranteed says whether what waits of it is within its
-// team's guarantee.
-func (o Order) Place(now time.Time, rec *state.Job, guaranteed bool) Place {
+// team's guarantee, begun whether any of its tasks runs or is done.
+func (o Order) Place(now time.Time, rec *state.Job, guaranteed, begun bool) Place {
 	s := &rec.Spec
-	p := Place{borrowed: 1, priority: -wire.PriorityLevel(s.Priority), accepted: rec.AcceptedMS, id: rec.ID}
+	p := Place{borrowed: 1, overdue: 1, priority: -wire.PriorityLevel(s.Priority), accepted: rec.AcceptedMS, id: rec.ID}
 	if guaranteed {
 		p.borrowed = 0
 	}
+	if Overdue(now, rec, begun) {
+		p.overdue = 0
+	}
 	if s.IsService() {
 		return p
 	}
@@ -82,6 +94,8 @@
 	switch {
 	case p.priority != q.priority:
 		return p.priority < q.priority
+	case p.overdue != q.overdue:
+		return p.overdue < q.overdue
 	case p.borrowed != q.borrowed:
 		return p.borrowed < q.borrowed
 	case p.band != q.band:
--- a/part/core.go
+++ b/part/core.go
@@ -384,6 +384,7 @@
 			c.rent(now)
 		}
 		if slow {
+			c.letGo(now)
 			c.leaveNoticed(now)
 			c.consolidate(now)
 			c.giveBack(now)
--- a/part/model.go
+++ b/part/model.go
@@ -118,6 +118,8 @@
 	draining     bool // its tasks move elsewhere; it takes new ones last
 	spareSince   time.Time
 	avoidUntil   time.Time
+	keptFor      *job // its room is kept for a task of it
+	keptUntil    time.Time
 
 	inFlight     bool // a direct command waits for its answer
 	nextDirect   time.Time
@@ -255,7 +257,8 @@
 	retryAt time.Time
 	errors  map[string]bool // machines on which its tasks failed
 
-	stale   bool    // waiting is to be made anew
+	begun   bool    // a task of it runs or is done, here or elsewhere
+	stale   bool    // waiting and begun are to be made anew
 	waiting []*task // those within the guarantee first, then by index
 }
 
@@ -293,9 +296,13 @@
 func (c *Core) refresh() {
 	for _, j := range c.touched {
 		j.stale = false
-		j.waiting = j.waiting[:0]
+		j.waiting, j.begun = j.waiting[:0], false
+		for i := range j.rec.Chunks {
+			j.begun = j.begun || j.rec.Chunks[i].Closed
+		}
 		if c.jobs[j.rec.ID] == j && j.rec.End == "" {
 			for _, t := range j.tasks {
+				j.begun = j.begun || t.done || t.hold != nil
 				if t.waiting() {
 					j.waiting = append(j.waiting, t)
 				}
--- a/part/place.go
+++ b/part/place.go
@@ -83,7 +83,7 @@
 	places := make(map[*job]leader.Place, len(c.waiting))
 	for j := range c.waiting {
 		q = append(q, j)
-		places[j] = c.cfg.Order.Place(now, j.rec, j.waiting[0].guarantee)
+		places[j] = c.cfg.Order.Place(now, j.rec, j.waiting[0].guarantee, j.begun)
 	}
 	sort.Slice(q, func(a, b int) bool { return places[q[a]].Before(places[q[b]]) })
 	return q, places
@@ -166,6 +166,9 @@
 			r.full[d] = append(r.full[d], n)
 			if m = c.preempt(now, t, false, r); m == nil {
 				c.askToSave(now, t, r)
+				if leader.Overdue(now, j.rec, j.begun) {
+					c.collect(now, j)
+				}
 				return // the job's other tasks need the same, and rank no higher
 			}
 		}
@@ -173,6 +176,60 @@
 	}
 }
 
+// collect keeps the room that falls free on a machine for a job that has long
+// found none: its tasks may be larger than what others leave, and smaller ones
+// would take every gap before one was large enough.
+func (c *Core) collect(now time.Time, j *job) {
+	s := &j.rec.Spec
+	n := need(s)
+	var best *machine
+	var most float64
+	kept := 0
+	for _, m := range c.fleet {
+		if m.keptFor != nil {
+			if m.keptFor == j {
+				return
+			}
+			kept++
+			continue
+		}
+		if !allowed(s, m.typeName, m.spot) || !n.fits(m.capacity) || !c.usable(now, m) {
+			continue
+		}
+		// Where the least must still fall free, arrays count as good as gone.
+		room := m.left(c.free(m))
+		if room += c.arrayShare(m); best == nil || room > most || room == most && m.name < best.name {
+			best, most = m, room
+		}
+	}
+	if best == nil || kept > len(c.fleet)/constants.MachinesACollect {
+		return
+	}
+	slog.Info("keeping room for a job that waits", "job", s.ID, "machine", best.name)
+	best.keptFor, best.keptUntil = j, now.Add(constants.CollectFor)
+}
+
+// arrayShare is how much of a machine arrays hold, from 0 to 1.
+func (c *Core) arrayShare(m *machine) float64 {
+	cpus := 0.0
+	for _, h := range m.holds {
+		if t := c.taskOf(h); t != nil && !h.exited() && !t.job.rec.Spec.IsService() {
+			cpus += h.needs.cpus
+		}
+	}
+	return cpus / max(m.capacity.cpus, 1)
+}
+
+// letGo ends the keeping of room that was used or not used in time.
+func (c *Core) letGo(now time.Time) {
+	for _, m := range c.fleet {
+		if j := m.keptFor; j != nil && (now.After(m.keptUntil) || j.begun || len(j.waiting) == 0 || c.jobs[j.rec.ID] != j) {
+			m.keptFor = nil
+			c.dirty = true
+		}
+	}
+}
+
 // fill gives a machine, of which room has just fallen free, to those who
 // waited longest for it: after a whole round nothing else has room for them.
 // It returns false if a whole round is due anyway.
@@ -189,7 +246,7 @@
 		}
 		s := &j.rec.Spec
 		n := need(s)
-		if len(j.waiting) == 0 || !n.fits(free) || !allowed(s, m.typeName, m.spot) || c.jobs[s.ID] != j || j.rec.End != "" {
+		if m.keptFor != nil && m.keptFor != j || len(j.waiting) == 0 || !n.fits(free) || !allowed(s, m.typeName, m.spot) || c.jobs[s.ID] != j || j.rec.End != "" {
 			continue
 		}
 		looked++
@@ -217,7 +274,7 @@
 	}
 	var cs []cand
 	for _, m := range r.room {
-		if free := c.free(m); n.fits(free) && allowed(s, m.typeName, m.spot) {
+		if free := c.free(m); n.fits(free) && allowed(s, m.typeName, m.spot) && (m.keptFor == nil || m.keptFor.rec.ID == s.ID) {
 			cs = append(cs, cand{m, c.score(s, n, m, free)})
 		}
 	}
@@ -270,7 +327,7 @@
 			continue
 		}
 		free := c.free(m)
-		if !n.fits(free) {
+		if !n.fits(free) || m.keptFor != nil && m.keptFor.rec.ID != s.ID {
 			continue
 		}
 		if score := c.score(s, n, m, free); best == nil || score < least || score == least && m.name < best.name {
