--- a/constants/constants.go
+++ b/constants/constants.go
@@ -153,6 +153,12 @@
 	DownFor = 300 * time.Millisecond
 	// MaxWaiting bounds requests that wait for the state service (requests).
 	MaxWaiting = 512
+	// Turns is into how many parts the jobs are divided, whose polls have their
+	// turn under overload, and TurnLength is how long: longer than the 5 s
+	// between two polls, and all within the 75 s after which users take a job
+	// for forgotten.
+	Turns      = 8
+	TurnLength = 7 * time.Second
 	// RetryAfterS is what a refused user is told to wait (s).
 	RetryAfterS = 1
 )
--- a/frontdoor/frontdoor.go
+++ b/frontdoor/frontdoor.go
@@ -9,6 +9,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"hash/fnv"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -225,7 +227,7 @@
 		d.tell(p, k)
 		return
 	}
-	if d.busy >= constants.MaxWaiting {
+	if !d.admits(p.id) {
 		Refuse(p.req, 503, "overloaded")
 		return
 	}
@@ -239,6 +241,19 @@
 	d.read(ctx)
 }
 
+// admits says whether a poll may wait. Half of the room is anyone's, the other
+// half is for a part of all jobs, another one every few seconds: whatever order
+// they come in, no job's polls lose every time.
+func (d *Door) admits(id string) bool {
+	if d.busy < constants.MaxWaiting/2 {
+		return true
+	}
+	h := fnv.New32a()
+	io.WriteString(h, id)
+	turn := time.Now().Unix() / int64(constants.TurnLength.Seconds()) % constants.Turns
+	return d.busy < constants.MaxWaiting && int64(h.Sum32()%constants.Turns) == turn
+}
+
 // read reads the current revision for all polls that wait for a read.
 func (d *Door) read(ctx context.Context) {
 	if d.reading || len(d.next) == 0 {
--- /dev/null
+++ b/frontdoor/frontdoor_test.go
@@ -0,0 +1,83 @@
+package frontdoor
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ravenport/actor"
+	"ravenport/constants"
+	"ravenport/httpwire"
+	"ravenport/settings"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+func TestMain(m *testing.M) {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	os.Exit(m.Run())
+}
+
+// slowStore is a state service whose reads take their time.
+type slowStore struct{ takes time.Duration }
+
+func (s slowStore) Commit(context.Context, wire.Txn) (uint64, error) { return 0, state.ErrRefused }
+func (s slowStore) Get(context.Context, string) (wire.KeyValue, bool, error) {
+	return wire.KeyValue{}, false, state.ErrRefused
+}
+func (s slowStore) Revision(context.Context) (uint64, error) { time.Sleep(s.takes); return 1, nil }
+
+type answer struct{ to func(*httpwire.Response) }
+
+func (a answer) Answer(r *httpwire.Response) { a.to(r) }
+
+// When more polls come than can wait, every job's user is answered within 75 s
+// all the same, though they ask in the same order every time.
+func TestNoPollLosesEveryTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		self := actor.NewRef()
+		d := New(&settings.Settings{}, slowStore{time.Second}, self, &Cancels{})
+		up := state.Update{Revision: 1}
+		const jobs = 4 * constants.MaxWaiting
+		for i := range jobs {
+			up.Changes = append(up.Changes, state.Change{Version: 1, Record: &state.Job{ID: fmt.Sprintf("run-%d", i)}})
+		}
+		self.Tell(up)
+		go self.Run(ctx, d)
+		last := make([]time.Time, jobs)
+		began := time.Now()
+		for i := range last {
+			last[i] = began
+		}
+		refused := 0
+		for time.Since(began) < 4*time.Minute {
+			for i := range jobs {
+				self.Tell(Poll{Req: answer{func(r *httpwire.Response) {
+					if r.Status == 200 {
+						last[i] = time.Now()
+					} else {
+						refused++
+						if r.RetryAfterS == 0 {
+							t.Error("refused without saying when to come back")
+						}
+					}
+				}}, ID: fmt.Sprintf("run-%d", i)})
+			}
+			time.Sleep(5 * time.Second)
+			for i := range last {
+				if since := time.Since(last[i]); since > 75*time.Second {
+					t.Fatalf("job %d of %d had no answer for %s", i, jobs, since)
+				}
+			}
+		}
+		if refused == 0 {
+			t.Fatal("nothing was refused: the test shows nothing")
+		}
+	})
+}
