A machine that is heard but does not hear is found out and given up; new troubles played

The stand-ins now play deaf machines, late copies of reports to any controller, controllers cut from state service and siblings but not from workers, returns within a fraction of a second, and reports with impossible fields; every job's questions are followed by themselves after calm. Each new check is shown to notice. Found by it: a deaf machine was trusted again after its lease.

--- a/constants/constants.go
+++ b/constants/constants.go
@@ -238,10 +238,9 @@
 	// StrayPeriods is how long a report to another controller counts for the
 	// machine's owner (periods).
 	StrayPeriods = 2.0
-	// DeafPeriods is when a machine that does not show the token it is sent
-	// is given up: it may take a period to report, 4 s for each controller
-	// whose answer it misses, and as long again for a lost one (periods).
-	DeafPeriods = 4.0
+	// DeafAsks is how many direct commands in a row a machine in doubt leaves
+	// unanswered before it is given up, however often it is heard (commands).
+	DeafAsks = 3
 	// TakeoverAsk is how long a new owner of many machines waits for their own
 	// reports, which come within a second or two, before it asks them.
 	TakeoverAsk = 1500 * time.Millisecond
--- a/node/sim_test.go
+++ b/node/sim_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"ravenport/httpwire"
 	"ravenport/wire"
 )
 
@@ -68,12 +69,13 @@
 	w.setOutage(false)
 	w.mu.Lock()
 	for _, n := range w.nodes {
-		n.cutState, n.cutWork = false, false
+		n.cutState, n.cutWork, n.cutPeers = false, false, false
 	}
 	w.cloudOut = false
 	for _, m := range w.machines {
-		m.cut, m.hung = false, false
+		m.cut, m.hung, m.deaf = false, false, false
 	}
+	w.calm = time.Now()
 	w.mu.Unlock()
 	for _, n := range w.nodes {
 		if n.up() == nil {
@@ -97,7 +99,30 @@
 		n := w.nodes[int(w.between(0, time.Duration(len(w.nodes)-1)))]
 		for_ := w.between(time.Second, 35*time.Second)
 		later := func(f func()) { time.AfterFunc(for_, f) }
-		switch w.between(0, 9) {
+		switch w.between(0, 13) {
+		case 10: // away from the state service and the other controllers, not from workers
+			set := func(v bool) { w.mu.Lock(); n.cutState, n.cutPeers = v, v; w.mu.Unlock() }
+			set(true)
+			later(func() { set(false) })
+		case 11: // back within a fraction of a second, and again in the middle of the election
+			for range 2 {
+				n.kill()
+				time.Sleep(w.between(10*time.Millisecond, 300*time.Millisecond))
+				if n.up() == nil {
+					n.start()
+				}
+				time.Sleep(w.between(10*time.Millisecond, 1500*time.Millisecond))
+			}
+		case 12: // the controllers do not reach each other
+			set := func(v bool) { w.mu.Lock(); n.cutPeers = v; w.mu.Unlock() }
+			set(true)
+			later(func() { set(false) })
+		case 13:
+			if ctl := n.up(); ctl != nil {
+				for range 5 {
+					w.nonsense(ctl)
+				}
+			}
 		case 9:
 			set := func(v bool) { w.mu.Lock(); w.cloudOut = v; w.mu.Unlock() }
 			set(true)
@@ -132,9 +157,16 @@
 			later(func() { w.setOutage(false) })
 		case 6, 7, 8: // a machine hangs, is cut off or is taken
 			w.mu.Lock()
-			what := w.rng.IntN(3)
+			what := w.rng.IntN(5)
 			for _, m := range w.machines {
 				switch what {
+				case 3:
+					m.deaf = true
+					later(func() { w.mu.Lock(); m.deaf = false; w.mu.Unlock() })
+				case 4:
+					if !time.Now().Before(m.boots) {
+						m.restart()
+					}
 				case 0:
 					m.hung = true
 					later(func() { w.mu.Lock(); m.hung = false; w.mu.Unlock() })
@@ -204,7 +236,9 @@
 		"conditional writes": func(w *world) { w.noConditions = true },
 		"tokens":             func(w *world) { w.noTokens = true; w.late = 0.5 },
 		// With the cloud away nothing is surely gone but by its lease.
-		"workers' leases": func(w *world) { w.noLease = true; time.AfterFunc(60*time.Second, func() { w.cloudOut = true }) },
+		"the order of reports":                        func(w *world) { w.freshCopies = true },
+		"answers about each job, however others fare": func(w *world) { w.mute = "run-000003" },
+		"workers' leases":                             func(w *world) { w.noLease = true; time.AfterFunc(60*time.Second, func() { w.cloudOut = true }) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(60) {
@@ -219,3 +253,153 @@
 		})
 	}
 }
+
+// A machine whose reports arrive while nothing reaches it gets nothing more, is
+// told from a slow one, and is given back; its replicas run elsewhere long before
+// its own lease could be believed to have ended, and no rule is broken.
+func TestDeafMachineIsGivenUp(t *testing.T) {
+	quietLogs(t)
+	synctest.Test(t, func(t *testing.T) {
+		w := quietWorld(5)
+		w.service("run-000001", 4)
+		time.Sleep(60 * time.Second)
+		w.mu.Lock()
+		var deaf *simWorker
+		for _, m := range w.machines {
+			if len(m.held) > 0 {
+				deaf = m
+			}
+		}
+		if deaf == nil {
+			w.mu.Unlock()
+			t.Fatal("nothing runs")
+		}
+		deaf.deaf = true
+		w.mu.Unlock()
+		time.Sleep(45 * time.Second)
+		w.mu.Lock()
+		if !deaf.gone {
+			t.Errorf("%s was not given back", deaf.name)
+		}
+		if n := w.running("run-000001"); n != 4 {
+			t.Errorf("%d of 4 replicas run", n)
+		}
+		w.mu.Unlock()
+		w.end(t)
+	})
+}
+
+// While the state service is away for all, and the controllers reach each other,
+// what runs goes on, for much longer than the workers' lease.
+func TestOutageLongerThanTheLeaseStopsNothing(t *testing.T) {
+	quietLogs(t)
+	synctest.Test(t, func(t *testing.T) {
+		w := quietWorld(6)
+		w.service("run-000001", 4)
+		time.Sleep(60 * time.Second)
+		starts := w.starts
+		w.setOutage(true)
+		time.Sleep(90 * time.Second)
+		w.setOutage(false)
+		time.Sleep(10 * time.Second)
+		w.mu.Lock()
+		if n := w.running("run-000001"); n != 4 || w.starts != starts {
+			t.Errorf("%d of 4 replicas run, %d starts since", n, w.starts-starts)
+		}
+		w.mu.Unlock()
+		w.end(t)
+	})
+}
+
+// Without the promise of all others an owner falls silent in time: one that is
+// refused by the state service alone, and one whose sibling cannot be asked.
+func TestNoPromiseNoAuthority(t *testing.T) {
+	quietLogs(t)
+	for name, cut := range map[string]func(*world){
+		"refused alone": func(w *world) { w.nodes[0].cutState = true },
+		"a sibling out of reach": func(w *world) {
+			w.outage = true
+			w.nodes[2].cutPeers = true
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := quietWorld(7)
+				w.service("run-000001", 4)
+				time.Sleep(60 * time.Second)
+				w.mu.Lock()
+				cut(w)
+				w.mu.Unlock()
+				time.Sleep(10 * time.Second)
+				for _, z := range w.nodes[0].set.Params.Zones {
+					a := &simAnswer{got: make(chan *httpwire.Response, 1)}
+					w.nodes[0].up().self.Tell(beat{a, &wire.Report{Machine: "m-x", Addr: "m-x", Type: "box", Zone: z, Session: 1, Seq: 1}})
+					select {
+					case r := <-a.got:
+						if r.Status == 200 {
+							t.Errorf("answers for %s without authority", z)
+						}
+					case <-time.After(4 * time.Second):
+					}
+				}
+				w.end(t)
+			})
+		})
+	}
+}
+
+// quietWorld is a deployment without troubles, all controllers up.
+func quietWorld(seed uint64) *world {
+	w := newWorld(seed, []string{"a", "b"}, 3)
+	w.late = 0
+	for _, n := range w.nodes {
+		n.start()
+	}
+	go func() {
+		for {
+			select {
+			case <-w.stop:
+				return
+			case <-time.After(50 * time.Millisecond):
+				w.expire()
+			}
+		}
+	}()
+	time.Sleep(5 * time.Second)
+	return w
+}
+
+// service submits a service and lets its user poll.
+func (w *world) service(id string, tasks int) {
+	j := &simJob{spec: wire.Submission{ID: id, Class: "c", Team: "free", Kind: wire.KindService, Priority: wire.PriorityProduction,
+		Tasks: tasks, CPUs: 4, MemoryGB: 1, Image: "i", ImageGB: 1, Spread: true}, doneTasks: map[int]bool{}}
+	w.mu.Lock()
+	w.jobs[id] = j
+	w.mu.Unlock()
+	go w.user(j, 0, 0)
+}
+
+// running counts a job's tasks that run. The caller holds the lock.
+func (w *world) running(id string) int {
+	n := 0
+	for _, m := range w.machines {
+		for _, x := range m.held {
+			if job, _, _ := wire.SplitTask(x.name); job == id && x.state == wire.TaskRunning {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (w *world) end(t *testing.T) {
+	t.Helper()
+	if len(w.broken) > 0 {
+		t.Errorf("rules broken: %s", strings.Join(w.broken, "; "))
+	}
+	close(w.stop)
+	for _, n := range w.nodes {
+		n.kill()
+	}
+	time.Sleep(2 * time.Minute)
+}
--- a/node/standin_test.go
+++ b/node/standin_test.go
@@ -58,6 +58,10 @@
 	noTokens     bool    // workers take commands under any token
 	late         float64 // share of direct commands that are held back, and of those that come twice
 	noLease      bool    // workers never give up
+	freshCopies  bool    // late copies of reports pass for new ones
+	mute         string  // nobody gets an answer about this job
+
+	calm time.Time // when all troubles were over
 }
 
 type entry struct {
@@ -78,6 +82,7 @@
 	cancel   context.CancelFunc
 	cutState bool
 	cutWork  bool // from workers
+	cutPeers bool // from the other controllers
 }
 
 type simJob struct {
@@ -86,6 +91,7 @@
 	told      string // last terminal state told
 	cancelled time.Time
 	asked     bool // cancellation asked for
+	answered  time.Time
 	doneTasks map[int]bool
 }
 
@@ -175,7 +181,10 @@
 func (p simPeer) Push(ctx context.Context, s peer.Status) (peer.Reply, error) {
 	time.Sleep(p.from.w.between(time.Millisecond, 4*time.Millisecond))
 	ctl := p.to.up()
-	if ctl == nil || ctx.Err() != nil {
+	p.from.w.mu.Lock()
+	cut := p.from.cutPeers || p.to.cutPeers
+	p.from.w.mu.Unlock()
+	if ctl == nil || ctx.Err() != nil || cut {
 		return peer.Reply{}, fmt.Errorf("unreachable")
 	}
 	return ctl.PeerStatus(s), nil
@@ -499,6 +508,7 @@
 	gone        bool
 	hung        bool
 	cut         bool // nothing reaches it or comes from it
+	deaf        bool // its reports arrive, answers and commands do not reach it
 	session     uint64
 	seq, token  uint64
 	renewed     time.Time // when the last answered report was sent
@@ -574,10 +584,18 @@
 		a := &simAnswer{got: make(chan *httpwire.Response, 1)}
 		time.Sleep(w.between(time.Millisecond, 5*time.Millisecond))
 		ctl.self.Tell(beat{a, r})
-		if w.chance(0.01) { // a late copy of the report
+		if w.chance(0.03) { // a late copy of the report, to any controller
 			go func() {
-				time.Sleep(w.between(time.Second, 20*time.Second))
-				ctl.self.Tell(beat{&simAnswer{got: make(chan *httpwire.Response, 1)}, r})
+				time.Sleep(w.between(time.Second, 60*time.Second))
+				w.mu.Lock()
+				to := w.nodes[w.rng.IntN(len(w.nodes))].ctl
+				if w.freshCopies {
+					r.Seq = m.seq + 1
+				}
+				w.mu.Unlock()
+				if to != nil {
+					to.self.Tell(beat{&simAnswer{got: make(chan *httpwire.Response, 1)}, r})
+				}
 			}()
 		}
 		var resp *httpwire.Response
@@ -601,7 +619,7 @@
 				m.renewed = now
 				m.execute(rep.Commands)
 			}
-		case resp != nil && resp.Status == 421:
+		case resp != nil && resp.Status == 421 && !m.deaf:
 			var red wire.Redirect
 			if err := json.Unmarshal(resp.Body, &red); err != nil {
 				panic(err)
@@ -623,7 +641,7 @@
 }
 
 // dropAnswer loses an answer now and then. The caller holds the lock.
-func (w *world) dropAnswer(m *simWorker) bool { return m.cut || w.rng.Float64() < 0.01 }
+func (w *world) dropAnswer(m *simWorker) bool { return m.cut || m.deaf || w.rng.Float64() < 0.01 }
 
 // advance lets time pass on the machine. The caller holds the lock.
 func (m *simWorker) advance() {
@@ -782,7 +800,7 @@
 		}
 		w.mu.Lock()
 		m := w.machines[addr]
-		silent := m == nil || m.cut || m.hung || c.n.cutWork || time.Now().Before(m.boots)
+		silent := m == nil || m.cut || m.hung || m.deaf || c.n.cutWork || time.Now().Before(m.boots)
 		w.mu.Unlock()
 		if silent {
 			time.Sleep(2 * time.Second)
@@ -809,7 +827,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	m := w.machines[addr]
-	if m == nil || m.gone || m.hung || time.Now().Before(m.boots) {
+	if m == nil || m.gone || m.hung || m.deaf || time.Now().Before(m.boots) {
 		return worker.Result{Err: fmt.Errorf("gone")}
 	}
 	if (req.Token < m.token || req.Session != m.session) && !w.noTokens {
@@ -887,7 +905,11 @@
 			continue
 		}
 		r := w.ask(func(q frontdoor.Request) any { return frontdoor.Poll{Req: q, ID: j.spec.ID} })
+		if w.mute == j.spec.ID {
+			r = nil
+		}
 		w.check(j, r, false)
+		w.known(j)
 		if w.chance(0.1) { // a late repeat of the submission
 			r = w.ask(func(q frontdoor.Request) any { return frontdoor.Submit{Req: q, Body: body} })
 			if r != nil && r.Status == 201 {
@@ -900,6 +922,21 @@
 	}
 }
 
+// known sees to it that questions about a job are answered once all troubles
+// are over, however others fare.
+func (w *world) known(j *simJob) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	since := w.calm
+	if j.answered.After(since) {
+		since = j.answered
+	}
+	if !w.calm.IsZero() && time.Since(since) > 75*time.Second {
+		w.broke("forgotten", "%s: no answer for %s", j.spec.ID, time.Since(since))
+		j.answered = time.Now()
+	}
+}
+
 // check holds an answer against what the user was told before.
 func (w *world) check(j *simJob, r *httpwire.Response, cancel bool) {
 	if r == nil || r.Status == 503 || r.Status == 429 {
@@ -907,6 +944,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	j.answered = time.Now()
 	if r.Status != 200 {
 		w.broke("forgotten", "%s: status %d", j.spec.ID, r.Status)
 		return
@@ -947,3 +985,35 @@
 	}
 	return m
 }
+
+// restart is a worker's process that is back at once: it holds nothing of what
+// it held, under a new session. The caller holds the lock.
+func (m *simWorker) restart() {
+	m.held = map[string]*simTask{}
+	m.session++
+	m.renewed = time.Now()
+	m.changed = true
+}
+
+// nonsense sends reports with impossible fields to a controller.
+func (w *world) nonsense(ctl *Controller) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := &wire.Report{Machine: "m-999999", Addr: "nowhere:1", Type: "box", Zone: "a", Session: 1 + w.rng.Uint64N(5), Seq: w.rng.Uint64N(100)}
+	for _, m := range w.machines { // a real machine, with what it never said
+		if w.rng.IntN(3) > 0 {
+			r.Machine, r.Addr, r.Zone, r.Spot = m.name, m.name, m.zone, m.spot
+			r.Session = 1 + w.rng.Uint64N(m.session) // backwards, or as it is
+			r.Seq = w.rng.Uint64N(m.seq + 1)
+		}
+		break
+	}
+	for range w.rng.IntN(4) {
+		r.Tasks = append(r.Tasks, wire.TaskStatus{Task: []string{"run-nobody/3", "nonsense", "run-000001/99999", "run-000002/0"}[w.rng.IntN(4)],
+			Attempt: w.rng.Uint64N(1 << 30), State: []string{"running", "exited", "flying"}[w.rng.IntN(3)], Cause: "done"})
+	}
+	if r.Machine == "m-999999" {
+		return // a machine that the cloud never rented sends nothing
+	}
+	ctl.self.Tell(beat{&simAnswer{got: make(chan *httpwire.Response, 1)}, r})
+}
--- a/part/core_test.go
+++ b/part/core_test.go
@@ -132,12 +132,12 @@
 		if s := started(r.wait(time.Second), "m-2"); len(s) > 0 && s[0].Task == "run-1/0" {
 			t.Fatalf("started after %s, within the lease", d)
 		}
-		r.Report(r.now, report("m-2", 1, uint64(10+d/time.Second), token(r.term, 0)))
+		r.Report(r.now, report("m-2", 1, uint64(10+d/time.Second), r.shown("m-2")))
 	}
 	found := false
 	for range 4 {
 		r.now = r.now.Add(time.Second)
-		if reply, ok := r.Report(r.now, report("m-2", 1, uint64(100+r.now.Unix()), token(r.term, 0))); ok {
+		if reply, ok := r.Report(r.now, report("m-2", 1, uint64(100+r.now.Unix()), r.shown("m-2"))); ok {
 			for _, c := range reply.Commands {
 				found = found || c.Op == wire.OpStart && c.Task == "run-1/0"
 			}
--- a/part/model.go
+++ b/part/model.go
@@ -130,7 +130,11 @@
 	doubtToken   uint64    // the token that it must show
 	lost         bool      // holds an unwanted attempt that a late command could still bring
 	warned       bool      // impossible fields were logged
-	answersSince int       // answers since its report last changed as ordered
+	unheeded     int       // direct commands without an answer since the doubt arose
+	answersSince int       // answers since it last showed the token they carry
+	answeredAt   uint64    // the number of its last report that was answered, with those of direct commands right after it
+	answeredIn   uint64    // the session of that
+	missed       bool      // its last report shows that it made others elsewhere
 }
 
 // sums are what a machine's attempts add up to.
--- a/part/report.go
+++ b/part/report.go
@@ -62,16 +62,16 @@
 // heard takes note that a machine lives. Whether it hears is another matter:
 // a machine whose reports arrive while answers and commands do not reach it
 // loses its lease unnoticed. One that does not show the token it was answered
-// with, or leaves a direct command unanswered, is in doubt until it shows a
-// token that is sent to it from then on. A late copy of a report cannot: it is
+// with, that made reports elsewhere though it was answered here, or leaves a
+// direct command unanswered, is in doubt until it shows a token that is sent to
+// it from then on. A late copy of a report cannot: it is
 // older than that token.
 func (c *Core) heard(now time.Time, m *machine, r *wire.Report) {
 	m.heard, m.unanswered = now, 0
 	switch {
 	case m.doubted() && m.token >= m.doubtToken:
-		m.doubtAt = time.Time{}
-		c.dirty = true
-	case !m.doubted() && m.answersSince > 0 && m.token < c.token(m):
+		c.trust(m)
+	case !m.doubted() && (m.missed || m.answersSince > 0 && m.token < c.token(m)):
 		c.doubt(now, m)
 	}
 	m.answersSince++
@@ -80,13 +80,19 @@
 	}
 }
 
+// trust ends a doubt: the machine has shown that it hears.
+func (c *Core) trust(m *machine) {
+	m.doubtAt, m.unheeded = time.Time{}, 0
+	c.dirty = true
+}
+
 // doubt asks a machine to show that answers or commands reach it.
 func (c *Core) doubt(now time.Time, m *machine) {
 	if m.doubted() || !m.up {
 		return
 	}
 	m.epoch++
-	m.doubtAt, m.doubtToken = now, c.token(m)
+	m.doubtAt, m.doubtToken, m.unheeded = now, c.token(m), 0
 }
 
 // arrive notes what a report says of the machine itself.
@@ -124,6 +130,13 @@
 		// the owner hears of it by a direct command's answer.
 		m.leaseUntil = now.Add(c.cfg.LeaseEnd)
 	}
+	// Who is answered stays, and its next report is the next in number.
+	m.missed = beat && m.answeredAt != 0 && r.Session == m.answeredIn && r.Seq > m.answeredAt+1
+	if beat {
+		m.answeredAt, m.answeredIn = r.Seq, r.Session
+	} else if r.Session == m.answeredIn && r.Seq == m.seq+1 {
+		m.answeredAt = r.Seq // the answer to a direct command counts as well
+	}
 	m.seq = r.Seq
 	if was := m.token; r.Token > was {
 		m.token = r.Token
@@ -273,6 +286,7 @@
 	m.inFlight = false
 	if r == nil {
 		m.unanswered++
+		m.unheeded++
 		m.nextDirect = now.Add(constants.RepeatCommand)
 		c.doubt(now, m)
 		return
@@ -286,9 +300,9 @@
 	c.dirty = c.dirty || c.freed
 	// It answered a call: commands do reach it.
 	m.heard, m.unanswered = now, 0
+	m.unheeded = 0
 	if m.doubted() && m.token >= m.doubtToken {
-		m.doubtAt = time.Time{}
-		c.dirty = true
+		c.trust(m)
 	}
 }
 
--- a/part/silence.go
+++ b/part/silence.go
@@ -64,7 +64,7 @@
 			// Returning it makes what was on it surely gone, long before its
 			// lease ends.
 			why = "silent"
-		case m.up && m.doubted() && now.Sub(m.doubtAt) > c.periods(constants.DeafPeriods) && heard*2 > up:
+		case m.up && m.doubted() && m.unheeded >= constants.DeafAsks && (heard*2 > up || up <= 2 && c.siblingsHeard(now)):
 			// It is heard, here or by others, and hears nothing: its lease
 			// runs out whatever it reports. Nobody's hearing of it counts.
 			why = "deaf"
@@ -91,7 +91,12 @@
 	if now.Sub(m.strayAt) < c.strayMemory() {
 		return false
 	}
-	return heard*2 > up || now.Sub(c.siblingsAt) < constants.PushEvery*2
+	return heard*2 > up || c.siblingsHeard(now)
+}
+
+// siblingsHeard says whether all live controllers were heard from lately.
+func (c *Core) siblingsHeard(now time.Time) bool {
+	return now.Sub(c.siblingsAt) < constants.PushEvery*2
 }
 
 // strayMemory is how long a report to another controller counts.
