Rentals and returns are gathered: the cloud takes few calls a second

Cause: an owner asked for one to ten machines every 250 ms; at 5 calls a second shared by all, rentals queued for tens of seconds (412 machines asked for after 25 s, needed: 1200), and idle machines were returned late. Ruled out: processor, writes.

--- a/constants/constants.go
+++ b/constants/constants.go
@@ -65,6 +65,9 @@
 	// LaterShare is the part of the write allowance that one controller's
 	// writes that can wait may use (share).
 	LaterShare = 0.5
+	// CloudShare is the part of the cloud's calls that one controller may use
+	// (share). Not all controllers own a part; a refusal for rate is harmless.
+	CloudShare = 0.5
 	// CloudTimeout bounds a call to the cloud.
 	CloudTimeout = 5 * time.Second
 	// CommandTimeout bounds a direct command: the next report carries the
@@ -275,7 +278,8 @@
 	// expected to run before it is moved: estimates are often wrong by half
 	// (factor).
 	NoticeDoubt = 1.5
-	// CloudListEvery is how often an owner reads the cloud's list.
+	// CloudListEvery is how often an owner reads the cloud's list, for each page
+	// of machines that it has: a longer list takes more of the allowance.
 	CloudListEvery = 10 * time.Second
 	// RefusedPause is how long a refused kind of machine is not asked for.
 	RefusedPause = 10 * time.Second
--- a/node/actors.go
+++ b/node/actors.go
@@ -148,6 +148,7 @@
 	countAt  time.Time
 	listAt   time.Time
 	listing  bool
+	listed   int  // machines on the last list
 	over     bool // halted
 }
 
@@ -157,7 +158,7 @@
 		Part: name, Report: set.Report(), LeaseEnd: set.LeaseEnd(),
 		IdleSpot: set.Operator.IdleSpot, IdleOrdinary: set.Operator.IdleOrdinary, UseSpot: set.Operator.UseSpot,
 		ListLag:    time.Duration(set.Params.Cloud.ListLagS * float64(time.Second)),
-		ValueBytes: set.ValueBytes(), TxnOps: set.Params.State.TxnOps, Order: leader.NewOrder(set.Params.Objectives),
+		ValueBytes: set.ValueBytes(), TxnOps: set.Params.State.TxnOps, CloudGap: set.CloudGap(), Order: leader.NewOrder(set.Params.Objectives),
 	}
 	a := &partActor{part: name, store: c.io.Later, cloud: c.io.Cloud, self: actor.NewRef(), control: c.self,
 		workers: c.io.Workers(), revision: c.revision}
@@ -204,6 +205,7 @@
 	case listed:
 		a.listing = false
 		if m.err == nil {
+			a.listed = len(m.machines)
 			a.core.Listed(now, m.machines)
 		}
 	case strays:
@@ -264,7 +266,7 @@
 	if silent, seen := a.core.CutOff(now); silent {
 		a.control.Tell(cutOff{a.part, seen})
 	}
-	if !a.listing && now.Sub(a.listAt) > constants.CloudListEvery {
+	if !a.listing && now.Sub(a.listAt) > constants.CloudListEvery*time.Duration(1+a.listed/wire.MaxList) {
 		a.listing, a.listAt = true, now
 		go func() {
 			l, err := a.cloud.List(ctx)
--- a/node/control.go
+++ b/node/control.go
@@ -98,6 +98,8 @@
 	versions map[string]uint64
 	roster   map[string]*state.Page // by key
 	rosterV  map[string]uint64
+	partOf   map[string]string // by machine on the roster
+	odd      map[string]bool   // machines whose impossible reports were logged
 	revision uint64
 	synced   bool
 	heardAt  time.Time // last answer of the state service
@@ -148,7 +150,7 @@
 func newControl(set *settings.Settings, out Outside, self, door *actor.Ref, cancels *frontdoor.Cancels) *control {
 	c := &control{
 		set: set, io: out, self: self, door: door, cancels: cancels, started: time.Now(), grants: map[string]time.Time{},
-		jobs: map[string]*state.Job{}, versions: map[string]uint64{}, roster: map[string]*state.Page{}, rosterV: map[string]uint64{},
+		jobs: map[string]*state.Job{}, versions: map[string]uint64{}, roster: map[string]*state.Page{}, rosterV: map[string]uint64{}, partOf: map[string]string{}, odd: map[string]bool{},
 		claiming: map[string]time.Time{}, yielded: map[string]uint64{}, owners: map[string]*child{},
 		status: map[string]partStatus{}, pushing: map[string]bool{}, peersState: map[string]peerView{}, strays: map[string]time.Time{},
 	}
@@ -251,6 +253,14 @@
 				c.jobs[r.ID], c.versions[r.ID] = r, ch.Version
 			}
 		case *state.Page:
+			if old := c.roster[ch.Key]; old != nil {
+				for _, m := range old.Machines {
+					delete(c.partOf, m.Name)
+				}
+			}
+			for _, m := range r.Machines {
+				c.partOf[m.Name] = r.Part
+			}
 			c.roster[ch.Key], c.rosterV[ch.Key] = r, ch.Version
 		case nil:
 			delete(c.roster, ch.Key)
@@ -587,6 +597,15 @@
 // beat hands a worker's report to the owner of its part, or points the worker
 // to the controller that owns it.
 func (c *control) beat(now time.Time, m beat) {
+	if p, ok := c.partOf[m.report.Machine]; ok && p != m.report.Zone {
+		// A machine never changes part: two owners must not command it.
+		if !c.odd[m.report.Machine] {
+			c.odd[m.report.Machine] = true
+			slog.Warn("a machine reports from a zone that is not its own", "machine", m.report.Machine, "zone", m.report.Zone, "part", p)
+		}
+		refuseBeat(m)
+		return
+	}
 	if o := c.owners[m.report.Zone]; o != nil {
 		o.ref.Tell(m)
 		return
--- a/node/node.go
+++ b/node/node.go
@@ -111,7 +111,7 @@
 	out := Outside{
 		State:   store,
 		Later:   store.Later(),
-		Cloud:   cloud.NewClient(set.Services.Cloud, set.Params.Cloud.RPS/float64(max(1, len(set.Nodes())))),
+		Cloud:   cloud.NewClient(set.Services.Cloud, set.CloudShare()),
 		Workers: func() Workers { return worker.NewCommander() },
 		Peers:   map[string]Peer{},
 	}
--- a/part/core.go
+++ b/part/core.go
@@ -20,8 +20,9 @@
 	IdleOrdinary time.Duration
 	UseSpot      bool
 	ListLag      time.Duration
-	ValueBytes   int // the state service's limit on a record
-	TxnOps       int // and on the changes of a transaction
+	CloudGap     time.Duration // between calls of one kind to the cloud that can wait for each other
+	ValueBytes   int           // the state service's limit on a record
+	TxnOps       int           // and on the changes of a transaction
 	Order        leader.Order
 }
 
@@ -65,6 +66,8 @@
 	pushDirty    bool
 	lastPlace    time.Time
 	lastRent     time.Time
+	rentedAt     time.Time // when the cloud was last asked for machines
+	returnedAt   time.Time // when idle machines were last returned
 	lastSlow     time.Time
 	lastMove     time.Time
 	prod         arrivals // of production work
--- a/part/rent.go
+++ b/part/rent.go
@@ -128,6 +128,16 @@
 			want[kind{typ, false}] = n
 		}
 	}
+	total := 0
+	for _, n := range want {
+		total += n
+	}
+	// The cloud takes few calls: what comes within a moment is asked for
+	// together, unless it fills a rental of its own.
+	if total == 0 || total < wire.MaxRent/2 && now.Sub(c.rentedAt) < c.cfg.CloudGap {
+		return
+	}
+	c.rentedAt = now
 	for k, n := range want {
 		for ; n > 0; n -= wire.MaxRent {
 			c.rentSeq++
--- a/part/silence.go
+++ b/part/silence.go
@@ -38,6 +38,7 @@
 func (c *Core) giveBack(now time.Time) {
 	var names []string
 	heard, up := 0, 0
+	idleToo := now.Sub(c.returnedAt) >= c.cfg.CloudGap // a few more come together
 	for _, m := range c.fleet {
 		if m.up && !m.returning {
 			up++
@@ -58,7 +59,7 @@
 		switch {
 		case !m.up && !m.inherited && c.bootAge(now, m) > constants.BootPatience:
 			why = "did not come up"
-		case m.up && !m.idleSince.IsZero() && (m.draining || now.Sub(m.idleSince) > idle) && !c.busy(m) && m.verified(c.term):
+		case idleToo && m.up && !m.idleSince.IsZero() && (m.draining || now.Sub(m.idleSince) > idle) && !c.busy(m) && m.verified(c.term):
 			why = "idle"
 		case m.up && c.silent(now, m) && m.unanswered > 0 && c.alone(now, m, heard, up):
 			// Returning it makes what was on it surely gone, long before its
@@ -80,6 +81,7 @@
 		}
 	}
 	if len(names) > 0 {
+		c.returnedAt = now
 		c.actions = append(c.actions, Return{names})
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -334,6 +334,14 @@
 	return min(max(Seconds(1/rps), constants.ReadGapMin), constants.ReadGapMax)
 }
 
+// CloudShare is how many calls a second this controller makes of the cloud.
+func (s *Settings) CloudShare() float64 {
+	return max(s.Params.Cloud.RPS, 0.1) * max(constants.CloudShare, 1/float64(max(1, len(s.Nodes()))))
+}
+
+// CloudGap is the time that two calls take of this controller's share.
+func (s *Settings) CloudGap() time.Duration { return Seconds(2 / s.CloudShare()) }
+
 // ValueBytes is the state service's limit on a value.
 func (s *Settings) ValueBytes() int { return int(s.Params.State.ValueKB * 1024) }
 
