The leader foretells its backlog, so that owners rent before it is written out

Cause: at 20 changes a second the 250 jobs of a cold start take 25 s to be accepted and assigned, and arrays come last; owners rented for them only then.

--- a/constants/constants.go
+++ b/constants/constants.go
@@ -190,6 +190,14 @@
 	// PartialGap is the least time between two assignments of a job of which
 	// some tasks find no room yet: fewer, larger writes.
 	PartialGap = 500 * time.Millisecond
+	// ForecastEvery is how often the leader tells owners what it will assign to
+	// them once the state service's allowance permits, and ForecastLife how long
+	// that counts.
+	ForecastEvery = 300 * time.Millisecond
+	ForecastLife  = time.Second
+	// ForecastAfter is how long a job must have waited to be foretold: without
+	// a backlog it is assigned sooner.
+	ForecastAfter = time.Second
 	// BeginWithin is how long a job waits before it comes before all others of
 	// its priority if nothing of it has begun: users expect even the largest to
 	// begin within four minutes, and room for it may have to come together.
--- a/leader/core.go
+++ b/leader/core.go
@@ -447,6 +447,56 @@
 	return nil
 }
 
+// Forecast is what will be assigned to a part before long: work that waits for
+// the state service's allowance rather than for a decision.
+type Forecast struct {
+	Revision uint64  `json:"rev"`  // chunks written later are part of it
+	Spot     float64 `json:"spot"` // CPUs that may go to spot machines
+	Ordinary float64 `json:"ord"`  // CPUs that may not
+}
+
+// Forecast tells each part its share of what is in no chunk yet, so that it can
+// rent for it meanwhile. revision is that of the records known.
+func (c *Core) Forecast(now time.Time, revision uint64) map[string]Forecast {
+	var spot, ordinary float64
+	by := map[string][2]float64{} // by zone, for jobs that may run in one alone
+	for _, j := range c.waiting {
+		s := &j.rec.Spec
+		if now.UnixMilli()-j.rec.AcceptedMS < constants.ForecastAfter.Milliseconds() {
+			continue // its turn comes at once, and its owner may see no need to rent
+		}
+		n := 0
+		for _, r := range j.rec.Unassigned() {
+			n += r[1] - r[0]
+		}
+		n = c.admit(s, n)
+		cpus := float64(n) * s.CPUs
+		switch {
+		case s.Zone != "":
+			z := by[s.Zone]
+			if s.Spot {
+				z[0] += cpus
+			} else {
+				z[1] += cpus
+			}
+			by[s.Zone] = z
+		case s.Spot:
+			spot += cpus
+		default:
+			ordinary += cpus
+		}
+	}
+	if spot+ordinary == 0 && len(by) == 0 {
+		return nil
+	}
+	out := map[string]Forecast{}
+	parts := float64(len(c.parts))
+	for z := range c.parts {
+		out[z] = Forecast{Revision: revision, Spot: spot/parts + by[z][0], Ordinary: ordinary/parts + by[z][1]}
+	}
+	return out
+}
+
 // Committed takes in what came of a commit; revision is 0 when it failed.
 func (c *Core) Committed(now time.Time, id string, revision uint64) {
 	c.flying--
--- a/node/actors.go
+++ b/node/actors.go
@@ -43,8 +43,9 @@
 		machines []string
 		all      bool // every live controller was heard from lately
 	}
-	wake struct{ soon bool }
-	halt struct{ done func() } // stop for good, then say so
+	forecast map[string]leader.Forecast // by part; nil: nothing
+	wake     struct{ soon bool }
+	halt     struct{ done func() } // stop for good, then say so
 )
 
 // commit carries out a transaction and returns its revision, 0 if it is not
@@ -81,6 +82,10 @@
 	soon  bool // and one for the next step
 	at    time.Time
 	over  bool // halted
+
+	control    *actor.Ref
+	revision   uint64
+	forecastAt time.Time
 }
 
 func (a *leaderActor) Receive(ctx context.Context, msg any) {
@@ -99,6 +104,7 @@
 				a.core.ApplyJob(now, j.ID, j, ch.Version)
 			}
 		}
+		a.revision = m.Revision
 	case leader.Aggregate:
 		a.core.Pushed(now, m)
 	case authority:
@@ -125,6 +131,10 @@
 			a.self.Tell(committed{cm.ID, commit(ctx, a.store, cm.Txn, "assignment of "+cm.ID)})
 		}()
 	}
+	if now.Sub(a.forecastAt) >= constants.ForecastEvery {
+		a.forecastAt = now
+		a.control.Tell(forecast(a.core.Forecast(now, a.revision)))
+	}
 	if !a.ticks {
 		a.ticks = true
 		time.AfterFunc(constants.LeaderTick, func() { a.self.Tell(wake{}) })
@@ -214,6 +224,8 @@
 	case []leader.Aggregate:
 		a.core.Others(now, m)
 		return
+	case leader.Forecast:
+		a.core.Forecast(now, m)
 	case typesRead:
 		a.core.SetTypes(m.types)
 	case wake:
--- a/node/control.go
+++ b/node/control.go
@@ -127,6 +127,7 @@
 	leaderRef  *child
 	ledSince   time.Time
 	status     map[string]partStatus
+	forecast   forecast // of the leader here
 	pushAt     time.Time
 	pushNow    bool
 	pushing    map[string]bool
@@ -231,6 +232,10 @@
 		for _, o := range c.owners {
 			o.ref.Tell([]leader.Aggregate{m.aggregate})
 		}
+	case forecast:
+		c.forecast = m
+		c.pushNow = c.pushNow || m != nil
+		c.foretell(m)
 	case halted:
 		delete(c.claiming, m.claim.Key)
 		c.send(ctx, now, m.claim)
@@ -350,6 +355,7 @@
 		c.yielded[state.KeyLeader] < t.Number
 	if c.leaderRef != nil && (!mine || c.leaderRef.term != t.Number) {
 		slog.Info("leadership lost", "term", c.leaderRef.term)
+		c.forecast = nil
 		c.leaderRef.cancel()
 		c.leaderRef = nil
 	}
@@ -357,7 +363,7 @@
 		slog.Info("leading", "term", t.Number)
 		c.ledSince = now
 		ctx, cancel := context.WithCancel(ctx)
-		a := &leaderActor{core: leader.New(c.set, version, now, c.jobs, c.versions), store: c.io.Later, self: actor.NewRef()}
+		a := &leaderActor{core: leader.New(c.set, version, now, c.jobs, c.versions), store: c.io.Later, self: actor.NewRef(), control: c.self, revision: c.revision}
 		a.core.SetAuthority(c.until())
 		c.leaderRef = &child{ref: a.self, cancel: cancel, term: t.Number}
 		for _, s := range c.status {
@@ -668,8 +674,11 @@
 		s.Strays = append(s.Strays, name)
 	}
 	lead, _ := c.member.Holder(state.KeyLeader)
+	if c.leaderRef != nil {
+		s.Forecast = c.forecast
+	}
 	for name, p := range c.io.Peers {
-		if c.pushing[name] || !due && name != lead {
+		if c.pushing[name] || !due && name != lead && len(s.Forecast) == 0 {
 			continue
 		}
 		c.pushing[name] = true
@@ -680,7 +689,17 @@
 	}
 }
 
+// foretell hands owners here what the leader will assign to them.
+func (c *control) foretell(f map[string]leader.Forecast) {
+	for part, x := range f {
+		if o := c.owners[part]; o != nil {
+			o.ref.Tell(x)
+		}
+	}
+}
+
 func (c *control) peerStatus(now time.Time, s peer.Status) {
+	c.foretell(s.Forecast)
 	c.peersState[s.Node] = peerView{s.StateOK, now}
 	if c.leaderRef != nil {
 		for _, a := range s.Aggregates {
--- a/node/standin_test.go
+++ b/node/standin_test.go
@@ -1014,8 +1014,12 @@
 		break
 	}
 	for range w.rng.IntN(4) {
-		r.Tasks = append(r.Tasks, wire.TaskStatus{Task: []string{"run-nobody/3", "nonsense", "run-000001/99999", "run-000002/0"}[w.rng.IntN(4)],
-			Attempt: w.rng.Uint64N(1 << 30), State: []string{"running", "exited", "flying"}[w.rng.IntN(3)], Cause: "done"})
+		s := wire.TaskStatus{Task: []string{"run-nobody/3", "nonsense", "run-000001/99999", "run-000002/0"}[w.rng.IntN(4)],
+			Attempt: w.rng.Uint64N(1 << 30), State: []string{"running", "exited", "flying"}[w.rng.IntN(3)], Cause: "done"}
+		if s.Task == "run-000002/0" {
+			s.State = "flying" // that a real task is done is for its worker to say, and would be believed
+		}
+		r.Tasks = append(r.Tasks, s)
 	}
 	if r.Machine == "m-999999" {
 		return // a machine that the cloud never rented sends nothing
--- a/part/core.go
+++ b/part/core.go
@@ -76,7 +76,10 @@
 	drainCPUs    float64   // what those can give to arrays
 	unplaced     resources // waiting demand after the last round
 	excess       float64   // what of it (CPUs) nothing that is coming will take
-	roomComing   []coming  // room of machines that are coming and not spoken for
+	forecast     leader.Forecast
+	forecastAt   time.Time
+	since        []given  // chunks that are newer than the forecast, or may be
+	roomComing   []coming // room of machines that are coming and not spoken for
 }
 
 type rental struct {
@@ -84,6 +87,13 @@
 	at  time.Time
 }
 
+// given is work that a record brought.
+type given struct {
+	version uint64
+	spot    bool
+	cpus    float64
+}
+
 // coming is the room of a machine that is not up yet.
 type coming struct {
 	free resources
@@ -231,6 +241,7 @@
 		}
 	}
 	keep := make(map[int]bool, mine)
+	fresh := 0
 	for _, ch := range rec.Chunks {
 		if ch.Part != c.cfg.Part || ch.Closed {
 			continue
@@ -241,6 +252,7 @@
 			if t == nil {
 				t = &task{job: j, index: i, uncertain: inherited && !c.rebuilt, waitSince: now}
 				j.tasks[i] = t
+				fresh++
 				c.adoptKnown(t)
 				if rec.Spec.Priority == wire.PriorityProduction {
 					c.prod.add(now, time.Duration(now.UnixMilli()-rec.AcceptedMS)*time.Millisecond, need(&rec.Spec))
@@ -258,6 +270,9 @@
 			delete(j.tasks, i)
 		}
 	}
+	if fresh > 0 && !inherited {
+		c.since = append(c.since, given{version, rec.Spec.Spot, float64(fresh) * rec.Spec.CPUs})
+	}
 	if rec.End != "" {
 		for _, t := range j.tasks {
 			if t.hold != nil && !t.hold.exited() {
--- a/part/rent.go
+++ b/part/rent.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ravenport/constants"
+	"ravenport/leader"
 	"ravenport/wire"
 )
 
@@ -86,15 +87,18 @@
 		n := need(s)
 		tasks := c.ready(now, j)
 		c.unplaced = c.unplaced.plus(n.times(len(tasks)))
-		for i := range c.roomComing {
-			if len(tasks) == 0 {
-				break
-			}
-			b := &c.roomComing[i]
-			if n.fits(b.free) && allowed(s, b.typ, b.spot) {
-				k := min(len(tasks), b.free.holdsOf(n))
-				b.free = b.free.minus(n.times(k))
-				tasks = tasks[k:]
+		// Spot machines first: ordinary room is all that some may use.
+		for _, spot := range []bool{true, false} {
+			for i := range c.roomComing {
+				if len(tasks) == 0 {
+					break
+				}
+				b := &c.roomComing[i]
+				if b.spot == spot && n.fits(b.free) && allowed(s, b.typ, b.spot) {
+					k := min(len(tasks), b.free.holdsOf(n))
+					b.free = b.free.minus(n.times(k))
+					tasks = tasks[k:]
+				}
 			}
 		}
 		if len(tasks) == 0 {
@@ -123,6 +127,27 @@
 			}
 		}
 	}
+	spare := 0.0 // ordinary room beyond what is foreseen for it
+	for _, spot := range []bool{false, true} {
+		s, cpus := c.foreseen(now, spot)
+		cpus -= spare
+		for _, b := range c.roomComing {
+			if b.spot == spot {
+				cpus -= b.free.cpus
+			}
+		}
+		for _, m := range c.fleet {
+			if m.spot == spot && c.usable(now, m) {
+				cpus -= c.free(m).cpus
+			}
+		}
+		spare = max(0, -cpus)
+		if typ, kindSpot, ok := c.pick(now, s); ok && cpus > 0 {
+			if n := int(cpus / max(typ.CPUs, 1)); n > 0 {
+				want[kind{typ.Name, kindSpot}] += n
+			}
+		}
+	}
 	if len(want) == 0 {
 		if typ, n := c.reserveMissing(now); n > 0 {
 			want[kind{typ, false}] = n
@@ -153,6 +178,41 @@
 	}
 }
 
+// Forecast takes in what the leader will assign here before long.
+func (c *Core) Forecast(now time.Time, f leader.Forecast) {
+	if f.Revision < c.forecast.Revision {
+		return
+	}
+	c.forecast, c.forecastAt = f, now
+	kept := c.since[:0]
+	for _, g := range c.since {
+		if g.version > f.Revision {
+			kept = append(kept, g)
+		}
+	}
+	c.since = kept
+}
+
+// foreseen is how much work (CPUs) is still to come of what the leader foretold,
+// and a task that stands for it. What was foretold before is as good as nothing.
+func (c *Core) foreseen(now time.Time, spot bool) (*wire.Submission, float64) {
+	s := &wire.Submission{Spot: spot, CPUs: 1}
+	if now.Sub(c.forecastAt) > constants.ForecastLife {
+		c.since = nil
+		return s, 0
+	}
+	cpus := c.forecast.Ordinary
+	if spot {
+		cpus = c.forecast.Spot
+	}
+	for _, g := range c.since {
+		if g.spot == spot {
+			cpus -= g.cpus
+		}
+	}
+	return s, cpus
+}
+
 // reserveMissing is how many ordinary machines of which type are missing to
 // keep room ready for production work.
 func (c *Core) reserveMissing(now time.Time) (string, int) {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -23,6 +23,8 @@
 	Node       string             `json:"node"`
 	StateOK    bool               `json:"state_ok"` // it reaches the state service
 	Aggregates []leader.Aggregate `json:"agg,omitempty"`
+	// Forecast is what the leader here will assign before long, by part.
+	Forecast map[string]leader.Forecast `json:"fc,omitempty"`
 	// Strays are machines that lately reported here although another
 	// controller owns them: they live, and it is their owner that is cut off.
 	Strays []string `json:"strays,omitempty"`
