Fewer writes: larger roster pages, nothing sent back where no other part has room

Cause: while machines come up, the roster's pages took up to 18 of the 20 changes a second, and a task that found no room went up and came back for two writes.

--- a/constants/constants.go
+++ b/constants/constants.go
@@ -268,13 +268,14 @@
 	// EpochBits is the part of a token that counts within a term (bits).
 	EpochBits = 20
 	// RosterGap is the least time between two writes of the roster: a wave of
-	// boots or returns becomes one change of a page and not one a machine.
-	RosterGap = 500 * time.Millisecond
+	// boots or returns becomes one change of a page and not one a machine, for
+	// which the new machines wait half of it.
+	RosterGap = time.Second
 	// RosterPages bounds the pages in one such write (pages).
 	RosterPages = 3
-	// RosterEntryBytes is what a machine takes of a page at most: name, type
-	// and address with their field names (bytes).
-	RosterEntryBytes = 110
+	// RosterEntryBytes is what a machine takes of a page beside its name: an
+	// address and signs (bytes).
+	RosterEntryBytes = 30
 	// PageFill is how much of a value a page may take (percent).
 	PageFill = 90
 	// NoticeMoves is how many tasks leave a machine that is about to be taken
--- a/node/control.go
+++ b/node/control.go
@@ -259,11 +259,11 @@
 			}
 		case *state.Page:
 			if old := c.roster[ch.Key]; old != nil {
-				for _, m := range old.Machines {
+				for _, m := range old.Machines() {
 					delete(c.partOf, m.Name)
 				}
 			}
-			for _, m := range r.Machines {
+			for _, m := range r.Machines() {
 				c.partOf[m.Name] = r.Part
 			}
 			c.roster[ch.Key], c.rosterV[ch.Key] = r, ch.Version
--- a/node/status.go
+++ b/node/status.go
@@ -58,7 +58,7 @@
 		p := PartStatus{Part: name, Owner: c.role(state.KeyPart(name))}
 		for _, r := range c.roster {
 			if r.Part == name {
-				p.Roster += len(r.Machines)
+				p.Roster += len(r.Machines())
 			}
 		}
 		if st, ok := c.status[name]; ok {
--- a/part/core_test.go
+++ b/part/core_test.go
@@ -34,7 +34,10 @@
 	}
 	if len(roster) > 0 {
 		k := state.KeyRoster("a", 0)
-		pages[k], pageV[k] = &state.Page{Part: "a", Machines: roster}, 11
+		pages[k], pageV[k] = &state.Page{Part: "a"}, 11
+		for _, m := range roster {
+			pages[k].Add(m)
+		}
 	}
 	cfg := Config{Part: "a", Report: 3 * time.Second, LeaseEnd: leaseEnd, IdleSpot: time.Hour, IdleOrdinary: time.Hour, UseSpot: true, ListLag: 5 * time.Second, ValueBytes: 8192, TxnOps: 12, Order: leader.NewOrder(nil)}
 	types := []wire.MachineType{{Name: "box", CPUs: 8, MemoryGB: 32, Price: 1, SpotPrice: 0.4, BootS: 10, Zones: []string{"a"}}}
--- a/part/place.go
+++ b/part/place.go
@@ -554,6 +554,17 @@
 	return n > after
 }
 
+// rentsElsewhere says whether another part may still get machines for a job.
+func (c *Core) rentsElsewhere(now time.Time, s *wire.Submission) bool {
+	for _, o := range c.others {
+		if now.Sub(o.at) < constants.StaleAggregate && (s.Zone == "" || s.Zone == o.agg.Part) && !s.OneZone && !s.Spread &&
+			(o.agg.RentOrdinary || s.Spot && o.agg.RentSpot) {
+			return true
+		}
+	}
+	return false
+}
+
 // sendBack marks a waiting task to be sent back to the leader. From here on
 // it is not placed, until a newer record says what became of it.
 func (c *Core) sendBack(j *job, t *task) {
--- a/part/rent.go
+++ b/part/rent.go
@@ -113,15 +113,18 @@
 			case bin != nil && n.fits(bin.free):
 				bin.free = bin.free.minus(n)
 				c.excess -= n.cpus
-			case !t.keep:
-				c.sendBack(j, t) // it does not fit: the next part is asked
+			case !t.keep && c.elsewhere(now, s, away):
+				// It does not fit: the next part is asked, if one is known to
+				// have room. Otherwise it would come back, for two writes more.
+				c.sendBack(j, t)
+				away++
 			case c.drains(now, j, t):
 			case ok:
 				c.roomComing = append(c.roomComing, coming{sizeOf(typ).minus(n), typ.Name, spot})
 				bin = &c.roomComing[len(c.roomComing)-1]
 				want[kind{typ.Name, spot}]++
 				c.excess -= n.cpus
-			case now.Sub(t.waitSince) > constants.KeepWait && c.elsewhere(now, s, away):
+			case now.Sub(t.waitSince) > constants.KeepWait && (c.elsewhere(now, s, away) || c.rentsElsewhere(now, s)):
 				c.sendBack(j, t)
 				away++
 			}
--- a/part/roster.go
+++ b/part/roster.go
@@ -20,6 +20,7 @@
 	number  int
 	version uint64
 	names   map[string]bool // machines that belong on it
+	bytes   int             // what they take of it, at most
 	stored  map[string]bool // machines that the durable page names
 	dirty   bool
 	sent    []state.Machine // content of the write under way
@@ -31,9 +32,10 @@
 	if version <= p.version {
 		return
 	}
-	c.stored(p, r.Machines, version)
-	for i := range r.Machines {
-		e := &r.Machines[i]
+	entries := r.Machines()
+	c.stored(p, entries, version)
+	for i := range entries {
+		e := &entries[i]
 		if _, gone := c.gone[e.Name]; gone && c.machines[e.Name] == nil {
 			p.dirty = true // written before its return was known
 			continue
@@ -43,7 +45,7 @@
 			continue
 		}
 		m.page = r.Number
-		p.names[e.Name] = true
+		p.put(e.Name)
 		m.durable, m.rosterAddr = true, e.Addr
 		if m.addr == "" {
 			m.addr = e.Addr
@@ -90,24 +92,37 @@
 	}
 	for name := range p.names {
 		if m := c.machines[name]; m != nil && m.returning && !m.dropAt.IsZero() && !p.stored[name] {
-			delete(p.names, name)
+			p.drop(name)
 			c.removeMachine(m)
 		}
 	}
 }
 
+func (p *page) put(name string) {
+	if !p.names[name] {
+		p.names[name] = true
+		p.bytes += len(name) + constants.RosterEntryBytes
+	}
+}
+
+func (p *page) drop(name string) {
+	if p.names[name] {
+		delete(p.names, name)
+		p.bytes -= len(name) + constants.RosterEntryBytes
+	}
+}
+
 // enrol gives a machine a place in the roster.
 func (c *Core) enrol(m *machine) {
 	if m.page != pageless {
 		c.pages[m.page].dirty = true
 		return
 	}
-	full := max(1, c.cfg.ValueBytes*constants.PageFill/100/constants.RosterEntryBytes)
 	for n := 0; ; n++ {
 		p := c.page(n)
-		if len(p.names) < full {
+		if p.bytes < c.cfg.ValueBytes*constants.PageFill/100 {
 			m.page = n
-			p.names[m.name] = true
+			p.put(m.name)
 			p.dirty = true
 			return
 		}
@@ -122,11 +137,7 @@
 		if m == nil || !m.dropAt.IsZero() {
 			continue
 		}
-		e := state.Machine{Name: name, Type: m.typeName, Spot: m.spot, Addr: m.addr}
-		if m.addr == "" {
-			e.RentedS = m.rentedAt.Unix()
-		}
-		out = append(out, e)
+		out = append(out, state.Machine{Name: name, Type: m.typeName, Spot: m.spot, Addr: m.addr, RentedS: m.rentedAt.Unix()})
 	}
 	sort.Slice(out, func(a, b int) bool { return out[a].Name < out[b].Name })
 	return out
@@ -155,7 +166,11 @@
 		p.dirty = false
 		p.sent = c.entries(p)
 		key := state.KeyRoster(c.cfg.Part, p.number)
-		changes = append(changes, wire.Change{Put: key, Value: state.Encode(state.Page{Machines: p.sent})})
+		var r state.Page
+		for _, e := range p.sent {
+			r.Add(e)
+		}
+		changes = append(changes, wire.Change{Put: key, Value: state.Encode(r)})
 		conds = append(conds, wire.Condition{Key: key, Version: p.version})
 	}
 	c.rosterBusy, c.rosterAt = true, now
@@ -200,7 +215,7 @@
 	m.dropAt = now
 	p := c.pages[m.page]
 	if !p.stored[m.name] && p.sent == nil {
-		delete(p.names, m.name) // it never stood there
+		p.drop(m.name) // it never stood there
 		c.removeMachine(m)
 		return
 	}
--- a/state/records.go
+++ b/state/records.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -55,22 +56,64 @@
 }
 
 // Page is one page of a part's roster. A roster of a thousand machines with a
-// key for each would take minutes of the state service's changes.
+// key for each would take minutes of the state service's changes; grouped by
+// kind, a page of 8 KiB takes some two hundred.
 type Page struct {
-	Part     string    `json:"-"`
-	Number   int       `json:"-"`
-	Machines []Machine `json:"m"`
+	Part   string  `json:"-"`
+	Number int     `json:"-"`
+	Groups []Group `json:"g"`
 }
 
-// Machine is a roster entry: a machine that may hold tasks.
-type Machine struct {
-	Name string `json:"n"`
+// Group lists machines of one kind that may hold tasks.
+type Group struct {
 	Type string `json:"t"`
 	Spot bool   `json:"s,omitempty"`
-	Addr string `json:"a,omitempty"` // empty: it has not come up, nothing was sent to it
-	// RentedS is the time of day of the rental (s), for machines that have
-	// not come up yet.
-	RentedS int64 `json:"r,omitempty"`
+	// Up are those that have reported, with their addresses.
+	Up map[string]string `json:"u,omitempty"`
+	// Coming are those that have not, with the time of day of their rental (s):
+	// nothing was ever sent to them.
+	Coming map[string]int64 `json:"c,omitempty"`
+}
+
+// Machine is one machine of a page.
+type Machine struct {
+	Name, Type, Addr string // no address: it has not come up
+	Spot             bool
+	RentedS          int64
+}
+
+// Add puts a machine on the page.
+func (p *Page) Add(m Machine) {
+	at := -1
+	for i := range p.Groups {
+		if p.Groups[i].Type == m.Type && p.Groups[i].Spot == m.Spot {
+			at = i
+		}
+	}
+	if at < 0 {
+		at = len(p.Groups)
+		p.Groups = append(p.Groups, Group{Type: m.Type, Spot: m.Spot, Up: map[string]string{}, Coming: map[string]int64{}})
+	}
+	if m.Addr != "" {
+		p.Groups[at].Up[m.Name] = m.Addr
+	} else {
+		p.Groups[at].Coming[m.Name] = m.RentedS
+	}
+}
+
+// Machines lists the machines of the page.
+func (p *Page) Machines() []Machine {
+	var out []Machine
+	for _, g := range p.Groups {
+		for name, addr := range g.Up {
+			out = append(out, Machine{Name: name, Type: g.Type, Spot: g.Spot, Addr: addr})
+		}
+		for name, at := range g.Coming {
+			out = append(out, Machine{Name: name, Type: g.Type, Spot: g.Spot, RentedS: at})
+		}
+	}
+	slices.SortFunc(out, func(a, b Machine) int { return strings.Compare(a.Name, b.Name) })
+	return out
 }
 
 // Job is a job's record.
