--- a/constants/constants.go
+++ b/constants/constants.go
@@ -350,6 +350,9 @@
 	// CostCold is what fetching an image weighs against work that is lost by
 	// stopping it (CPU seconds).
 	CostCold = 100.0
+	// CostMissed is what it weighs that a job misses an objective because a task
+	// of it is stopped (CPU seconds for each of the task's CPUs).
+	CostMissed = 60.0
 	// JobFaultRetry is the longest wait before a failing task is tried again.
 	JobFaultRetry = 30 * time.Second
 )
--- a/leader/order.go
+++ b/leader/order.go
@@ -39,6 +39,18 @@
 	return 0
 }
 
+// Meets is how many objectives on finishing a job of a class meets that is
+// done after that long.
+func (o Order) Meets(class string, after time.Duration) int {
+	n := 0
+	for _, w := range o.within[class] {
+		if after <= w {
+			n++
+		}
+	}
+	return n
+}
+
 // Place is a job's place in the order; smaller comes first.
 type Place struct {
 	priority int
--- a/part/place.go
+++ b/part/place.go
@@ -441,6 +441,9 @@
 			h := can[victims]
 			free = free.plus(h.needs)
 			cost += h.needs.cpus * (1 + now.Sub(h.sentAt).Seconds())
+			if c.endangers(now, h) {
+				cost += h.needs.cpus * constants.CostMissed
+			}
 			victims++
 		}
 		if victims == 0 {
@@ -449,6 +452,9 @@
 		if !m.images[s.Image] {
 			cost += constants.CostCold
 		}
+		if warm && cost > constants.CostCold {
+			continue // rather wait for the image where there is room
+		}
 		if cost < bestCost || cost == bestCost && m.name < best.name {
 			best, bestCost = m, cost
 			bestVictims = append(bestVictims[:0], can[:victims]...)
@@ -460,12 +466,26 @@
 	}
 	for _, h := range bestVictims {
 		h.stop = true
-		slog.Debug("task makes room", "task", h.key.task, "machine", best.name)
+		slog.Debug("task makes room", "task", h.key.task, "machine", best.name, "for", s.Priority, "guaranteed", for_.guarantee, "warm", warm, "age_s", now.Sub(h.sentAt).Seconds())
 	}
 	best.stale = true
 	return best
 }
 
+// endangers says whether a job that would have met an objective on finishing
+// would miss it if this task of it began anew.
+func (c *Core) endangers(now time.Time, h *hold) bool {
+	rec := c.jobs[h.jobID].rec
+	began := h.sentAt
+	if !h.runSince.IsZero() {
+		began = h.runSince
+	}
+	whole := time.Duration(rec.Spec.EstimateS * float64(time.Second))
+	age := time.Duration(now.UnixMilli()-rec.AcceptedMS) * time.Millisecond
+	left := max(whole-now.Sub(began), constants.LeastLeft)
+	return c.cfg.Order.Meets(rec.Spec.Class, age+left) > c.cfg.Order.Meets(rec.Spec.Class, age+whole)
+}
+
 // askToSave makes room for a task where only work that can save stands in its
 // way: that is stopped with time to save, and the task starts once it is gone.
 func (c *Core) askToSave(now time.Time, for_ *task, r *round) {
