Takeovers: dead machines given up after 3.5 s, claims before all other writes

Cause: with 400 machines one is always dead at a takeover; all uncertain tasks and all renting waited 10 s for it.

--- a/constants/constants.go
+++ b/constants/constants.go
@@ -107,6 +107,8 @@
 	MemberTick = 100 * time.Millisecond
 	// ClaimStep separates the claims of candidates of different rank.
 	ClaimStep = 400 * time.Millisecond
+	// ClaimRetry is how long a claim is repeated that is refused for rate alone.
+	ClaimRetry = time.Second
 	// FirstClaimWait is how long a fresh controller leaves what it is not
 	// the first choice for, so that controllers started together share out.
 	FirstClaimWait = 2 * time.Second
@@ -255,6 +257,12 @@
 	// TakeoverAsk is how long a new owner of many machines waits for their own
 	// reports, which come within a second or two, before it asks them.
 	TakeoverAsk = 1500 * time.Millisecond
+	// TakeoverPatience is when a new owner to whom most machines have come back
+	// gives up those that did not answer: reports of all that live come within
+	// two seconds or so, and much of the part's work waits for the last one.
+	TakeoverPatience = 3500 * time.Millisecond
+	// AskTimeout bounds a question to a machine, which carries no command.
+	AskTimeout = 1200 * time.Millisecond
 	// AsksAStep bounds the machines that are asked directly in one step: each
 	// question costs a connection.
 	AsksAStep = 32
--- a/member/core.go
+++ b/member/core.go
@@ -192,8 +192,7 @@
 	if now.Sub(c.vacantSince[key]) < time.Duration(position)*constants.ClaimStep {
 		return Claim{}, false
 	}
-	t := c.terms[key]
-	if missing && t.version == 0 && now.Sub(c.started) < constants.FirstClaimWait {
+	if missing && now.Sub(c.started) < constants.FirstClaimWait {
 		return Claim{}, false
 	}
 	return c.ClaimOf(key, c.me, me.incarnation, me.version), true
--- a/node/control.go
+++ b/node/control.go
@@ -492,11 +492,24 @@
 	}
 	c.claiming[cl.Key] = now
 	go func() {
-		_, err := c.io.State.Commit(ctx, cl.Txn)
+		_, err := c.claim(ctx, cl)
 		c.self.Tell(claimed{cl, err})
 	}()
 }
 
+// claim writes a claim. One that is refused for rate alone is tried again at
+// once: until it stands nobody owns the part. It runs beside the actor.
+func (c *control) claim(ctx context.Context, cl member.Claim) (uint64, error) {
+	end := time.Now().Add(constants.ClaimRetry)
+	for {
+		rev, err := c.io.First.Commit(ctx, cl.Txn)
+		if !errors.Is(err, state.ErrLimited) || time.Now().After(end) {
+			return rev, err
+		}
+		time.Sleep(constants.RetryMin/4 + rand.N(constants.RetryMin/4))
+	}
+}
+
 func (c *control) claimed(now time.Time, m claimed) {
 	if m.err == nil || errors.Is(m.err, state.ErrUnknown) {
 		// The feed tells what came of it; until then nothing else is tried,
@@ -526,7 +539,7 @@
 				// Conditional, so that a late copy from an earlier process can
 				// never replace this one's.
 				key := state.KeyNode(c.set.Node)
-				_, err = c.io.State.Commit(ctx, wire.Txn{
+				_, err = c.io.First.Commit(ctx, wire.Txn{
 					If:   []wire.Condition{{Key: key, Version: version}},
 					Then: []wire.Change{{Put: key, Value: state.Encode(state.Node{Incarnation: inc}), Lease: lease}},
 				})
--- a/node/node.go
+++ b/node/node.go
@@ -57,7 +57,8 @@
 // Outside is everything a controller calls.
 type Outside struct {
 	State   Store
-	Later   Store // the same, for writes that leave users' writes the way
+	First   Store // the same, for leases and claims, which come before all others
+	Later   Store // and for writes that leave users' writes the way
 	Cloud   Cloud
 	Workers func() Workers // one for each owner
 	Peers   map[string]Peer
@@ -110,6 +111,7 @@
 	store := state.NewClient(set.Services.State, set.Params.State.RPS, set.Params.State.WriteRPS)
 	out := Outside{
 		State:   store,
+		First:   store.First(),
 		Later:   store.Later(),
 		Cloud:   cloud.NewClient(set.Services.Cloud, set.CloudShare()),
 		Workers: func() Workers { return worker.NewCommander() },
--- a/part/report.go
+++ b/part/report.go
@@ -288,6 +288,9 @@
 		m.unanswered++
 		m.unheeded++
 		m.nextDirect = now.Add(constants.RepeatCommand)
+		if !m.up {
+			m.nextDirect = now // a takeover waits for it
+		}
 		c.doubt(now, m)
 		return
 	}
--- a/part/silence.go
+++ b/part/silence.go
@@ -38,8 +38,15 @@
 func (c *Core) giveBack(now time.Time) {
 	var names []string
 	heard, up := 0, 0
+	inherited, back := 0, 0
 	idleToo := now.Sub(c.returnedAt) >= c.cfg.CloudGap // a few more come together
 	for _, m := range c.fleet {
+		if m.rosterAddr != "" && !m.returning {
+			inherited++
+			if m.up {
+				back++
+			}
+		}
 		if m.up && !m.returning {
 			up++
 			if !c.silent(now, m) && !m.doubted() {
@@ -71,7 +78,10 @@
 			why = "deaf"
 		case m.up && !m.notice.IsZero() && now.After(m.notice):
 			why = "taken back" // it is gone; the return says so at once
-		case m.inherited && !m.up && now.Sub(c.claimed) > c.periods(constants.SilentAtTakeover) && m.unanswered > 1 && c.alone(now, m, heard, up):
+		case m.inherited && !m.up && m.unanswered > 1 && c.alone(now, m, heard, up) &&
+			(now.Sub(c.claimed) > c.periods(constants.SilentAtTakeover) || back*4 >= inherited*3 && now.Sub(c.claimed) > constants.TakeoverPatience):
+			// What is uncertain waits for it. Once most are back, those that
+			// neither reported nor answered twice will not be.
 			why = "silent since the takeover"
 		}
 		if why != "" {
--- a/state/client.go
+++ b/state/client.go
@@ -43,6 +43,7 @@
 	writes  *rate.Limiter
 	waiting *rate.Limiter // of writes that can wait
 	later   bool          // this client's writes can wait
+	first   bool          // and this one's cannot at all
 }
 
 // Later returns the same client for writes that can wait: they leave part of
@@ -53,10 +54,22 @@
 	return &l
 }
 
+// First returns the same client for the few writes that come before all
+// others, leases and claims: they do not wait for the own allowance.
+func (c *Client) First() *Client {
+	f := *c
+	f.first = true
+	return &f
+}
+
 // allow waits for the write allowance. Writes that users wait for are refused
 // at once when it would take long; the user is told when to come back. Those
 // that can wait do so in the order in which they came.
 func (c *Client) allow(ctx context.Context, n int) error {
+	if c.first {
+		c.writes.ReserveN(time.Now(), min(n, c.writes.Burst())) // the others wait for them
+		return ctx.Err()
+	}
 	if c.later {
 		if err := c.waiting.WaitN(ctx, min(n, c.waiting.Burst())); err != nil {
 			return err
--- a/worker/commands.go
+++ b/worker/commands.go
@@ -51,7 +51,11 @@
 	if err != nil {
 		return Result{Err: fmt.Errorf("worker: encoding commands: %w", err)}
 	}
-	ctx, cancel := context.WithTimeout(ctx, constants.CommandTimeout)
+	timeout := constants.CommandTimeout
+	if len(req.Commands) == 0 {
+		timeout = constants.AskTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	m, err := cl.Do(ctx, "POST", wire.PathCommands, body)
 	if err != nil {
