--- a/node/actors.go
+++ b/node/actors.go
@@ -40,7 +40,7 @@
 		err      error
 	}
 	strays struct { // machines that reported to another controller
-		machines []string
+		machines []part.Stray
 		all      bool // every live controller was heard from lately
 	}
 	forecast map[string]leader.Forecast // by part; nil: nothing
--- a/node/control.go
+++ b/node/control.go
@@ -132,7 +132,14 @@
 	pushNow    bool
 	pushing    map[string]bool
 	peersState map[string]peerView
-	strays     map[string]time.Time
+	strays     map[string]stray
+}
+
+// stray is a report that was made here though another controller owns its
+// machine.
+type stray struct {
+	part.Stray
+	at time.Time
 }
 
 type peerView struct {
@@ -153,7 +160,7 @@
 		set: set, io: out, self: self, door: door, cancels: cancels, started: time.Now(), grants: map[string]time.Time{},
 		jobs: map[string]*state.Job{}, versions: map[string]uint64{}, roster: map[string]*state.Page{}, rosterV: map[string]uint64{}, partOf: map[string]string{}, odd: map[string]bool{},
 		claiming: map[string]time.Time{}, yielded: map[string]uint64{}, owners: map[string]*child{},
-		status: map[string]partStatus{}, pushing: map[string]bool{}, peersState: map[string]peerView{}, strays: map[string]time.Time{},
+		status: map[string]partStatus{}, pushing: map[string]bool{}, peersState: map[string]peerView{}, strays: map[string]stray{},
 	}
 	var short bool
 	if c.authority, short = set.Authority(); short {
@@ -630,7 +637,7 @@
 		return
 	}
 	if _, known := c.set.Params.Zone(m.report.Zone); known {
-		c.strays[m.report.Machine] = now
+		c.strays[m.report.Machine] = stray{part.Stray{Machine: m.report.Machine, Session: m.report.Session, Seq: m.report.Seq}, now}
 	}
 	to := ""
 	if holder, ok := c.member.Holder(state.KeyPart(m.report.Zone)); ok && holder != c.set.Node {
@@ -679,12 +686,12 @@
 			s.Counts[part] = st.counts
 		}
 	}
-	for name, at := range c.strays {
-		if now.Sub(at) > time.Duration(constants.StrayPeriods*float64(c.set.Report())) {
+	for name, x := range c.strays {
+		if now.Sub(x.at) > time.Duration(constants.StrayPeriods*float64(c.set.Report())) {
 			delete(c.strays, name)
 			continue
 		}
-		s.Strays = append(s.Strays, name)
+		s.Strays = append(s.Strays, x.Stray)
 	}
 	lead, _ := c.member.Holder(state.KeyLeader)
 	if c.leaderRef != nil {
--- a/part/core.go
+++ b/part/core.go
@@ -359,7 +359,10 @@
 	}
 	if t.hold == nil && !t.done {
 		t.hold = h
-		t.uncertain = false
+		// Only a machine that shows this term's token speaks of now. A late copy
+		// may name a machine that the task has left since, for another that has
+		// not reported yet.
+		t.uncertain = t.uncertain && !h.m.verified(c.term)
 	}
 }
 
--- a/part/core_test.go
+++ b/part/core_test.go
@@ -322,7 +322,11 @@
 		t.Fatalf("returned %v, wanted m-0 alone", returned)
 	}
 	r.wait(r.strayMemory() + 2*time.Second)
-	r.Strays(r.now, []string{"m-1", "m-2", "m-3"}, true)
+	r.Strays(r.now, []Stray{{"m-1", 1, 3}, {"m-2", 1, 3}, {"m-3", 1, 3}}, true)
+	if _, strays := r.CutOff(r.now); strays {
+		t.Fatal("late copies of old reports count as evidence")
+	}
+	r.Strays(r.now, []Stray{{"m-1", 1, 900}, {"m-2", 1, 900}, {"m-3", 1, 900}}, true)
 	if silent, strays := r.CutOff(r.now); !silent || !strays {
 		t.Fatalf("silent %v, strays %v: the owner does not see that it is cut off", silent, strays)
 	}
@@ -414,3 +418,37 @@
 		t.Fatalf("started %v, wanted run-2/0", s)
 	}
 }
+
+// A late copy reaches a new owner that has heard nothing newer: it names a
+// machine that the task has left since. When that machine's own report no longer
+// shows it, the task is not free: it runs on another that is still to report.
+func TestLateCopyToNewOwnerFreesNothing(t *testing.T) {
+	old := array("run-1", 1, "a")
+	r := newRig(map[string]*state.Job{"run-1": old},
+		state.Machine{Name: "m-1", Type: "box", Addr: "m-1:1"}, state.Machine{Name: "m-2", Type: "box", Addr: "m-2:1"})
+	r.up("m-3")
+	running := func(attempt uint64) wire.TaskStatus {
+		return wire.TaskStatus{Task: "run-1/0", Attempt: attempt, State: wire.TaskRunning}
+	}
+	before := token(r.term-1, 3)
+	r.Report(r.now, report("m-1", 1, 5, before, running(7))) // the copy
+	r.Step(r.now)
+	r.now = r.now.Add(100 * time.Millisecond)
+	r.Report(r.now, report("m-1", 1, 90, before)) // its own word, now
+	r.now = r.now.Add(100 * time.Millisecond)
+	r.Report(r.now, report("m-1", 1, 91, r.shown("m-1")))
+	r.Report(r.now, report("m-3", 1, 3, r.shown("m-3")))
+	for range 20 {
+		for _, m := range []string{"m-1", "m-3"} {
+			if s := started(r.wait(100*time.Millisecond), m); len(s) > 0 {
+				t.Fatalf("%v started on %s while m-2 has not reported", s, m)
+			}
+		}
+	}
+	r.Report(r.now, report("m-2", 1, 40, before, running(9)))
+	r.now = r.now.Add(100 * time.Millisecond)
+	r.Report(r.now, report("m-2", 1, 41, r.shown("m-2"), running(9)))
+	if h := r.jobs["run-1"].tasks[0].hold; h == nil || h.m.name != "m-2" {
+		t.Fatalf("the running attempt was not adopted: %+v", h)
+	}
+}
--- a/part/silence.go
+++ b/part/silence.go
@@ -134,10 +134,18 @@
 	return quiet*2 > up, seen*2 > up
 }
 
-// Strays takes in which machines reported to another controller.
-func (c *Core) Strays(now time.Time, names []string, all bool) {
-	for _, n := range names {
-		if m := c.machines[n]; m != nil {
+// Stray is a report that a machine made to another controller.
+type Stray struct {
+	Machine string `json:"m"`
+	Session uint64 `json:"s"`
+	Seq     uint64 `json:"q"`
+}
+
+// Strays takes in which machines reported to another controller. A report that
+// is no newer than what the owner knows may be a late copy and says nothing.
+func (c *Core) Strays(now time.Time, list []Stray, all bool) {
+	for _, s := range list {
+		if m := c.machines[s.Machine]; m != nil && (s.Session > m.session || s.Session == m.session && s.Seq > m.seq) {
 			m.strayAt = now
 		}
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -16,6 +16,7 @@
 
 	"ravenport/constants"
 	"ravenport/leader"
+	"ravenport/part"
 )
 
 // Status is what a controller tells another of itself.
@@ -27,7 +28,7 @@
 	Forecast map[string]leader.Forecast `json:"fc,omitempty"`
 	// Strays are machines that lately reported here although another
 	// controller owns them: they live, and it is their owner that is cut off.
-	Strays []string `json:"strays,omitempty"`
+	Strays []part.Stray `json:"strays,omitempty"`
 	// Ask names the terms under which the sender would go on owning parts while
 	// nobody reaches the state service; see docs/safety.md, point 12.
 	Ask []Held `json:"ask,omitempty"`
