--- a/constants/constants.go
+++ b/constants/constants.go
@@ -204,6 +204,9 @@
 	// its priority if nothing of it has begun: users expect even the largest to
 	// begin within four minutes, and room for it may have to come together.
 	BeginWithin = 150 * time.Second
+	// BeginPart: an eighth of an overdue array comes before all others; under
+	// three times the load that is still less than half of what there is (part).
+	BeginPart = 8
 	// CollectFor is how long room is kept for one job at the cost of others.
 	CollectFor = 60 * time.Second
 	// WorkPerSecond is how much more work of a job weighs as much as a second
--- a/leader/core.go
+++ b/leader/core.go
@@ -355,6 +355,9 @@
 		c.limited = true
 		return Commit{}, false
 	}
+	if !s.IsService() && Overdue(now, j.rec, len(j.rec.Chunks) > 0) {
+		n = min(n, BeginShare(want))
+	}
 	guaranteed := c.guaranteed(s)
 	plan := c.plan(now, j, n)
 	type booked struct {
--- a/leader/core_test.go
+++ b/leader/core_test.go
@@ -187,7 +187,7 @@
 	c.Pushed(now, figures("a", 1, 64, 4))
 	c.Pushed(now, figures("b", 1, 24, 2))
 	c.Pushed(now, figures("c", 1, 8, 1))
-	job := &state.Job{ID: "run-1", Spec: wire.Submission{ID: "run-1", Team: "free", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: 4, CPUs: 4, MemoryGB: 1}}
+	job := &state.Job{ID: "run-1", AcceptedMS: now.UnixMilli(), Spec: wire.Submission{ID: "run-1", Team: "free", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: 4, CPUs: 4, MemoryGB: 1}}
 	c.ApplyJob(now, "run-1", job, 5)
 	acts := c.Step(now)
 	if len(acts) != 1 {
@@ -209,7 +209,7 @@
 	got := map[string]int{}
 	for i := range 6 {
 		id := fmt.Sprintf("run-%d", i)
-		c.ApplyJob(now, id, &state.Job{ID: id, AcceptedMS: int64(i), Spec: wire.Submission{ID: id, Team: "free", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: 2, CPUs: 4, MemoryGB: 1}}, uint64(10+i))
+		c.ApplyJob(now, id, &state.Job{ID: id, AcceptedMS: now.UnixMilli() + int64(i), Spec: wire.Submission{ID: id, Team: "free", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: 2, CPUs: 4, MemoryGB: 1}}, uint64(10+i))
 	}
 	for _, cm := range c.Step(now) {
 		for _, ch := range written(cm).Chunks {
--- a/leader/order.go
+++ b/leader/order.go
@@ -69,6 +69,10 @@
 	return !begun && now.UnixMilli()-rec.AcceptedMS > constants.BeginWithin.Milliseconds()
 }
 
+// BeginShare is how many of an overdue array's tasks come before all others: so
+// that it begins, and does not keep the others from beginning.
+func BeginShare(tasks int) int { return max(1, tasks/constants.BeginPart) }
+
 // Place ranks a job; guaranteed says whether what waits of it is within its
 // team's guarantee, begun whether any of its tasks runs or is done.
 func (o Order) Place(now time.Time, rec *state.Job, guaranteed, begun bool) Place {
--- /dev/null
+++ b/node/overload_test.go
@@ -0,0 +1,315 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"ravenport/leader"
+	"ravenport/part"
+	"ravenport/settings"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// crush is a leader and two owners whose machines cannot grow in number, fed by
+// hand step by step with three times the work that they can do. Everything is
+// carried out at once and by simulated time.
+type crush struct {
+	rng     *rand.Rand
+	now     time.Time
+	rev     uint64
+	leader  *leader.Core
+	owners  map[string]*part.Core
+	workers map[string]*crushWorker
+	names   []string
+	jobs    map[string]*crushJob
+	order   []string
+}
+
+type crushJob struct {
+	rec     *state.Job
+	version uint64
+	came    time.Time
+	began   time.Time
+	cancel  time.Time
+	left    map[int]bool // tasks not done
+}
+
+type crushWorker struct {
+	name, zone string
+	seq, token uint64
+	held       map[string]*crushTask
+	changed    bool
+	next       time.Time
+}
+
+type crushTask struct {
+	status wire.TaskStatus
+	ends   time.Time
+}
+
+func newCrush(seed uint64) *crush {
+	c := &crush{rng: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1_000_000, 0), owners: map[string]*part.Core{},
+		workers: map[string]*crushWorker{}, jobs: map[string]*crushJob{}}
+	set := &settings.Settings{}
+	set.Params.Zones = []string{"a", "b"}
+	set.Params.State.ValueKB = 8
+	set.Params.Teams = []settings.Team{{Name: "sure", CPUs: 40, CPUsMax: 60}, {Name: "tight", CPUsMax: 48}, {Name: "free"}}
+	set.Params.Objectives = []settings.Objective{{Kind: "finished", Class: "arrays", WithinS: 60}, {Kind: "finished", Class: "arrays", WithinS: 120}}
+	c.leader = leader.New(set, 1, c.now, nil, nil)
+	types := []wire.MachineType{{Name: "box", CPUs: 8, MemoryGB: 32, Price: 1, SpotPrice: 0.4, BootS: 30, Zones: set.Params.Zones}}
+	for _, z := range set.Params.Zones {
+		c.owners[z] = part.New(part.Config{Part: z, Report: 3 * time.Second, LeaseEnd: 21 * time.Second, IdleSpot: time.Hour, IdleOrdinary: time.Hour,
+			ListLag: 5 * time.Second, ValueBytes: 8192, TxnOps: 12, Order: leader.NewOrder(set.Params.Objectives)}, 1, 1, c.now, types, nil, nil, nil, nil)
+		for i := range 10 {
+			w := &crushWorker{name: fmt.Sprintf("m-%s-%d", z, i), zone: z, held: map[string]*crushTask{}}
+			c.workers[w.name] = w
+			c.names = append(c.names, w.name)
+		}
+	}
+	return c
+}
+
+func (c *crush) write(t wire.Txn) uint64 {
+	c.rev++
+	for _, ch := range t.Then {
+		rec, err := state.Decode(ch.Put, ch.Value)
+		if err != nil {
+			panic(err)
+		}
+		c.show(ch.Put, rec)
+	}
+	return c.rev
+}
+
+func (c *crush) show(key string, rec any) {
+	if j, ok := rec.(*state.Job); ok {
+		c.jobs[j.ID].rec, c.jobs[j.ID].version = j, c.rev
+		c.leader.ApplyJob(c.now, j.ID, j, c.rev)
+	}
+	for _, o := range c.owners {
+		o.Apply(c.now, state.Change{Key: key, Version: c.rev, Record: rec})
+	}
+}
+
+func (c *crush) submit(s wire.Submission, life time.Duration) {
+	j := &crushJob{came: c.now, left: map[int]bool{}}
+	for i := range s.Tasks {
+		j.left[i] = true
+	}
+	if life > 0 {
+		j.cancel = c.now.Add(life)
+	}
+	c.jobs[s.ID] = j
+	c.order = append(c.order, s.ID)
+	c.rev++
+	c.show(state.KeyJob(s.ID), &state.Job{ID: s.ID, Spec: s, AcceptedMS: c.now.UnixMilli()})
+}
+
+// valid says that a transaction's conditions on jobs hold.
+func (c *crush) valid(t wire.Txn) bool {
+	for _, k := range t.If {
+		for id, j := range c.jobs {
+			if k.Key == state.KeyJob(id) && k.Version != j.version {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (c *crush) step() {
+	c.now = c.now.Add(250 * time.Millisecond)
+	c.leader.SetAuthority(c.now.Add(time.Hour))
+	for _, o := range c.owners {
+		o.SetAuthority(c.now.Add(time.Hour))
+		c.leader.Pushed(c.now, o.Aggregate(c.now, c.rev))
+		for _, p := range c.owners {
+			p.Others(c.now, []leader.Aggregate{o.Aggregate(c.now, c.rev)})
+		}
+	}
+	for _, cm := range c.leader.Step(c.now) {
+		if c.valid(cm.Txn) {
+			c.leader.Committed(c.now, cm.ID, c.write(cm.Txn))
+		} else {
+			c.leader.Committed(c.now, cm.ID, 0)
+		}
+	}
+	for _, z := range []string{"a", "b"} {
+		o := c.owners[z]
+		for _, act := range o.Step(c.now) {
+			switch act := act.(type) {
+			case part.Commit:
+				if c.valid(act.Txn) {
+					o.Committed(c.now, act.ID, c.write(act.Txn))
+				} else {
+					o.Committed(c.now, act.ID, 0)
+				}
+			case part.Rent:
+				o.Rented(c.now, act.Request.Request, nil, true) // no more machines, ever
+			case part.SendCommands:
+				w := c.workers[act.Machine]
+				w.token = max(w.token, act.Request.Token)
+				c.execute(w, act.Request.Commands)
+				o.CommandResult(c.now, w.name, w.report())
+			}
+		}
+	}
+	for _, name := range c.names {
+		w := c.workers[name]
+		for _, x := range w.held {
+			if x.status.State != wire.TaskExited && !x.ends.IsZero() && !c.now.Before(x.ends) {
+				x.status.State, x.status.Cause = wire.TaskExited, wire.CauseDone
+				id, i, _ := wire.SplitTask(x.status.Task)
+				delete(c.jobs[id].left, i)
+				w.changed = true
+			}
+		}
+		if !w.changed && c.now.Before(w.next) {
+			continue
+		}
+		w.changed, w.next = false, c.now.Add(3*time.Second)
+		if reply, ok := c.owners[w.zone].Report(c.now, w.report()); ok {
+			w.changed = reply.Token > w.token
+			w.token = max(w.token, reply.Token)
+			c.execute(w, reply.Commands)
+		}
+	}
+	for _, id := range c.order {
+		if j := c.jobs[id]; !j.cancel.IsZero() && c.now.After(j.cancel) && j.rec.End == "" {
+			rec := j.rec.Clone()
+			rec.End = wire.JobCancelled
+			c.rev++
+			c.show(state.KeyJob(id), rec)
+		}
+	}
+}
+
+func (w *crushWorker) report() *wire.Report {
+	w.seq++
+	r := &wire.Report{Machine: w.name, Addr: w.name, Type: "box", Zone: w.zone, Session: 1, Seq: w.seq, Token: w.token}
+	for _, x := range w.held {
+		r.Tasks = append(r.Tasks, x.status)
+	}
+	return r
+}
+
+func (c *crush) execute(w *crushWorker, cmds []wire.Command) {
+	for _, cmd := range cmds {
+		key := fmt.Sprint(cmd.Task, "#", cmd.Attempt)
+		x := w.held[key]
+		switch {
+		case cmd.Op == wire.OpStart && x == nil:
+			id, _, _ := wire.SplitTask(cmd.Task)
+			j := c.jobs[id]
+			if j.began.IsZero() {
+				j.began = c.now
+			}
+			x = &crushTask{status: wire.TaskStatus{Task: cmd.Task, Attempt: cmd.Attempt, State: wire.TaskRunning}}
+			if !j.rec.Spec.IsService() {
+				x.ends = c.now.Add(settings.Seconds(j.rec.Spec.EstimateS))
+			}
+			w.held[key] = x
+		case cmd.Op == wire.OpStop && x != nil && x.status.State != wire.TaskExited:
+			x.status.State, x.status.Cause = wire.TaskExited, wire.CauseStopped
+		case cmd.Op == wire.OpForget:
+			delete(w.held, key)
+		default:
+			continue
+		}
+		w.changed = true
+	}
+}
+
+// overloaded plays minutes of lasting overload and returns the jobs that had the
+// time to be served.
+func overloaded(seed uint64) (*crush, []*crushJob) {
+	c := newCrush(seed)
+	const capacity = 2 * 10 * 8.0 // CPUs
+	n, load := 0, 0.0
+	for quarter := 0; quarter < 8*60*4; quarter++ {
+		// Three times what there is: CPU seconds that come in a quarter of a second.
+		for load += 3 * capacity / 4 * c.rng.Float64() * 2; load > 0; n++ {
+			s := wire.Submission{ID: fmt.Sprintf("run-%06d", n), Class: "arrays", Team: []string{"sure", "tight", "free", "free"}[c.rng.IntN(4)],
+				Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: 4 + c.rng.IntN(32), CPUs: float64(1 + c.rng.IntN(3)), MemoryGB: 1,
+				Image: fmt.Sprint("i", c.rng.IntN(3)), EstimateS: float64(5 + c.rng.IntN(15)), Spot: true}
+			life := time.Duration(0)
+			switch c.rng.IntN(12) {
+			case 0: // large ones
+				s.Tasks = 160
+			case 1: // of tasks that need nearly a whole machine
+				s.CPUs, s.Tasks = 7, 6
+			case 2, 3, 4: // services; a third of the load, and they go again
+				s.Class, s.Kind, s.Priority, s.Spot, s.EstimateS, s.CPUs = "services", wire.KindService, wire.PriorityProduction, false, 0, 1
+				s.Tasks, s.Spread = 1+c.rng.IntN(3), true
+				if c.rng.IntN(8) == 0 {
+					s.Tasks = 10
+				}
+				life = 30 * time.Second
+			}
+			load -= s.CPUs * float64(s.Tasks) * max(s.EstimateS, life.Seconds())
+			c.submit(s, life)
+		}
+		c.step()
+	}
+	var old []*crushJob
+	for _, id := range c.order {
+		if j := c.jobs[id]; c.now.Sub(j.came) > 4*time.Minute {
+			old = append(old, j)
+		}
+	}
+	return c, old
+}
+
+// Under lasting overload at least half of every class, of every team and of each
+// class's largest jobs is served, and the largest begin within four minutes.
+func TestNobodyStarvesUnderOverload(t *testing.T) {
+	quietLogs(t)
+	for seed := range uint64(2) {
+		_, old := overloaded(seed)
+		groups := map[string][]*crushJob{}
+		sizes := map[string][]int{}
+		for _, j := range old {
+			sizes[j.rec.Spec.Class] = append(sizes[j.rec.Spec.Class], j.rec.Spec.Tasks)
+		}
+		for _, s := range sizes {
+			sort.Ints(s)
+		}
+		for _, j := range old {
+			s := &j.rec.Spec
+			groups["class "+s.Class] = append(groups["class "+s.Class], j)
+			groups["team "+s.Team] = append(groups["team "+s.Team], j)
+			if all := sizes[s.Class]; s.Tasks >= all[len(all)*9/10] {
+				groups["largest "+s.Class] = append(groups["largest "+s.Class], j)
+			}
+			if s.CPUs == 7 {
+				groups["large tasks"] = append(groups["large tasks"], j)
+			}
+		}
+		for name, js := range groups {
+			served, intime := 0, 0
+			for _, j := range js {
+				if !j.began.IsZero() {
+					served++
+					if j.began.Sub(j.came) <= 4*time.Minute {
+						intime++
+					}
+				}
+			}
+			t.Logf("seed %d: %s: %d jobs, %d served, %d within four minutes", seed, name, len(js), served, intime)
+			if 2*served < len(js) {
+				t.Errorf("seed %d: %s: %d of %d served", seed, name, served, len(js))
+			}
+			if large := strings.HasPrefix(name, "large"); intime < len(js) && large || 2*intime < len(js) {
+				t.Errorf("seed %d: %s: %d of %d began within four minutes", seed, name, intime, len(js))
+			}
+		}
+		if len(groups) < 8 {
+			t.Fatalf("only %d groups of jobs", len(groups))
+		}
+	}
+}
--- a/part/place.go
+++ b/part/place.go
@@ -139,6 +139,9 @@
 		}
 		tasks = kept
 	}
+	if !s.IsService() && leader.Overdue(now, j.rec, j.begun) {
+		tasks = tasks[:min(len(tasks), leader.BeginShare(s.Tasks))]
+	}
 	var fit []*machine
 	if !r.known(r.full, d, n) {
 		fit = c.candidates(s, n, r)
