--- a/constants/constants.go
+++ b/constants/constants.go
@@ -361,6 +361,9 @@
 	// CostCold is what fetching an image weighs against work that is lost by
 	// stopping it (CPU seconds).
 	CostCold = 100.0
+	// CostWarm is what may be lost at most so that a production task finds its
+	// image, where it could also start on a machine without it (CPU seconds).
+	CostWarm = 400.0
 	// CostMissed is what it weighs that a job misses an objective because a task
 	// of it is stopped (CPU seconds for each of the task's CPUs).
 	CostMissed = 60.0
--- a/part/place.go
+++ b/part/place.go
@@ -455,7 +455,7 @@
 		if !m.images[s.Image] {
 			cost += constants.CostCold
 		}
-		if warm && cost > constants.CostCold {
+		if warm && cost > constants.CostWarm {
 			continue // rather wait for the image where there is room
 		}
 		if cost < bestCost || cost == bestCost && m.name < best.name {
