--- a/constants/constants.go
+++ b/constants/constants.go
@@ -111,7 +111,7 @@
 	ClaimRetry = time.Second
 	// FirstClaimWait is how long a fresh controller leaves what it is not
 	// the first choice for, so that controllers started together share out.
-	FirstClaimWait = 2 * time.Second
+	FirstClaimWait = 1600 * time.Millisecond
 	// CutPause is how long a controller that gave a part up because its
 	// machines could not reach it is not given it back.
 	CutPause = 45 * time.Second
@@ -278,10 +278,11 @@
 	AttemptBits = 24
 	// EpochBits is the part of a token that counts within a term (bits).
 	EpochBits = 20
-	// RosterGap is the least time between two writes of the roster: a wave of
-	// boots or returns becomes one change of a page and not one a machine, for
-	// which the new machines wait half of it.
-	RosterGap = time.Second
+	// RosterGap is the least time between two writes of the roster, and
+	// RosterShare the part of the state service's changes that one part's pages
+	// may use: a new machine waits for its page.
+	RosterGap   = 250 * time.Millisecond
+	RosterShare = 0.1
 	// RosterPages bounds the pages in one such write (pages).
 	RosterPages = 3
 	// RosterEntryBytes is what a machine takes of a page beside its name: an
--- a/node/actors.go
+++ b/node/actors.go
@@ -168,7 +168,7 @@
 		Part: name, Report: set.Report(), LeaseEnd: set.LeaseEnd(),
 		IdleSpot: set.Operator.IdleSpot, IdleOrdinary: set.Operator.IdleOrdinary, UseSpot: set.Operator.UseSpot,
 		ListLag:    time.Duration(set.Params.Cloud.ListLagS * float64(time.Second)),
-		ValueBytes: set.ValueBytes(), TxnOps: set.Params.State.TxnOps, CloudGap: set.CloudGap(), Order: leader.NewOrder(set.Params.Objectives),
+		ValueBytes: set.ValueBytes(), TxnOps: set.Params.State.TxnOps, WriteRPS: max(set.Params.State.WriteRPS, 1), CloudGap: set.CloudGap(), Order: leader.NewOrder(set.Params.Objectives),
 	}
 	a := &partActor{part: name, store: c.io.Later, cloud: c.io.Cloud, self: actor.NewRef(), control: c.self,
 		workers: c.io.Workers(), revision: c.revision}
--- a/part/core.go
+++ b/part/core.go
@@ -23,6 +23,7 @@
 	CloudGap     time.Duration // between calls of one kind to the cloud that can wait for each other
 	ValueBytes   int           // the state service's limit on a record
 	TxnOps       int           // and on the changes of a transaction
+	WriteRPS     float64       // and on changes a second, of all controllers
 	Order        leader.Order
 }
 
@@ -53,7 +54,7 @@
 
 	pages      map[int]*page // of the roster
 	rosterBusy bool          // a write of pages is under way
-	rosterAt   time.Time     // when the last one was sent
+	rosterNext time.Time     // when the next one may be sent
 
 	gone         map[string]time.Time // machines returned lately
 	others       map[string]other     // by part
--- a/part/core_test.go
+++ b/part/core_test.go
@@ -39,7 +39,7 @@
 			pages[k].Add(m)
 		}
 	}
-	cfg := Config{Part: "a", Report: 3 * time.Second, LeaseEnd: leaseEnd, IdleSpot: time.Hour, IdleOrdinary: time.Hour, UseSpot: true, ListLag: 5 * time.Second, ValueBytes: 8192, TxnOps: 12, Order: leader.NewOrder(nil)}
+	cfg := Config{Part: "a", Report: 3 * time.Second, LeaseEnd: leaseEnd, IdleSpot: time.Hour, IdleOrdinary: time.Hour, UseSpot: true, ListLag: 5 * time.Second, ValueBytes: 8192, TxnOps: 12, WriteRPS: 100, Order: leader.NewOrder(nil)}
 	types := []wire.MachineType{{Name: "box", CPUs: 8, MemoryGB: 32, Price: 1, SpotPrice: 0.4, BootS: 10, Zones: []string{"a"}}}
 	r.Core = New(cfg, r.term, 50, r.now, types, jobs, versions, pages, pageV)
 	r.SetAuthority(r.now.Add(time.Hour))
--- a/part/roster.go
+++ b/part/roster.go
@@ -146,7 +146,7 @@
 // roster writes the pages that changed: no machine gets a task before it
 // stands there with its address.
 func (c *Core) roster(now time.Time) {
-	if c.rosterBusy || now.Sub(c.rosterAt) < constants.RosterGap {
+	if c.rosterBusy || now.Before(c.rosterNext) {
 		return
 	}
 	var ps []*page
@@ -173,7 +173,10 @@
 		changes = append(changes, wire.Change{Put: key, Value: state.Encode(r)})
 		conds = append(conds, wire.Condition{Key: key, Version: p.version})
 	}
-	c.rosterBusy, c.rosterAt = true, now
+	// Its share of the state service's changes, so that a wave of boots or
+	// returns becomes one change of a page and not one a machine.
+	c.rosterBusy = true
+	c.rosterNext = now.Add(max(constants.RosterGap, time.Duration(float64(len(ps))/(c.cfg.WriteRPS*constants.RosterShare)*float64(time.Second))))
 	c.commit("roster/", changes, conds...)
 }
 
@@ -190,7 +193,7 @@
 			// If it was carried out all the same the feed brings the page, and
 			// the next write is based on that.
 			p.dirty = true
-			c.rosterAt = now.Add(constants.RetryMin)
+			c.rosterNext = now.Add(constants.RetryMin)
 			continue
 		}
 		if revision <= p.version {
