What finds no room goes back together, and not over and over

Cause: in the backlog of a cold start tasks went round the parts every 5 s, some jobs cost 50 changes.

--- a/constants/constants.go
+++ b/constants/constants.go
@@ -326,6 +326,10 @@
 	// MachinesAMove: for each that many ordinary machines, one service more is
 	// moved at once (machines).
 	MachinesAMove = 40
+	// CloseWait is how long chunks that are over wait for the job's others in
+	// the part, to be recorded with them. Room within a team's limit is free
+	// that much later.
+	CloseWait = 3 * time.Second
 	// SpareFor is how long a part must have been able to do without a machine
 	// before it is emptied, so that a lull between two jobs empties none.
 	SpareFor = 10 * time.Second
--- a/part/chunks.go
+++ b/part/chunks.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"ravenport/constants"
 	"ravenport/state"
 	"ravenport/wire"
 )
@@ -14,20 +15,30 @@
 		case c.jobs[id] != j:
 			delete(c.toClose, id)
 		case j.writing || now.Before(j.retryAt):
+		case !j.changed && now.Before(j.closeAt):
 		default:
 			delete(c.toClose, id)
-			c.closeJob(id, j)
+			j.changed = false
+			c.closeJob(now, id, j)
 		}
 	}
 }
 
 // closeJob writes a job's record if it has chunks that are over or tasks that
-// leave.
-func (c *Core) closeJob(id string, j *job) {
-	over, leaving := false, false
+// leave. Chunks that are over wait a little for the job's others here: a change
+// of the record for each would cost more than all else.
+func (c *Core) closeJob(now time.Time, id string, j *job) {
+	over, open, leaving := false, false, false
 	for i := range j.rec.Chunks {
 		ch := &j.rec.Chunks[i]
-		over = over || ch.Part == c.cfg.Part && !ch.Closed && c.chunkOver(j, ch)
+		if ch.Part != c.cfg.Part || ch.Closed {
+			continue
+		}
+		if c.chunkOver(j, ch) {
+			over = true
+		} else {
+			open = true
+		}
 	}
 	if j.rec.End == "" {
 		for _, t := range j.tasks {
@@ -37,6 +48,16 @@
 	if !over && !leaving {
 		return
 	}
+	if over && open && !leaving && j.rec.End == "" {
+		if j.closeAt.IsZero() {
+			j.closeAt = now.Add(constants.CloseWait)
+		}
+		if now.Before(j.closeAt) {
+			c.toClose[id] = j
+			return
+		}
+	}
+	j.closeAt = time.Time{}
 	rec := j.rec.Clone()
 	for i := range rec.Chunks {
 		ch := &rec.Chunks[i]
--- a/part/model.go
+++ b/part/model.go
@@ -259,6 +259,9 @@
 	tasks   map[int]*task
 	writing bool // a change of its record is under way
 	retryAt time.Time
+	backAt  time.Time       // when tasks of it were last sent back
+	changed bool            // since its chunks were last looked at
+	closeAt time.Time       // when chunks that are over are recorded though others here are not; zero: none is
 	errors  map[string]bool // machines on which its tasks failed
 
 	begun   bool    // a task of it runs or is done, here or elsewhere
@@ -294,7 +297,10 @@
 }
 
 // check says that a job's chunks may have something to record.
-func (c *Core) check(j *job) { c.toClose[j.rec.ID] = j }
+func (c *Core) check(j *job) {
+	c.toClose[j.rec.ID] = j
+	j.changed = true
+}
 
 // refresh brings the lists of waiting tasks up to date.
 func (c *Core) refresh() {
--- a/part/place.go
+++ b/part/place.go
@@ -574,18 +574,8 @@
 			n += o.agg.Takes(s)
 		}
 	}
-	return n > after
-}
-
-// rentsElsewhere says whether another part may still get machines for a job.
-func (c *Core) rentsElsewhere(now time.Time, s *wire.Submission) bool {
-	for _, o := range c.others {
-		if now.Sub(o.at) < constants.StaleAggregate && (s.Zone == "" || s.Zone == o.agg.Part) && !s.OneZone && !s.Spread &&
-			(o.agg.RentOrdinary || s.Spot && o.agg.RentSpot) {
-			return true
-		}
-	}
-	return false
+	// Others see the same room.
+	return n > (after+1)*max(1, len(c.others))
 }
 
 // sendBack marks a waiting task to be sent back to the leader. From here on
--- a/part/rent.go
+++ b/part/rent.go
@@ -106,6 +106,7 @@
 		}
 		typ, spot, ok := c.pick(now, s)
 		away := 0
+		back := now.Sub(j.backAt) > constants.KeepWait // together, and not over and over
 		var bin *coming
 		for _, t := range tasks {
 			c.excess += n.cpus
@@ -113,7 +114,7 @@
 			case bin != nil && n.fits(bin.free):
 				bin.free = bin.free.minus(n)
 				c.excess -= n.cpus
-			case !t.keep && c.elsewhere(now, s, away):
+			case !t.keep && back && c.elsewhere(now, s, away):
 				// It does not fit: the next part is asked, if one is known to
 				// have room. Otherwise it would come back, for two writes more.
 				c.sendBack(j, t)
@@ -124,11 +125,14 @@
 				bin = &c.roomComing[len(c.roomComing)-1]
 				want[kind{typ.Name, spot}]++
 				c.excess -= n.cpus
-			case now.Sub(t.waitSince) > constants.KeepWait && (c.elsewhere(now, s, away) || c.rentsElsewhere(now, s)):
+			case now.Sub(t.waitSince) > constants.KeepWait && back && c.elsewhere(now, s, away):
 				c.sendBack(j, t)
 				away++
 			}
 		}
+		if away > 0 {
+			j.backAt = now
+		}
 	}
 	spare := 0.0 // ordinary room beyond what is foreseen for it
 	for _, spot := range []bool{false, true} {
