--- a/part/core.go
+++ b/part/core.go
@@ -51,6 +51,7 @@
 	toClose map[string]*job // jobs whose chunks may have something to record
 	order   []*job          // waiting jobs in the order of the last round
 	resume  *leader.Place   // where the last round of placing stopped
+	budget  time.Duration   // of a round
 
 	pages      map[int]*page // of the roster
 	rosterBusy bool          // a write of pages is under way
@@ -130,7 +131,7 @@
 // roster are as of that revision.
 func New(cfg Config, term, termVersion uint64, now time.Time, types []wire.MachineType,
 	jobs map[string]*state.Job, versions map[string]uint64, roster map[string]*state.Page, rosterVersions map[string]uint64) *Core {
-	c := &Core{cfg: cfg, term: term, termVer: termVersion, claimed: now,
+	c := &Core{cfg: cfg, term: term, termVer: termVersion, claimed: now, budget: constants.PartBudget,
 		types: map[string]*wire.MachineType{}, jobs: map[string]*job{}, machines: map[string]*machine{},
 		byTask: map[taskKey][]*hold{}, waiting: map[*job]bool{}, toClose: map[string]*job{}, pages: map[int]*page{},
 		pendingRents: map[string]*rental{}, refused: map[bool]time.Time{}, gone: map[string]time.Time{}, others: map[string]other{}, dirty: true, pushDirty: true}
--- a/part/place.go
+++ b/part/place.go
@@ -111,7 +111,7 @@
 	began := time.Now()
 	for i := start; i < len(q); i++ {
 		c.placeJob(now, q[i], r)
-		if i+1 < len(q) && time.Since(began) > constants.PartBudget {
+		if i+1 < len(q) && time.Since(began) > c.budget {
 			p := places[q[i]]
 			c.resume, c.dirty = &p, true
 			return
--- /dev/null
+++ b/part/scale_test.go
@@ -0,0 +1,252 @@
+package part
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ravenport/constants"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// fleet brings many machines up at once, verified and in the roster.
+func (r *rig) fleet(n int) {
+	for i := range n {
+		r.Report(r.now, report(fmt.Sprintf("m-%05d", i), 1, 1, 0))
+	}
+	for range 10 {
+		r.now = r.now.Add(300 * time.Millisecond)
+		r.write(r.Step(r.now))
+	}
+	for i := range n {
+		name := fmt.Sprintf("m-%05d", i)
+		r.Report(r.now, report(name, 1, 2, r.shown(name)))
+	}
+	for name, m := range r.machines {
+		if !m.durable || !r.usable(r.now, m) {
+			panic(name + " is not usable")
+		}
+	}
+}
+
+// The roster takes changes by the page, not by the machine, and every machine is
+// durable before its first start.
+func TestRosterOfManyMachinesTakesFewWrites(t *testing.T) {
+	r := newRig(nil)
+	const machines = 600
+	writes := 0
+	for i := range machines {
+		r.Report(r.now, report(fmt.Sprintf("m-%05d", i), 1, 1, 0))
+		r.now = r.now.Add(20 * time.Millisecond)
+		for _, a := range r.Step(r.now) {
+			if cm, ok := a.(Commit); ok {
+				writes += len(cm.Txn.Then)
+				for _, ch := range cm.Txn.Then {
+					if len(ch.Value) > r.cfg.ValueBytes {
+						t.Fatalf("a page of %d bytes", len(ch.Value))
+					}
+				}
+				r.write([]Action{cm})
+			}
+		}
+	}
+	for range 20 {
+		r.write(r.wait(time.Second))
+	}
+	stored := 0
+	for _, m := range r.machines {
+		if m.durable && m.rosterAddr == m.addr {
+			stored++
+		}
+	}
+	if stored != machines {
+		t.Fatalf("%d of %d machines durable", stored, machines)
+	}
+	if writes > machines/4 {
+		t.Fatalf("%d changes for %d machines", writes, machines)
+	}
+}
+
+// What a report that changes nothing costs does not grow with the fleet.
+func TestQuietReportCostsTheSameInAnyFleet(t *testing.T) {
+	cost := func(machines int) float64 {
+		r := newRig(nil)
+		r.fleet(machines)
+		r.submit(array("run-1", 4*machines-8, "a"))
+		for range 30 {
+			r.wait(20 * time.Millisecond)
+		}
+		seq := uint64(2)
+		var tasks []wire.TaskStatus
+		for _, h := range r.machines["m-00000"].holds {
+			tasks = append(tasks, wire.TaskStatus{Task: h.key.task, Attempt: h.key.attempt, State: wire.TaskRunning})
+		}
+		if len(tasks) != 4 {
+			t.Fatalf("%d tasks on a machine", len(tasks))
+		}
+		return testing.AllocsPerRun(50, func() {
+			seq++
+			if _, ok := r.Report(r.now, report("m-00000", 1, seq, r.shown("m-00000"), tasks...)); !ok {
+				t.Fatal("refused")
+			}
+		})
+	}
+	small, large := cost(20), cost(2000)
+	if large > small+1 {
+		t.Fatalf("%g allocations a report in a fleet of 2000, %g in one of 20", large, small)
+	}
+}
+
+// A round that is cut off goes on after the job where it stopped, whatever comes
+// and goes: with time for one job a round, every job's turn comes.
+func TestCutOffRoundsSkipNobody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRig(nil)
+		for i := range 30 {
+			r.up(fmt.Sprintf("m-%d", i))
+		}
+		r.budget = 0
+		n := rapid.IntRange(2, 40).Draw(t, "jobs")
+		came, stuck := 0, 0
+		rounds := 0
+		for ; came < n || len(r.waiting) > stuck || len(r.touched) > 0; rounds++ {
+			if came < n && rapid.Bool().Draw(t, "comes") {
+				j := array(fmt.Sprintf("run-%d", came), 1, "a")
+				j.Spec.CPUs = 0.5
+				if rapid.IntRange(0, 3).Draw(t, "stuck") == 0 {
+					j.Spec.CPUs = 9 // no machine is that large: it waits for ever, and holds up nobody
+					stuck++
+				}
+				j.AcceptedMS = r.now.UnixMilli() - int64(rapid.IntRange(0, 90).Draw(t, "age"))*1000
+				r.submit(j)
+				came++
+			}
+			r.wait(20 * time.Millisecond)
+			if rounds > 8*n+20 {
+				t.Fatalf("%d jobs wait after %d rounds", len(r.waiting), rounds)
+			}
+		}
+	})
+}
+
+// After a takeover of many machines, those that are silent hold up nobody: all
+// others are asked, or have reported, within seconds.
+func TestSilentMachinesHoldUpNoTakeover(t *testing.T) {
+	var roster []state.Machine
+	for i := range 200 {
+		name := fmt.Sprintf("m-%05d", i)
+		roster = append(roster, state.Machine{Name: name, Type: "box", Addr: name + ":1"})
+	}
+	r := newRig(map[string]*state.Job{"run-1": array("run-1", 3, "a")}, roster...)
+	silent := func(name string) bool { return name < "m-00070" }
+	type call struct {
+		name string
+		at   time.Time
+	}
+	var flying []call
+	returned := 0
+	for step := range 500 {
+		for _, a := range r.wait(20 * time.Millisecond) {
+			switch a := a.(type) {
+			case SendCommands:
+				flying = append(flying, call{a.Machine, r.now})
+			case Return:
+				returned += len(a.Names)
+				r.Returned(r.now, a.Names)
+			}
+		}
+		kept := flying[:0]
+		for _, f := range flying {
+			switch {
+			case !silent(f.name):
+				r.CommandResult(r.now, f.name, report(f.name, 1, uint64(100+step), r.shown(f.name)))
+			case r.now.Sub(f.at) >= constants.AskTimeout:
+				r.CommandResult(r.now, f.name, nil)
+			default:
+				kept = append(kept, f)
+			}
+		}
+		flying = kept
+		back := 0
+		for name, m := range r.machines {
+			if !silent(name) && m.verified(r.term) {
+				back++
+			}
+		}
+		if back == 130 && r.now.Sub(r.claimed) > constants.TakeoverAsk+2*time.Second && step < 300 && returned == 0 && r.rebuilt {
+			t.Fatal("rebuilt while silent machines may run its tasks")
+		}
+	}
+	if !r.rebuilt || returned != 70 {
+		t.Fatalf("rebuilt %v, %d of 70 silent machines returned after 10 s", r.rebuilt, returned)
+	}
+}
+
+// A machine that is heard but does not show what it is sent gets nothing and is
+// given up; one whose answer was lost once shows the next token and goes on.
+func TestDoubtEndsOnlyByANewToken(t *testing.T) {
+	r := newRig(nil)
+	for i := range 4 {
+		r.up(fmt.Sprintf("m-%d", i))
+	}
+	r.now = r.now.Add(time.Second)
+	for i := range 4 {
+		r.Report(r.now, report(fmt.Sprintf("m-%d", i), 1, 3, r.shown(fmt.Sprintf("m-%d", i))))
+	}
+	m := r.machines["m-0"]
+	stale := r.shown("m-0")
+	r.Report(r.now, report("m-0", 1, 6, stale)) // it has reported elsewhere since
+	if !m.doubted() || r.usable(r.now, m) {
+		t.Fatal("it stays trusted though it did not stay")
+	}
+	r.Report(r.now, report("m-0", 1, 7, stale))
+	if !m.doubted() {
+		t.Fatal("an old token ended the doubt")
+	}
+	r.Report(r.now, report("m-0", 1, 8, r.shown("m-0")))
+	if m.doubted() || !r.usable(r.now, m) {
+		t.Fatal("the new token did not end the doubt")
+	}
+}
+
+func BenchmarkQuietReport(b *testing.B) {
+	r := newRig(nil)
+	r.fleet(2000)
+	r.submit(array("run-1", 7000, "a"))
+	for range 50 {
+		r.wait(20 * time.Millisecond)
+	}
+	rep := report("m-00000", 1, 3, r.shown("m-00000"))
+	for _, h := range r.machines["m-00000"].holds {
+		rep.Tasks = append(rep.Tasks, wire.TaskStatus{Task: h.key.task, Attempt: h.key.attempt, State: wire.TaskRunning})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		rep.Seq++
+		r.Report(r.now, rep)
+	}
+}
+
+// BenchmarkCrowdedRound is a whole round with everything full and thousands of
+// tasks waiting.
+func BenchmarkCrowdedRound(b *testing.B) {
+	r := newRig(nil)
+	r.budget = time.Hour
+	r.fleet(1000)
+	for i := range 200 {
+		j := array(fmt.Sprintf("run-%d", i), 50, "a")
+		j.Spec.CPUs = 2 + float64(i%7)/8
+		r.submit(j)
+	}
+	for range 50 {
+		r.wait(20 * time.Millisecond)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		r.dirty = true
+		r.wait(20 * time.Millisecond)
+	}
+}
