--- a/constants/constants.go
+++ b/constants/constants.go
@@ -20,6 +20,10 @@
 	// ServerIdle ends connections without a request: twenty report periods
 	// of a slow deployment, so that no worker or poller is cut off.
 	ServerIdle = 60 * time.Second
+	// ServerSpare is after which time without a request a connection may be
+	// closed for a new one when there are no more: workers report and users ask
+	// more often.
+	ServerSpare = 15 * time.Second
 	// ServerSlowRequest ends connections that sent part of a request and
 	// stopped: users give up after 5 s themselves.
 	ServerSlowRequest = 10 * time.Second
--- a/server/server.go
+++ b/server/server.go
@@ -57,6 +57,7 @@
 	gnet.BuiltinEventEngine
 	addr    string
 	maxConn int
+	spare   time.Duration // a connection that idles longer may be closed for another
 	handle  Handler
 	eng     gnet.Engine
 	conns   map[gnet.Conn]*session // owned by the event loop
@@ -71,7 +72,7 @@
 
 // New makes a server for addr with at most maxConn open connections.
 func New(addr string, maxConn int, h Handler) *Server {
-	return &Server{addr: addr, maxConn: maxConn, handle: h, conns: map[gnet.Conn]*session{}, ready: make(chan struct{})}
+	return &Server{addr: addr, maxConn: maxConn, spare: constants.ServerSpare, handle: h, conns: map[gnet.Conn]*session{}, ready: make(chan struct{})}
 }
 
 // Run serves until the process ends or listening fails.
@@ -97,7 +98,7 @@
 
 // OnOpen implements gnet.EventHandler.
 func (s *Server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
-	if len(s.conns) >= s.maxConn {
+	if len(s.conns) >= s.maxConn && !s.makeRoom() {
 		return nil, gnet.Close
 	}
 	ses := &session{since: time.Now()}
@@ -106,6 +107,27 @@
 	return nil, gnet.None
 }
 
+// makeRoom closes the connection that has idled longest, if it has for so long
+// that nobody can be using it: forgotten ones must not shut out users and health
+// checks.
+func (s *Server) makeRoom() bool {
+	var longest gnet.Conn
+	since := time.Now().Add(-s.spare)
+	for c, ses := range s.conns {
+		if !ses.busy && c.InboundBuffered() == 0 && ses.since.Before(since) {
+			longest, since = c, ses.since
+		}
+	}
+	if longest == nil {
+		return false
+	}
+	delete(s.conns, longest)
+	if err := longest.Close(); err != nil {
+		slog.Debug("closing an idle connection", "err", err)
+	}
+	return true
+}
+
 // OnClose implements gnet.EventHandler.
 func (s *Server) OnClose(c gnet.Conn, _ error) gnet.Action {
 	delete(s.conns, c)
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -12,7 +12,9 @@
 )
 
 // start serves on a free loopback port and echoes the method and target.
-func start(t *testing.T, maxConn int) string {
+func start(t *testing.T, maxConn int) string { return startSparing(t, maxConn, time.Hour) }
+
+func startSparing(t *testing.T, maxConn int, spare time.Duration) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -23,6 +25,7 @@
 	s := New(addr, maxConn, func(r *Request) {
 		go r.Answer(&httpwire.Response{Status: 200, Body: []byte(r.Method + " " + r.Target)})
 	})
+	s.spare = spare
 	go func() {
 		if err := s.Run(); err != nil {
 			t.Error(err)
@@ -126,3 +129,22 @@
 	}
 	expect(t, in, "200", "GET /2")
 }
+
+// At the limit, forgotten connections make room for users and health checks.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	addr := startSparing(t, 3, 0)
+	for range 3 { // whose owners never ask again
+		c, in := dial(t, addr)
+		if _, err := c.Write([]byte("GET /1 HTTP/1.1\r\n\r\n")); err != nil {
+			t.Fatal(err)
+		}
+		expect(t, in, "200", "GET /1")
+	}
+	for i := range 5 {
+		c, in := dial(t, addr)
+		if _, err := fmt.Fprintf(c, "GET /healthz%d HTTP/1.1\r\n\r\n", i); err != nil {
+			t.Fatal(err)
+		}
+		expect(t, in, "200", fmt.Sprintf("GET /healthz%d", i))
+	}
+}
