Two questions without an answer after a late report: the machine has failed

Cause: at a report period of 8 s a cut machine was given up after 17.6 s; its services were down that long. Now 10.4 s and two questions. Ruled out: asking all machines regularly (300 calls a second).

--- a/constants/constants.go
+++ b/constants/constants.go
@@ -250,10 +250,11 @@
 	// RepeatCommand is when a direct command without effect is sent again.
 	RepeatCommand = time.Second
 	// ProbePeriods: a machine unheard for that many report periods is asked
-	// directly; reports come a quarter late at most (periods).
-	ProbePeriods = 1.4
-	// SilentPeriods: a machine unheard for that many report periods, that did
-	// not answer when asked, has failed (periods).
+	// directly; reports come a quarter late at most. Two questions without an
+	// answer, and it has failed (periods).
+	ProbePeriods = 1.3
+	// SilentPeriods: a machine unheard for that many report periods gets no
+	// tasks, and has failed if it did not answer once (periods).
 	SilentPeriods = 2.2
 	// StrayPeriods is how long a report to another controller counts for the
 	// machine's owner (periods).
--- a/part/report.go
+++ b/part/report.go
@@ -288,8 +288,8 @@
 		m.unanswered++
 		m.unheeded++
 		m.nextDirect = now.Add(constants.RepeatCommand)
-		if !m.up {
-			m.nextDirect = now // a takeover waits for it
+		if !m.up || c.questionable(now, m) {
+			m.nextDirect = now // a takeover waits for it, or what was on it
 		}
 		c.doubt(now, m)
 		return
@@ -421,7 +421,7 @@
 	case m.doubted():
 		return true
 	}
-	return now.Sub(m.heard) > c.periods(constants.ProbePeriods)
+	return c.overdueReport(now, m)
 }
 
 // overdue says whether a machine has a decided start without effect.
--- a/part/silence.go
+++ b/part/silence.go
@@ -12,6 +12,11 @@
 	return now.Sub(m.heard) > c.periods(constants.SilentPeriods)
 }
 
+// overdueReport says that a machine's report is later than any should be.
+func (c *Core) overdueReport(now time.Time, m *machine) bool {
+	return now.Sub(m.heard) > c.periods(constants.ProbePeriods)
+}
+
 // lapse forgets what was on machines whose lease has surely ended.
 func (c *Core) lapse(now time.Time) {
 	for _, m := range c.fleet {
@@ -68,7 +73,7 @@
 			why = "did not come up"
 		case idleToo && m.up && !m.idleSince.IsZero() && (m.draining || now.Sub(m.idleSince) > idle) && !c.busy(m) && m.verified(c.term):
 			why = "idle"
-		case m.up && c.silent(now, m) && m.unanswered > 0 && c.alone(now, m, heard, up):
+		case m.up && (c.silent(now, m) && m.unanswered > 0 || c.overdueReport(now, m) && m.unanswered > 1) && c.alone(now, m, heard, up):
 			// Returning it makes what was on it surely gone, long before its
 			// lease ends.
 			why = "silent"
