--- a/node/actors.go
+++ b/node/actors.go
@@ -73,14 +73,33 @@
 	return rev
 }
 
+// pace keeps an actor's steps apart: what comes in between is decided together.
+type pace struct {
+	at   time.Time // of the last step
+	soon bool      // a wake for the next one is on its way
+}
+
+// due says whether the next step may be made; if not, self is woken when it may.
+func (p *pace) due(now time.Time, gap time.Duration, self *actor.Ref) bool {
+	wait := p.at.Add(gap).Sub(now)
+	if wait <= 0 {
+		p.at = now
+		return true
+	}
+	if !p.soon {
+		p.soon = true
+		time.AfterFunc(wait, func() { self.Tell(wake{soon: true}) })
+	}
+	return false
+}
+
 // leaderActor runs the leader's decisions.
 type leaderActor struct {
 	core  *leader.Core
 	store Store
 	self  *actor.Ref
 	ticks bool // a wake of LeaderTick is on its way
-	soon  bool // and one for the next step
-	at    time.Time
+	pace  pace
 	over  bool // halted
 
 	control    *actor.Ref
@@ -113,19 +132,14 @@
 		a.core.Committed(now, m.id, m.revision)
 	case wake:
 		if m.soon {
-			a.soon = false
+			a.pace.soon = false
 		} else {
 			a.ticks = false
 		}
 	}
-	if wait := a.at.Add(constants.LeaderGap).Sub(now); wait > 0 {
-		if !a.soon {
-			a.soon = true
-			time.AfterFunc(wait, func() { a.self.Tell(wake{soon: true}) })
-		}
+	if !a.pace.due(now, constants.LeaderGap, a.self) {
 		return
 	}
-	a.at = now
 	for _, cm := range a.core.Step(now) {
 		go func() {
 			a.self.Tell(committed{cm.ID, commit(ctx, a.store, cm.Txn, "assignment of "+cm.ID)})
@@ -152,8 +166,7 @@
 	workers  Workers
 	revision uint64
 	ticks    bool // a wake of PartTick is on its way
-	soon     bool // and one for the next step
-	stepAt   time.Time
+	pace     pace
 	pushAt   time.Time
 	countAt  time.Time
 	listAt   time.Time
@@ -230,20 +243,14 @@
 		a.core.SetTypes(m.types)
 	case wake:
 		if m.soon {
-			a.soon = false
+			a.pace.soon = false
 		} else {
 			a.ticks = false
 		}
 	}
-	if wait := a.stepAt.Add(constants.PartGap).Sub(now); wait > 0 {
-		// What comes until then is decided together.
-		if !a.soon {
-			a.soon = true
-			time.AfterFunc(wait, func() { a.self.Tell(wake{soon: true}) })
-		}
+	if !a.pace.due(now, constants.PartGap, a.self) {
 		return
 	}
-	a.stepAt = now
 	for _, act := range a.core.Step(now) {
 		a.do(ctx, act)
 	}
--- a/node/sim_test.go
+++ b/node/sim_test.go
@@ -26,16 +26,7 @@
 	for _, n := range w.nodes {
 		n.start()
 	}
-	go func() {
-		for {
-			select {
-			case <-w.stop:
-				return
-			case <-time.After(50 * time.Millisecond):
-				w.expire()
-			}
-		}
-	}()
+	go w.expireLeases()
 	for i := range 24 {
 		s := wire.Submission{
 			ID: fmt.Sprintf("run-%06d", i), Class: "c", Team: "free", Kind: wire.KindArray, Priority: wire.PriorityNormal,
@@ -348,6 +339,18 @@
 	}
 }
 
+// expireLeases ends the state service's leases in time.
+func (w *world) expireLeases() {
+	for {
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(50 * time.Millisecond):
+			w.expire()
+		}
+	}
+}
+
 // quietWorld is a deployment without troubles, all controllers up.
 func quietWorld(seed uint64) *world {
 	w := newWorld(seed, []string{"a", "b"}, 3)
@@ -355,16 +358,7 @@
 	for _, n := range w.nodes {
 		n.start()
 	}
-	go func() {
-		for {
-			select {
-			case <-w.stop:
-				return
-			case <-time.After(50 * time.Millisecond):
-				w.expire()
-			}
-		}
-	}()
+	go w.expireLeases()
 	time.Sleep(5 * time.Second)
 	return w
 }
