--- a/state/client.go
+++ b/state/client.go
@@ -257,6 +257,8 @@
 		return &ev, nil
 	case 410:
 		return nil, ErrCompacted
+	case 429:
+		return nil, fmt.Errorf("%w: %w: watch: status 429", ErrRefused, ErrLimited)
 	}
 	return nil, fmt.Errorf("%w: watch: status %d", ErrRefused, m.Status)
 }
