--- a/state/feed.go
+++ b/state/feed.go
@@ -72,6 +72,9 @@
 			}
 			pause(ctx, f.gap)
 			continue
+		case errors.Is(err, ErrLimited):
+			pause(ctx, f.gap/2+rand.N(f.gap)) // it is there, only busy
+			continue
 		case errors.Is(err, ErrCompacted):
 			slog.Warn("feed fell behind and reads everything again")
 			listed = false
