--- a/constants/constants.go
+++ b/constants/constants.go
@@ -259,6 +259,9 @@
 	// StrayPeriods is how long a report to another controller counts for the
 	// machine's owner (periods).
 	StrayPeriods = 2.0
+	// MutePeriods is when a machine that answers calls but makes no reports is
+	// given up: its lease ends soon (periods).
+	MutePeriods = 3.0
 	// DeafAsks is how many direct commands in a row a machine in doubt leaves
 	// unanswered before it is given up, however often it is heard (commands).
 	DeafAsks = 3
--- a/node/control.go
+++ b/node/control.go
@@ -413,7 +413,7 @@
 	}
 	c.roles(ctx, now)
 	for _, cl := range c.member.Step(now, c.incarnation, c.settled(now) && !c.claimsHeld(now)) {
-		if at, ok := c.claiming[cl.Key]; ok && now.Sub(at) < constants.StateTimeout+time.Second {
+		if c.claimBusy(now, cl.Key) {
 			continue
 		}
 		if cl.To != c.set.Node {
@@ -433,7 +433,7 @@
 			delete(c.yielded, key)
 			continue
 		}
-		if _, busy := c.claiming[key]; !busy && c.settled(now) {
+		if !c.claimBusy(now, key) && c.settled(now) {
 			inc, version := c.member.NodeKey(c.set.Node)
 			c.send(ctx, now, c.member.ClaimOf(key, c.set.Node, inc, version))
 		}
@@ -459,7 +459,7 @@
 // handOn gives up a term that this controller cannot make use of.
 func (c *control) handOn(ctx context.Context, now time.Time, key string) {
 	cl, ok := c.member.HandOn(key)
-	if _, busy := c.claiming[key]; !ok || busy || !c.settled(now) {
+	if !ok || c.claimBusy(now, key) || !c.settled(now) {
 		return
 	}
 	slog.Warn("cut off: handing on", "key", key, "to", cl.To)
@@ -493,8 +493,15 @@
 	c.self.Tell(halted{cl})
 }
 
+// claimBusy says that a claim for key is under way, or was made a moment ago. It
+// must end by itself: an owner that once claimed its part could never hand it on.
+func (c *control) claimBusy(now time.Time, key string) bool {
+	at, ok := c.claiming[key]
+	return ok && now.Sub(at) < constants.StateTimeout+time.Second
+}
+
 func (c *control) send(ctx context.Context, now time.Time, cl member.Claim) {
-	if at, ok := c.claiming[cl.Key]; ok && now.Sub(at) < constants.StateTimeout+time.Second {
+	if c.claimBusy(now, cl.Key) {
 		return
 	}
 	c.claiming[cl.Key] = now
--- a/node/promise.go
+++ b/node/promise.go
@@ -41,7 +41,7 @@
 		if !alive || holder != s.Node || t.Number != h.Term || version != h.Version {
 			return r
 		}
-		if at, ok := c.claiming[h.Key]; ok && now.Sub(at) < 2*constants.StateTimeout {
+		if c.claimBusy(now, h.Key) {
 			return r
 		}
 	}
--- a/node/sim_test.go
+++ b/node/sim_test.go
@@ -60,7 +60,7 @@
 	w.setOutage(false)
 	w.mu.Lock()
 	for _, n := range w.nodes {
-		n.cutState, n.cutWork, n.cutPeers = false, false, false
+		n.cutState, n.cutWork, n.cutPeers, n.cutBeats = false, false, false, false
 	}
 	w.cloudOut = false
 	for _, m := range w.machines {
@@ -90,7 +90,11 @@
 		n := w.nodes[int(w.between(0, time.Duration(len(w.nodes)-1)))]
 		for_ := w.between(time.Second, 35*time.Second)
 		later := func(f func()) { time.AfterFunc(for_, f) }
-		switch w.between(0, 13) {
+		switch w.between(0, 14) {
+		case 14: // reports do not reach it, though it reaches the workers
+			set := func(v bool) { w.mu.Lock(); n.cutBeats = v; w.mu.Unlock() }
+			set(true)
+			later(func() { set(false) })
 		case 10: // away from the state service and the other controllers, not from workers
 			set := func(v bool) { w.mu.Lock(); n.cutState, n.cutPeers = v, v; w.mu.Unlock() }
 			set(true)
@@ -280,6 +284,28 @@
 	})
 }
 
+// An owner that reaches its machines while their reports do not reach it hands
+// its part on before their leases end: answers to its calls renew none.
+func TestOwnerWithoutReportsHandsOn(t *testing.T) {
+	quietLogs(t)
+	synctest.Test(t, func(t *testing.T) {
+		w := quietWorld(8)
+		w.service("run-000001", 4)
+		time.Sleep(60 * time.Second)
+		w.mu.Lock()
+		starts := w.starts
+		w.nodes[0].cutBeats = true
+		w.mu.Unlock()
+		time.Sleep(60 * time.Second)
+		w.mu.Lock()
+		if n := w.running("run-000001"); n != 4 || w.starts != starts {
+			t.Errorf("%d of 4 replicas run, %d starts since", n, w.starts-starts)
+		}
+		w.mu.Unlock()
+		w.end(t)
+	})
+}
+
 // While the state service is away for all, and the controllers reach each other,
 // what runs goes on, for much longer than the workers' lease.
 func TestOutageLongerThanTheLeaseStopsNothing(t *testing.T) {
--- a/node/standin_test.go
+++ b/node/standin_test.go
@@ -83,6 +83,7 @@
 	cutState bool
 	cutWork  bool // from workers
 	cutPeers bool // from the other controllers
+	cutBeats bool // reports do not reach it, though it reaches the workers
 }
 
 type simJob struct {
@@ -574,7 +575,7 @@
 		m.changed = false
 		r := m.report()
 		n := w.nodes[node]
-		ctl, shut := n.ctl, n.cutWork
+		ctl, shut := n.ctl, n.cutWork || n.cutBeats
 		next = now.Add(time.Duration(2250+w.rng.IntN(1500)) * time.Millisecond)
 		w.mu.Unlock()
 		if ctl == nil || shut {
--- a/part/model.go
+++ b/part/model.go
@@ -100,10 +100,10 @@
 	dropAt     time.Time // when it may leave the roster
 
 	session, seq uint64
-	minSession   uint64 // earlier sessions have surely ended
-	token        uint64 // highest token that it has reported
-	epoch        uint64 // what the owner's tokens to it end in
-	heard        time.Time
+	minSession   uint64    // earlier sessions have surely ended
+	token        uint64    // highest token that it has reported
+	epoch        uint64    // what the owner's tokens to it end in
+	heard        time.Time // its last own report; at first also an answer
 	leaseUntil   time.Time // after it, the session last known has surely ended
 	inherited    bool      // stood in the roster when the term began
 	up           bool      // has reported in this term
@@ -134,6 +134,8 @@
 	answersSince int       // answers since it last showed the token they carry
 	answeredAt   uint64    // the number of its last report that was answered, with those of direct commands right after it
 	answeredIn   uint64    // the session of that
+	beatAt       uint64    // the number of its last own report
+	beatIn       uint64    // the session of that
 	missed       bool      // its last report shows that it made others elsewhere
 }
 
--- a/part/report.go
+++ b/part/report.go
@@ -68,6 +68,7 @@
 // older than that token.
 func (c *Core) heard(now time.Time, m *machine, r *wire.Report) {
 	m.heard, m.unanswered = now, 0
+	m.beatIn, m.beatAt = r.Session, r.Seq
 	switch {
 	case m.doubted() && m.token >= m.doubtToken:
 		c.trust(m)
@@ -301,9 +302,15 @@
 	c.arrive(now, m, r)
 	c.absorb(now, m, r, false)
 	c.dirty = c.dirty || c.freed
-	// It answered a call: commands do reach it.
-	m.heard, m.unanswered = now, 0
-	m.unheeded = 0
+	// It answered a call: commands do reach it. But only a report of its own
+	// renews its lease, so an answer does not count for one, except at first.
+	m.unanswered, m.unheeded = 0, 0
+	if m.heard.IsZero() {
+		m.heard = now
+	}
+	if c.overdueReport(now, m) {
+		m.nextDirect = now.Add(c.cfg.Report / 2)
+	}
 	if m.doubted() && m.token >= m.doubtToken {
 		c.trust(m)
 	}
--- a/part/scale_test.go
+++ b/part/scale_test.go
@@ -212,6 +212,43 @@
 	}
 }
 
+// A machine that answers calls but makes no reports loses its lease all the same:
+// it is given up, while the others report.
+func TestMuteMachineIsGivenUp(t *testing.T) {
+	r := newRig(nil)
+	for i := range 4 {
+		r.up(fmt.Sprintf("m-%d", i))
+	}
+	returned := map[string]bool{}
+	for seq := uint64(10); seq < 30; seq++ {
+		r.now = r.now.Add(time.Second)
+		for i := 1; i < 4; i++ {
+			name := fmt.Sprintf("m-%d", i)
+			rep := report(name, 1, seq, r.shown(name))
+			rep.Spot = true // idle ordinary ones would be given back
+			r.Report(r.now, rep)
+		}
+		for _, a := range r.Step(r.now) {
+			switch a := a.(type) {
+			case SendCommands:
+				rep := report(a.Machine, 1, seq, r.shown(a.Machine))
+				rep.Spot = true
+				r.CommandResult(r.now, a.Machine, rep)
+			case Return:
+				for _, n := range a.Names {
+					returned[n] = true
+				}
+			}
+		}
+		if r.now.Sub(r.claimed) < 8*time.Second && returned["m-0"] {
+			t.Fatal("given up at once")
+		}
+	}
+	if !returned["m-0"] || len(returned) != 1 {
+		t.Fatalf("returned %v, wanted m-0 alone", returned)
+	}
+}
+
 func BenchmarkQuietReport(b *testing.B) {
 	r := newRig(nil)
 	r.fleet(2000)
--- a/part/silence.go
+++ b/part/silence.go
@@ -8,6 +8,8 @@
 	"ravenport/wire"
 )
 
+// silent says that no report of a machine's own has come for so long that its
+// lease may end, whether or not it answers when it is called.
 func (c *Core) silent(now time.Time, m *machine) bool {
 	return now.Sub(m.heard) > c.periods(constants.SilentPeriods)
 }
@@ -81,6 +83,9 @@
 			// It is heard, here or by others, and hears nothing: its lease
 			// runs out whatever it reports. Nobody's hearing of it counts.
 			why = "deaf"
+		case m.up && now.Sub(m.heard) > c.periods(constants.MutePeriods) && heard*2 > up:
+			// It answers but does not report: its lease ends all the same.
+			why = "mute"
 		case m.up && !m.notice.IsZero() && now.After(m.notice):
 			why = "taken back" // it is gone; the return says so at once
 		case m.inherited && !m.up && m.unanswered > 1 && c.alone(now, m, heard, up) &&
@@ -147,10 +152,11 @@
 }
 
 // Strays takes in which machines reported to another controller. A report that
-// is no newer than what the owner knows may be a late copy and says nothing.
+// is no newer than the machine's last one here may be a late copy and says
+// nothing.
 func (c *Core) Strays(now time.Time, list []Stray, all bool) {
 	for _, s := range list {
-		if m := c.machines[s.Machine]; m != nil && (s.Session > m.session || s.Session == m.session && s.Seq > m.seq) {
+		if m := c.machines[s.Machine]; m != nil && (s.Session > m.beatIn || s.Session == m.beatIn && s.Seq > m.beatAt) {
 			m.strayAt = now
 		}
 	}
