--- a/constants/constants.go
+++ b/constants/constants.go
@@ -170,6 +170,9 @@
 	TurnLength = 7 * time.Second
 	// RetryAfterS is what a refused user is told to wait (s).
 	RetryAfterS = 1
+	// RetrySpreadS is over how much longer submissions are spread that came too
+	// many at once for the state service's allowance (s).
+	RetrySpreadS = 3
 )
 
 // Leader.
--- a/frontdoor/frontdoor.go
+++ b/frontdoor/frontdoor.go
@@ -209,8 +209,10 @@
 }
 
 // Refuse answers that the service cannot take the request now.
-func Refuse(req Request, status int, why string) {
-	req.Answer(&httpwire.Response{Status: status, Body: body(wire.Problem{Error: why}), RetryAfterS: constants.RetryAfterS})
+func Refuse(req Request, status int, why string) { refuse(req, status, why, constants.RetryAfterS) }
+
+func refuse(req Request, status int, why string, retryAfterS int) {
+	req.Answer(&httpwire.Response{Status: status, Body: body(wire.Problem{Error: why}), RetryAfterS: retryAfterS})
 }
 
 func body(v any) []byte {
@@ -451,11 +453,14 @@
 		d.ask(ctx, &poll{req: m.req, id: m.s.ID, missing: func() { Refuse(m.req, 503, "not ready") }})
 	default:
 		// Perhaps it was stored all the same; then the user's repeat finds it.
-		if !errors.Is(m.err, state.ErrLimited) {
-			d.down = time.Now().Add(constants.DownFor)
-		}
 		d.stats.refused++
 		slog.Info("submission refused", "job", m.s.ID, "took_ms", took, "err", m.err)
+		if errors.Is(m.err, state.ErrLimited) {
+			// Many come at once: they are told to come back at different times.
+			refuse(m.req, 503, "too many submissions", constants.RetryAfterS+rand.IntN(constants.RetrySpreadS))
+			return
+		}
+		d.down = time.Now().Add(constants.DownFor)
 		Refuse(m.req, 503, "state service away")
 	}
 }
--- a/node/control.go
+++ b/node/control.go
@@ -115,7 +115,7 @@
 	claiming    map[string]time.Time
 	yielded     map[string]uint64 // term given up while handing on
 	types       []wire.MachineType
-	typesAt     time.Time
+	typesNext   time.Time // when they are read next
 	typesBusy   bool
 
 	cancels       *frontdoor.Cancels
@@ -216,10 +216,10 @@
 		c.typesBusy = false
 		if m.err != nil {
 			slog.Info("machine types not read", "err", m.err)
-			c.typesAt = now.Add(constants.RetryMax - constants.TypesEvery)
+			c.typesNext = now.Add(constants.RetryMax / 2)
 			return
 		}
-		c.typesAt = now
+		c.typesNext = now.Add(constants.TypesEvery)
 		c.types = m.types
 		c.door.Tell(frontdoor.Types(m.types))
 		for _, o := range c.owners {
@@ -408,9 +408,7 @@
 
 func (c *control) tick(ctx context.Context, now time.Time) {
 	c.keepLease(ctx, now)
-	if len(c.types) == 0 || now.Sub(c.typesAt) > constants.TypesEvery {
-		c.readTypes(ctx, now)
-	}
+	c.readTypes(ctx, now)
 	c.roles(ctx, now)
 	for _, cl := range c.member.Step(now, c.incarnation, c.settled(now) && !c.claimsHeld(now)) {
 		if c.claimBusy(now, cl.Key) {
@@ -617,7 +615,7 @@
 }
 
 func (c *control) readTypes(ctx context.Context, now time.Time) {
-	if c.typesBusy || now.Sub(c.typesAt) < 0 || len(c.types) > 0 && now.Sub(c.typesAt) < constants.TypesEvery {
+	if c.typesBusy || now.Before(c.typesNext) {
 		return
 	}
 	c.typesBusy = true
