Read again: one loop for writes refused for rate, derived state gone, a double refresh less

No change of behaviour. frontdoor.commit and control.claim call state.RetryLimited; a machine's answeredIn was its beatIn, dropAt a flag; rent listed the waiting tasks twice.

--- a/frontdoor/frontdoor.go
+++ b/frontdoor/frontdoor.go
@@ -468,20 +468,12 @@
 // commit writes what a user waits for. A refusal for the allowance alone is
 // tried again for a moment; one because the state service is away is the
 // user's answer, at once.
-func (d *Door) commit(ctx context.Context, txn wire.Txn) (uint64, error) {
-	began := time.Now()
-	for {
-		revision, err := d.store.Commit(ctx, txn)
-		if !errors.Is(err, state.ErrLimited) || time.Since(began) > constants.AllowanceWait {
-			return revision, err
-		}
-		t := time.NewTimer(constants.RetryMin/2 + rand.N(constants.RetryMin))
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
-	}
+func (d *Door) commit(ctx context.Context, txn wire.Txn) (revision uint64, err error) {
+	err = state.RetryLimited(ctx, constants.AllowanceWait, constants.RetryMin/2, constants.RetryMin, func() (err error) {
+		revision, err = d.store.Commit(ctx, txn)
+		return err
+	})
+	return revision, err
 }
 
 // impossible says why a job can never run; empty if it can.
--- a/node/control.go
+++ b/node/control.go
@@ -504,22 +504,18 @@
 	}
 	c.claiming[cl.Key] = now
 	go func() {
-		_, err := c.claim(ctx, cl)
+		err := c.claim(ctx, cl)
 		c.self.Tell(claimed{cl, err})
 	}()
 }
 
 // claim writes a claim. One that is refused for rate alone is tried again at
 // once: until it stands nobody owns the part. It runs beside the actor.
-func (c *control) claim(ctx context.Context, cl member.Claim) (uint64, error) {
-	end := time.Now().Add(constants.ClaimRetry)
-	for {
-		rev, err := c.io.First.Commit(ctx, cl.Txn)
-		if !errors.Is(err, state.ErrLimited) || time.Now().After(end) {
-			return rev, err
-		}
-		time.Sleep(constants.RetryMin/4 + rand.N(constants.RetryMin/4))
-	}
+func (c *control) claim(ctx context.Context, cl member.Claim) error {
+	return state.RetryLimited(ctx, constants.ClaimRetry, constants.RetryMin/4, constants.RetryMin/4, func() error {
+		_, err := c.io.First.Commit(ctx, cl.Txn)
+		return err
+	})
 }
 
 func (c *control) claimed(now time.Time, m claimed) {
--- a/part/model.go
+++ b/part/model.go
@@ -94,10 +94,10 @@
 	spot       bool
 	capacity   resources
 
-	page       int       // of the roster; pageless: on none
-	rosterAddr string    // address as in the durable roster
-	durable    bool      // is in the durable roster
-	dropAt     time.Time // when it may leave the roster
+	page       int    // of the roster; pageless: on none
+	rosterAddr string // address as in the durable roster
+	durable    bool   // is in the durable roster
+	leaving    bool   // its return is confirmed; it is to leave the roster
 
 	session, seq uint64
 	minSession   uint64    // earlier sessions have surely ended
@@ -133,7 +133,6 @@
 	unheeded     int       // direct commands without an answer since the doubt arose
 	answersSince int       // answers since it last showed the token they carry
 	answeredAt   uint64    // the number of its last report that was answered, with those of direct commands right after it
-	answeredIn   uint64    // the session of that
 	beatAt       uint64    // the number of its last own report
 	beatIn       uint64    // the session of that
 	missed       bool      // its last report shows that it made others elsewhere
--- a/part/rent.go
+++ b/part/rent.go
@@ -80,7 +80,6 @@
 		spot bool
 	}
 	want := map[kind]int{}
-	c.refresh()
 	q, _ := c.queue(now)
 	for _, j := range q {
 		s := &j.rec.Spec
--- a/part/report.go
+++ b/part/report.go
@@ -29,7 +29,7 @@
 	}
 	c.arrive(now, m, r)
 	c.absorb(now, m, r, true)
-	c.heard(now, m, r)
+	c.heard(now, m)
 	m.leaseUntil = now.Add(c.cfg.LeaseEnd)
 	if c.usable(now, m) && !c.fill(now, m) {
 		c.dirty = true
@@ -64,11 +64,9 @@
 // loses its lease unnoticed. One that does not show the token it was answered
 // with, that made reports elsewhere though it was answered here, or leaves a
 // direct command unanswered, is in doubt until it shows a token that is sent to
-// it from then on. A late copy of a report cannot: it is
-// older than that token.
-func (c *Core) heard(now time.Time, m *machine, r *wire.Report) {
+// it from then on. A late copy of a report cannot: it is older than that token.
+func (c *Core) heard(now time.Time, m *machine) {
 	m.heard, m.unanswered = now, 0
-	m.beatIn, m.beatAt = r.Session, r.Seq
 	switch {
 	case m.doubted() && m.token >= m.doubtToken:
 		c.trust(m)
@@ -132,10 +130,10 @@
 		m.leaseUntil = now.Add(c.cfg.LeaseEnd)
 	}
 	// Who is answered stays, and its next report is the next in number.
-	m.missed = beat && m.answeredAt != 0 && r.Session == m.answeredIn && r.Seq > m.answeredAt+1
+	m.missed = beat && m.answeredAt != 0 && r.Session == m.beatIn && r.Seq > m.answeredAt+1
 	if beat {
-		m.answeredAt, m.answeredIn = r.Seq, r.Session
-	} else if r.Session == m.answeredIn && r.Seq == m.seq+1 {
+		m.beatIn, m.beatAt, m.answeredAt = r.Session, r.Seq, r.Seq
+	} else if r.Session == m.beatIn && r.Seq == m.seq+1 {
 		m.answeredAt = r.Seq // the answer to a direct command counts as well
 	}
 	m.seq = r.Seq
--- a/part/roster.go
+++ b/part/roster.go
@@ -91,7 +91,7 @@
 		}
 	}
 	for name := range p.names {
-		if m := c.machines[name]; m != nil && m.returning && !m.dropAt.IsZero() && !p.stored[name] {
+		if m := c.machines[name]; m != nil && m.leaving && !p.stored[name] {
 			p.drop(name)
 			c.removeMachine(m)
 		}
@@ -134,7 +134,7 @@
 	out := []state.Machine{}
 	for name := range p.names {
 		m := c.machines[name]
-		if m == nil || !m.dropAt.IsZero() {
+		if m == nil || m.leaving {
 			continue
 		}
 		out = append(out, state.Machine{Name: name, Type: m.typeName, Spot: m.spot, Addr: m.addr, RentedS: m.rentedAt.Unix()})
@@ -210,12 +210,12 @@
 }
 
 // leaveRoster takes a returned machine off the roster.
-func (c *Core) leaveRoster(now time.Time, m *machine) {
+func (c *Core) leaveRoster(m *machine) {
 	if m.page == pageless {
 		c.removeMachine(m)
 		return
 	}
-	m.dropAt = now
+	m.leaving = true
 	p := c.pages[m.page]
 	if !p.stored[m.name] && p.sent == nil {
 		p.drop(m.name) // it never stood there
--- a/part/silence.go
+++ b/part/silence.go
@@ -180,7 +180,7 @@
 		if m.addr != "" {
 			c.actions = append(c.actions, Gone{m.addr})
 		}
-		c.leaveRoster(now, m)
+		c.leaveRoster(m)
 	}
 	c.checkRebuilt(now)
 }
--- a/state/client.go
+++ b/state/client.go
@@ -179,6 +179,18 @@
 	}
 }
 
+// RetryLimited repeats call while it is refused for rate alone, for at most limit.
+func RetryLimited(ctx context.Context, limit, least, spread time.Duration, call func() error) error {
+	began := time.Now()
+	for {
+		err := call()
+		if !errors.Is(err, ErrLimited) || time.Since(began) > limit || ctx.Err() != nil {
+			return err
+		}
+		pause(ctx, least+rand.N(spread))
+	}
+}
+
 // Get reads one key; found is false when it does not exist.
 func (c *Client) Get(ctx context.Context, key string) (kv wire.KeyValue, found bool, err error) {
 	m, err := c.do(ctx, "GET", wire.KeyPath(key), nil)
