--- a/node/sim_test.go
+++ b/node/sim_test.go
@@ -287,38 +287,38 @@
 // An owner that reaches its machines while their reports do not reach it hands
 // its part on before their leases end: answers to its calls renew none.
 func TestOwnerWithoutReportsHandsOn(t *testing.T) {
-	quietLogs(t)
-	synctest.Test(t, func(t *testing.T) {
-		w := quietWorld(8)
-		w.service("run-000001", 4)
-		time.Sleep(60 * time.Second)
+	undisturbed(t, 8, func(w *world) {
 		w.mu.Lock()
-		starts := w.starts
 		w.nodes[0].cutBeats = true
 		w.mu.Unlock()
 		time.Sleep(60 * time.Second)
-		w.mu.Lock()
-		if n := w.running("run-000001"); n != 4 || w.starts != starts {
-			t.Errorf("%d of 4 replicas run, %d starts since", n, w.starts-starts)
-		}
-		w.mu.Unlock()
-		w.end(t)
 	})
 }
 
 // While the state service is away for all, and the controllers reach each other,
 // what runs goes on, for much longer than the workers' lease.
 func TestOutageLongerThanTheLeaseStopsNothing(t *testing.T) {
+	undisturbed(t, 6, func(w *world) {
+		w.setOutage(true)
+		time.Sleep(90 * time.Second)
+		w.setOutage(false)
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// undisturbed sees to it that a service runs on through a trouble without a
+// single start.
+func undisturbed(t *testing.T, seed uint64, trouble func(*world)) {
+	t.Helper()
 	quietLogs(t)
 	synctest.Test(t, func(t *testing.T) {
-		w := quietWorld(6)
+		w := quietWorld(seed)
 		w.service("run-000001", 4)
 		time.Sleep(60 * time.Second)
+		w.mu.Lock()
 		starts := w.starts
-		w.setOutage(true)
-		time.Sleep(90 * time.Second)
-		w.setOutage(false)
-		time.Sleep(10 * time.Second)
+		w.mu.Unlock()
+		trouble(w)
 		w.mu.Lock()
 		if n := w.running("run-000001"); n != 4 || w.starts != starts {
 			t.Errorf("%d of 4 replicas run, %d starts since", n, w.starts-starts)
