Siblings are told every second however busy a part; an owner cut off returns nobody

Ruled out: broken gRPC connections after refusals (they recover within 2 s; push errors end then). Changed: two times, one for everybody and one for the leader; of many machines it is asked how many of the reports due in the last half period came; hand-over once an eighth was heard elsewhere.

--- a/constants/constants.go
+++ b/constants/constants.go
@@ -259,6 +259,19 @@
 	// SilentPeriods: a machine unheard for that many report periods gets no
 	// tasks, and has failed if it did not answer once (periods).
 	SilentPeriods = 2.2
+	// HearingPeriods is how far back an owner of many machines looks for reports
+	// to know that it hears, and HearingShare the part of its machines of which
+	// one must have come: a quarter of those that were due (periods, part).
+	HearingPeriods = 0.5
+	HearingShare   = 8
+	// FewMachines: of fewer, the reports of so short a time say nothing
+	// (machines).
+	FewMachines = 16
+	// LateReport is how late a report may be (periods), and NextController when
+	// a worker without an answer has turned to another controller: after 4 s
+	// and one more.
+	LateReport     = 1.25
+	NextController = 5 * time.Second
 	// StrayPeriods is how long a report to another controller counts for the
 	// machine's owner (periods).
 	StrayPeriods = 2.0
--- a/node/control.go
+++ b/node/control.go
@@ -127,8 +127,9 @@
 	leaderRef  *child
 	ledSince   time.Time
 	status     map[string]partStatus
-	forecast   forecast // of the leader here
-	pushAt     time.Time
+	forecast   forecast  // of the leader here
+	pushAt     time.Time // when anybody was last told
+	pushAllAt  time.Time // and when everybody was
 	pushNow    bool
 	pushing    map[string]bool
 	peersState map[string]peerView
@@ -672,14 +673,19 @@
 
 func (c *control) stateOK(now time.Time) bool { return now.Sub(c.heardAt) < constants.StateSilence }
 
-// push tells the other controllers this one's aggregates.
+// push tells the other controllers this one's aggregates: the leader soon after
+// a change, everybody at an interval of its own. A busy part's changes must not
+// put that off: from it owners know that they are cut off, and users' counts.
 func (c *control) push(ctx context.Context, now time.Time) {
 	ask := c.asks(now)
-	due := now.Sub(c.pushAt) > constants.PushEvery || len(ask) > 0 && now.Sub(c.pushAt) > constants.PromiseEvery
+	due := now.Sub(c.pushAllAt) > constants.PushEvery || len(ask) > 0 && now.Sub(c.pushAllAt) > constants.PromiseEvery
 	if !due && !(c.pushNow && now.Sub(c.pushAt) >= constants.PushGap) {
 		return
 	}
 	c.pushAt, c.pushNow = now, false
+	if due {
+		c.pushAllAt = now
+	}
 	s := peer.Status{Node: c.set.Node, StateOK: c.stateOK(now), Ask: ask, Counts: map[string]map[string][2]int{}}
 	for part, st := range c.status {
 		s.Aggregates = append(s.Aggregates, st.aggregate)
--- /dev/null
+++ b/node/push_test.go
@@ -0,0 +1,48 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ravenport/actor"
+	"ravenport/frontdoor"
+	"ravenport/peer"
+)
+
+// countingPeer counts what it is told.
+type countingPeer struct{ told atomic.Int32 }
+
+func (p *countingPeer) Push(context.Context, peer.Status) (peer.Reply, error) {
+	p.told.Add(1)
+	return peer.Reply{}, nil
+}
+
+// A part whose figures change all the time keeps nobody from being told: an
+// owner that workers cannot reach would not learn that others hear them.
+func TestBusyPartStillTellsEverybody(t *testing.T) {
+	quietLogs(t)
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, []string{"a", "b"}, 3)
+		peers := map[string]*countingPeer{"n-1": {}, "n-2": {}}
+		out := Outside{Peers: map[string]Peer{}}
+		for name, p := range peers {
+			out.Peers[name] = p
+		}
+		c := newControl(w.nodes[0].set, out, actor.NewRef(), actor.NewRef(), &frontdoor.Cancels{})
+		for range 100 {
+			c.pushNow = true
+			c.push(t.Context(), time.Now())
+			time.Sleep(200 * time.Millisecond)
+			synctest.Wait()
+			clear(c.pushing) // answered
+		}
+		for name, p := range peers {
+			if n := p.told.Load(); n < 15 || n > 25 {
+				t.Errorf("%s was told %d times in 20 s, wanted about one a second", name, n)
+			}
+		}
+	})
+}
--- a/part/scale_test.go
+++ b/part/scale_test.go
@@ -170,6 +170,11 @@
 			}
 		}
 		flying = kept
+		// The others also report, each in its turn of the 3 s.
+		for i := 70 + step%150; i < 200 && step > 75; i += 150 {
+			name := fmt.Sprintf("m-%05d", i)
+			r.Report(r.now, report(name, 1, uint64(100+step), r.shown(name)))
+		}
 		back := 0
 		for name, m := range r.machines {
 			if !silent(name) && m.verified(r.term) {
@@ -287,3 +292,61 @@
 		r.wait(20 * time.Millisecond)
 	}
 }
+
+// An owner that loses all its machines at once returns none of them, though at
+// first most were heard not long ago and nobody answers: it is the owner that
+// is cut off. Once a fair share was heard elsewhere it says so, long before
+// their leases end.
+func TestOwnerCutFromManyReturnsNone(t *testing.T) {
+	r := newRig(nil)
+	const n = 100
+	r.fleet(n)
+	for _, m := range r.machines {
+		m.spot = true
+	}
+	seq := make([]uint64, n)
+	turn := 0
+	play := func(d time.Duration, reporting func(i int) bool) (returned []string) {
+		for end := r.now.Add(d); r.now.Before(end); {
+			turn++
+			for i := range n {
+				if i%30 == turn%30 && reporting(i) {
+					name := fmt.Sprintf("m-%05d", i)
+					seq[i]++
+					rep := report(name, 1, 2+seq[i], r.shown(name))
+					rep.Spot = true
+					r.Report(r.now, rep)
+				}
+			}
+			for _, a := range r.wait(100 * time.Millisecond) {
+				switch a := a.(type) {
+				case SendCommands:
+					r.CommandResult(r.now, a.Machine, nil)
+				case Return:
+					returned = append(returned, a.Names...)
+				}
+			}
+		}
+		return returned
+	}
+	if got := play(6*time.Second, func(int) bool { return true }); len(got) != 0 {
+		t.Fatalf("returned %d healthy machines", len(got))
+	}
+	if got := play(9*time.Second, func(i int) bool { return i >= 60 }); len(got) != 60 {
+		t.Fatalf("returned %d of 60 machines that died together", len(got))
+	}
+	if got := play(8*time.Second, func(int) bool { return false }); len(got) != 0 {
+		t.Fatalf("returned %d machines to an owner that hears nobody", len(got))
+	}
+	if silent, strays := r.CutOff(r.now); !silent || strays {
+		t.Fatalf("silent %v, strays %v", silent, strays)
+	}
+	var seen []Stray
+	for i := range 30 {
+		seen = append(seen, Stray{fmt.Sprintf("m-%05d", 60+i), 1, 900})
+	}
+	r.Strays(r.now, seen, true)
+	if silent, strays := r.CutOff(r.now); !silent || !strays {
+		t.Fatalf("silent %v, strays %v: the owner does not see that it is cut off", silent, strays)
+	}
+}
--- a/part/silence.go
+++ b/part/silence.go
@@ -46,6 +46,7 @@
 	var names []string
 	heard, up := 0, 0
 	inherited, back := 0, 0
+	sum := c.census(now)
 	idleToo := now.Sub(c.returnedAt) >= c.cfg.CloudGap // a few more come together
 	for _, m := range c.fleet {
 		if m.rosterAddr != "" && !m.returning {
@@ -75,20 +76,20 @@
 			why = "did not come up"
 		case idleToo && m.up && !m.idleSince.IsZero() && (m.draining || now.Sub(m.idleSince) > idle) && !c.busy(m) && m.verified(c.term):
 			why = "idle"
-		case m.up && (c.silent(now, m) && m.unanswered > 0 || c.overdueReport(now, m) && m.unanswered > 1) && c.alone(now, m, heard, up):
+		case m.up && (c.silent(now, m) && m.unanswered > 0 || c.overdueReport(now, m) && m.unanswered > 1) && c.alone(now, m, sum):
 			// Returning it makes what was on it surely gone, long before its
 			// lease ends.
 			why = "silent"
-		case m.up && m.doubted() && m.unheeded >= constants.DeafAsks && (heard*2 > up || up <= 2 && c.siblingsHeard(now)):
+		case m.up && m.doubted() && m.unheeded >= constants.DeafAsks && (sum.hears && heard*2 > up || up <= 2 && c.siblingsHeard(now)):
 			// It is heard, here or by others, and hears nothing: its lease
 			// runs out whatever it reports. Nobody's hearing of it counts.
 			why = "deaf"
-		case m.up && now.Sub(m.heard) > c.periods(constants.MutePeriods) && heard*2 > up:
+		case m.up && now.Sub(m.heard) > c.periods(constants.MutePeriods) && sum.hears && heard*2 > up:
 			// It answers but does not report: its lease ends all the same.
 			why = "mute"
 		case m.up && !m.notice.IsZero() && now.After(m.notice):
 			why = "taken back" // it is gone; the return says so at once
-		case m.inherited && !m.up && m.unanswered > 1 && c.alone(now, m, heard, up) &&
+		case m.inherited && !m.up && m.unanswered > 1 && c.alone(now, m, sum) &&
 			(now.Sub(c.claimed) > c.periods(constants.SilentAtTakeover) || back*4 >= inherited*3 && now.Sub(c.claimed) > constants.TakeoverPatience):
 			// What is uncertain waits for it. Once most are back, those that
 			// neither reported nor answered twice will not be.
@@ -106,14 +107,68 @@
 	}
 }
 
+// census is what the owner hears of its machines taken together.
+type census struct {
+	known int // machines that should report here
+	quiet int // those that have been silent
+	seen  int // those that another controller has heard since
+	few   bool
+	hears bool // enough reports have come lately
+}
+
+// census tells machines that fail by themselves from an owner that hears
+// nobody. Right after a cut most machines were heard not long ago, so of many
+// it is asked how many of the reports that were due in the last moment have
+// come; of few, that would often be none.
+func (c *Core) census(now time.Time) census {
+	var s census
+	recent, fresh := 0, 0
+	for _, m := range c.fleet {
+		if m.returning || !m.up && !m.inherited {
+			continue
+		}
+		s.known++
+		if !m.up {
+			continue
+		}
+		silence := now.Sub(m.heard)
+		if silence < c.periods(constants.HearingPeriods) {
+			recent++
+		}
+		if silence <= c.periods(constants.ProbePeriods) {
+			fresh++
+		}
+		if c.silent(now, m) {
+			s.quiet++
+		}
+		if now.Sub(m.strayAt) < c.strayMemory() {
+			s.seen++
+		}
+	}
+	s.few = s.known < constants.FewMachines
+	if s.few {
+		s.hears = fresh*2 > s.known
+	} else {
+		s.hears = recent*constants.HearingShare >= s.known
+	}
+	return s
+}
+
 // alone says whether a silent machine is silent by itself: the owner hears
-// most others, or all controllers are heard and none of them was reported to.
-// Otherwise it is the owner that is cut off.
-func (c *Core) alone(now time.Time, m *machine, heard, up int) bool {
+// others, or, where there are few, it has been silent for long enough to be
+// heard by another controller, and all of those are heard and none was. Else it
+// is the owner or the whole part that is cut off: returning machines then would
+// end everything that runs on them.
+func (c *Core) alone(now time.Time, m *machine, s census) bool {
 	if now.Sub(m.strayAt) < c.strayMemory() {
 		return false
 	}
-	return heard*2 > up || c.siblingsHeard(now)
+	last := m.heard
+	if last.Before(c.claimed) {
+		last = c.claimed
+	}
+	elsewhere := c.periods(constants.LateReport) + constants.NextController + 2*constants.PushEvery
+	return s.hears || s.few && c.siblingsHeard(now) && now.Sub(last) > elsewhere
 }
 
 // siblingsHeard says whether all live controllers were heard from lately.
@@ -124,24 +179,19 @@
 // strayMemory is how long a report to another controller counts.
 func (c *Core) strayMemory() time.Duration { return c.periods(constants.StrayPeriods) }
 
-// CutOff says whether most machines have fallen silent together, and whether
-// most of those have been reporting to other controllers: then it is the
-// owner that they cannot reach.
+// CutOff says whether the owner no longer hears its machines, and whether they
+// have been reporting to other controllers: then it is the owner that they
+// cannot reach. Of many machines it is enough that hardly any report comes and
+// a fair share is heard elsewhere: their leases run out while one waits.
 func (c *Core) CutOff(now time.Time) (silent, strays bool) {
-	up, quiet, seen := 0, 0, 0
-	for _, m := range c.fleet {
-		if !m.up || m.returning {
-			continue
-		}
-		up++
-		if c.silent(now, m) {
-			quiet++
-			if now.Sub(m.strayAt) < c.strayMemory() {
-				seen++
-			}
-		}
+	s := c.census(now)
+	if s.few {
+		return s.quiet*2 > s.known, s.seen*2 > s.known
+	}
+	if now.Sub(c.claimed) < c.periods(constants.LateReport) {
+		return false, false // not all can have come yet
 	}
-	return quiet*2 > up, seen*2 > up
+	return !s.hears, s.seen*constants.HearingShare > s.known
 }
 
 // Stray is a report that a machine made to another controller.
