Owners tend their machines in a cut-off zone; a dark part rents and returns nothing

As the zone came back, machines were given up for questions unanswered during the cut. A part whose machines are silent all together rents nothing, offers nothing and returns nobody. Silences are counted anew after that and after a pause of the process. A sibling's later term ends the tending. Spread jobs are sent back only where spread leaves a place.

--- a/constants/constants.go
+++ b/constants/constants.go
@@ -231,6 +231,9 @@
 	// PartGap is the least time between two steps of an owner: what arrives in
 	// between is decided together.
 	PartGap = 20 * time.Millisecond
+	// StoodStill is a gap between two steps after which the process counts as
+	// having stood still: its own timer wakes an owner every PartTick.
+	StoodStill = 1500 * time.Millisecond
 	// SlowStep is how often an owner looks at its whole fleet for leases,
 	// silence, notices and machines to do without.
 	SlowStep = 100 * time.Millisecond
--- a/node/actors.go
+++ b/node/actors.go
@@ -178,7 +178,7 @@
 func newPartActor(c *control, name string, term, version uint64, now time.Time, roster map[string]*state.Page, rosterV map[string]uint64) *partActor {
 	set := c.set
 	cfg := part.Config{
-		Part: name, Report: set.Report(), LeaseEnd: set.LeaseEnd(),
+		Part: name, Report: set.Report(), LeaseEnd: set.LeaseEnd(), Tending: set.Tending(),
 		IdleSpot: set.Operator.IdleSpot, IdleOrdinary: set.Operator.IdleOrdinary, UseSpot: set.Operator.UseSpot,
 		ListLag:    time.Duration(set.Params.Cloud.ListLagS * float64(time.Second)),
 		ValueBytes: set.ValueBytes(), TxnOps: set.Params.State.TxnOps, WriteRPS: max(set.Params.State.WriteRPS, 1), CloudGap: set.CloudGap(), Order: leader.NewOrder(set.Params.Objectives),
--- a/node/control.go
+++ b/node/control.go
@@ -113,7 +113,8 @@
 	reads       []revisionRead
 	authority   time.Duration
 	claiming    map[string]time.Time
-	yielded     map[string]uint64 // term given up while handing on
+	yielded     map[string]uint64 // term given up while handing on, or known from a sibling to be over
+	successor   map[string]string // by part: who a sibling says owns it, beyond what the feed shows
 	types       []wire.MachineType
 	typesNext   time.Time // when they are read next
 	typesBusy   bool
@@ -160,7 +161,7 @@
 	c := &control{
 		set: set, io: out, self: self, door: door, cancels: cancels, started: time.Now(), grants: map[string]time.Time{},
 		jobs: map[string]*state.Job{}, versions: map[string]uint64{}, roster: map[string]*state.Page{}, rosterV: map[string]uint64{}, partOf: map[string]string{}, odd: map[string]bool{},
-		claiming: map[string]time.Time{}, yielded: map[string]uint64{}, owners: map[string]*child{},
+		claiming: map[string]time.Time{}, yielded: map[string]uint64{}, successor: map[string]string{}, owners: map[string]*child{},
 		status: map[string]partStatus{}, pushing: map[string]bool{}, peersState: map[string]peerView{}, strays: map[string]stray{},
 	}
 	var short bool
@@ -346,6 +347,9 @@
 			slog.Info("part lost", "part", part, "term", o.term, "to", t.Node)
 			c.stopOwner(part)
 		}
+		if t.Number > c.yielded[key] {
+			delete(c.successor, part)
+		}
 		if !mine || c.yielded[key] >= t.Number {
 			continue
 		}
@@ -644,6 +648,8 @@
 	to := ""
 	if holder, ok := c.member.Holder(state.KeyPart(m.report.Zone)); ok && holder != c.set.Node {
 		to = holder
+	} else if next := c.successor[m.report.Zone]; next != "" {
+		to = next
 	}
 	body, err := json.Marshal(wire.Redirect{ReportTo: to})
 	if err != nil {
@@ -728,8 +734,16 @@
 func (c *control) peerStatus(now time.Time, s peer.Status) {
 	c.foretell(s.Forecast)
 	c.peersState[s.Node] = peerView{s.StateOK, now}
-	if c.leaderRef != nil {
-		for _, a := range s.Aggregates {
+	for _, a := range s.Aggregates {
+		if o := c.owners[a.Part]; o != nil && a.Term > o.term {
+			// This one is cut off from the state service and has been replaced:
+			// its machines must not be kept from the next owner by its tending.
+			slog.Info("a sibling owns the part under a later term", "part", a.Part, "term", o.term, "to", s.Node)
+			c.yielded[state.KeyPart(a.Part)] = o.term
+			c.successor[a.Part] = s.Node
+			c.stopOwner(a.Part)
+		}
+		if c.leaderRef != nil {
 			c.leaderRef.ref.Tell(a)
 		}
 	}
--- a/node/sim_test.go
+++ b/node/sim_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -62,7 +63,7 @@
 	for _, n := range w.nodes {
 		n.cutState, n.cutWork, n.cutPeers, n.cutBeats = false, false, false, false
 	}
-	w.cloudOut = false
+	w.cloudOut, w.cutZone = false, ""
 	for _, m := range w.machines {
 		m.cut, m.hung, m.deaf = false, false, false
 	}
@@ -90,7 +91,24 @@
 		n := w.nodes[int(w.between(0, time.Duration(len(w.nodes)-1)))]
 		for_ := w.between(time.Second, 35*time.Second)
 		later := func(f func()) { time.AfterFunc(for_, f) }
-		switch w.between(0, 14) {
+		switch w.between(0, 17) {
+		case 15: // stands still while its clocks run on, for less than its lease
+			n.freeze(w.between(200*time.Millisecond, 3*time.Second))
+		case 16: // or for more, some times for more than the workers'
+			n.freeze(for_)
+			if w.chance(0.3) { // and ends as it moves on, in the middle of an election
+				time.AfterFunc(for_, func() {
+					n.kill()
+					time.Sleep(300 * time.Millisecond)
+					if n.up() == nil {
+						n.start()
+					}
+				})
+			}
+		case 17: // a zone is cut off from everything, with the controllers in it
+			set := func(z string) { w.mu.Lock(); w.cutZone = z; w.mu.Unlock() }
+			set(n.set.Zone)
+			time.AfterFunc(2*for_, func() { set("") })
 		case 14: // reports do not reach it, though it reaches the workers
 			set := func(v bool) { w.mu.Lock(); n.cutBeats = v; w.mu.Unlock() }
 			set(true)
@@ -328,8 +346,9 @@
 	})
 }
 
-// Without the promise of all others an owner falls silent in time: one that is
-// refused by the state service alone, and one whose sibling cannot be asked.
+// Without the promise of all others an owner gives no command and falls silent in
+// time: at once if a sibling tells it that it has been replaced, and where none
+// can, once it has tended its machines for as long as cancel_s leaves.
 func TestNoPromiseNoAuthority(t *testing.T) {
 	quietLogs(t)
 	for name, cut := range map[string]func(*world){
@@ -347,16 +366,31 @@
 				w.mu.Lock()
 				cut(w)
 				w.mu.Unlock()
-				time.Sleep(10 * time.Second)
-				for _, z := range w.nodes[0].set.Params.Zones {
+				ask := func(z string, seq uint64) bool {
 					a := &simAnswer{got: make(chan *httpwire.Response, 1)}
-					w.nodes[0].up().self.Tell(beat{a, &wire.Report{Machine: "m-x", Addr: "m-x", Type: "box", Zone: z, Session: 1, Seq: 1}})
+					w.nodes[0].up().self.Tell(beat{a, &wire.Report{Machine: "m-x", Addr: "m-x", Type: "box", Zone: z, Session: 1, Seq: seq,
+						Tasks: []wire.TaskStatus{{Task: "run-000009/0", Attempt: 1, State: wire.TaskRunning}}}})
 					select {
 					case r := <-a.got:
-						if r.Status == 200 {
-							t.Errorf("answers for %s without authority", z)
+						var rep wire.ReportReply
+						if r.Status == 200 && (json.Unmarshal(r.Body, &rep) != nil || len(rep.Commands) > 0) {
+							t.Errorf("commands for %s without authority: %s", z, r.Body)
 						}
+						return r.Status == 200
 					case <-time.After(4 * time.Second):
+						return false
+					}
+				}
+				time.Sleep(10 * time.Second)
+				for _, z := range w.nodes[0].set.Params.Zones {
+					if ask(z, 1) && name == "refused alone" {
+						t.Errorf("answers for %s though it has been replaced", z)
+					}
+				}
+				time.Sleep(w.nodes[0].set.Tending())
+				for _, z := range w.nodes[0].set.Params.Zones {
+					if ask(z, 2) {
+						t.Errorf("answers for %s when its tending is over", z)
 					}
 				}
 				w.end(t)
--- a/node/standin_test.go
+++ b/node/standin_test.go
@@ -38,6 +38,7 @@
 	changed  chan struct{}
 	outage   bool
 	cloudOut bool // the cloud answers nothing
+	cutZone  string
 
 	// cloud
 	machines map[string]*simWorker
@@ -85,8 +86,57 @@
 	cutWork  bool // from workers
 	cutPeers bool // from the other controllers
 	cutBeats bool // reports do not reach it, though it reaches the workers
+	thaws    time.Time
 }
 
+// apart says whether a zone and a controller are on two sides of a cut-off
+// zone's border. The caller holds the lock.
+func (w *world) apart(zone string, n *simNode) bool {
+	return (zone == w.cutZone) != (n.set.Zone == w.cutZone)
+}
+
+// stand is where a controller's calls stand still with it.
+func (n *simNode) stand() {
+	n.w.mu.Lock()
+	d := time.Until(n.thaws)
+	n.w.mu.Unlock()
+	time.Sleep(d)
+}
+
+// freeze lets a controller stand still while its clocks run on: its actors
+// handle nothing, though messages come in, and its calls stand before and after
+// the outside has carried them out.
+func (n *simNode) freeze(d time.Duration) {
+	w := n.w
+	w.mu.Lock()
+	ctl := n.ctl
+	n.thaws = time.Now().Add(d)
+	var known []*simWorker
+	for _, z := range n.set.Params.Zones {
+		for _, m := range w.machines {
+			if m.zone == z {
+				known = append(known, m)
+				break
+			}
+		}
+	}
+	w.mu.Unlock()
+	if ctl == nil {
+		return
+	}
+	for _, m := range known { // through control to the owner, if it is here
+		ctl.self.Tell(beat{standing{n}, &wire.Report{Machine: m.name, Addr: m.name, Type: "box", Zone: m.zone}})
+	}
+	ctl.self.Tell(health{standing{n}})
+	ctl.door.Tell(frontdoor.Metrics{Req: standing{n}})
+}
+
+// standing is a request whose answer takes an actor as long as its controller
+// stands still.
+type standing struct{ n *simNode }
+
+func (s standing) Answer(*httpwire.Response) { s.n.stand() }
+
 type simJob struct {
 	spec      wire.Submission
 	accepted  bool
@@ -184,12 +234,16 @@
 	time.Sleep(p.from.w.between(time.Millisecond, 4*time.Millisecond))
 	ctl := p.to.up()
 	p.from.w.mu.Lock()
-	cut := p.from.cutPeers || p.to.cutPeers
+	cut := p.from.cutPeers || p.to.cutPeers || p.from.w.apart(p.from.set.Zone, p.to)
 	p.from.w.mu.Unlock()
 	if ctl == nil || ctx.Err() != nil || cut {
 		return peer.Reply{}, fmt.Errorf("unreachable")
 	}
-	return ctl.PeerStatus(s), nil
+	p.from.stand()
+	p.to.stand()
+	r := ctl.PeerStatus(s)
+	p.from.stand()
+	return r, nil
 }
 
 // --- state service
@@ -199,12 +253,13 @@
 // pass is the way to the state service: it takes time, and may be shut.
 func (s *simStore) pass(ctx context.Context) error {
 	w := s.n.w
+	s.n.stand() // what it had decided goes out when it moves on, whatever the time
 	time.Sleep(w.between(time.Millisecond, 12*time.Millisecond))
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && !w.chance(0.5) {
 		return fmt.Errorf("%w: %w", state.ErrUnknown, ctx.Err())
 	}
 	w.mu.Lock()
-	shut := w.outage || s.n.cutState
+	shut := w.outage || s.n.cutState || w.cutZone == s.n.set.Zone
 	w.mu.Unlock()
 	if shut {
 		return state.ErrRefused
@@ -242,8 +297,10 @@
 		}()
 	}
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.apply(t)
+	rev, err := w.apply(t)
+	w.mu.Unlock()
+	s.n.stand()
+	return rev, err
 }
 
 // apply carries out a transaction. The caller holds the lock.
@@ -424,10 +481,11 @@
 
 func (c *simCloud) Rent(ctx context.Context, r wire.RentRequest) ([]string, error) {
 	w := c.n.w
+	c.n.stand()
 	time.Sleep(100 * time.Millisecond)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.cloudOut {
+	if w.cloudOut || w.cutZone == c.n.set.Zone {
 		return nil, cloud.ErrTrouble
 	}
 	if names, ok := w.requests[r.Request]; ok {
@@ -461,10 +519,11 @@
 }
 
 func (c *simCloud) Return(ctx context.Context, names []string) error {
+	c.n.stand()
 	time.Sleep(100 * time.Millisecond)
 	c.n.w.mu.Lock()
 	defer c.n.w.mu.Unlock()
-	if c.n.w.cloudOut {
+	if c.n.w.cloudOut || c.n.w.cutZone == c.n.set.Zone {
 		return cloud.ErrTrouble
 	}
 	for _, n := range names {
@@ -576,7 +635,7 @@
 		m.changed = false
 		r := m.report()
 		n := w.nodes[node]
-		ctl, shut := n.ctl, n.cutWork || n.cutBeats
+		ctl, shut := n.ctl, n.cutWork || n.cutBeats || w.apart(m.zone, n)
 		next = now.Add(time.Duration(2250+w.rng.IntN(1500)) * time.Millisecond)
 		w.mu.Unlock()
 		if ctl == nil || shut {
@@ -609,7 +668,7 @@
 		}
 		w.mu.Lock()
 		switch {
-		case resp != nil && resp.Status == 200 && !w.dropAnswer(m):
+		case resp != nil && resp.Status == 200 && !w.dropAnswer(m) && !w.apart(m.zone, n):
 			var rep wire.ReportReply
 			if err := json.Unmarshal(resp.Body, &rep); err != nil {
 				panic(err)
@@ -787,6 +846,7 @@
 func (c *simCommands) Send(ctx context.Context, addr string, req wire.CommandRequest, done func(worker.Result)) {
 	w := c.n.w
 	go func() {
+		c.n.stand()
 		time.Sleep(w.between(time.Millisecond, 5*time.Millisecond))
 		if w.chance(w.late) { // a late copy
 			go func() {
@@ -805,7 +865,7 @@
 		}
 		w.mu.Lock()
 		m := w.machines[addr]
-		silent := m == nil || m.cut || m.hung || m.deaf || c.n.cutWork || time.Now().Before(m.boots)
+		silent := m == nil || m.cut || m.hung || m.deaf || c.n.cutWork || time.Now().Before(m.boots) || w.apart(m.zone, c.n)
 		w.mu.Unlock()
 		if silent {
 			time.Sleep(2 * time.Second)
@@ -823,6 +883,7 @@
 		if w.chance(0.02) {
 			r = worker.Result{Err: fmt.Errorf("the answer was lost")}
 		}
+		c.n.stand()
 		done(r)
 	}()
 }
--- a/part/core.go
+++ b/part/core.go
@@ -16,6 +16,7 @@
 	Part         string
 	Report       time.Duration // workers' report period
 	LeaseEnd     time.Duration // after the last answer that could count, a worker's lease has surely ended
+	Tending      time.Duration // how long an owner answers reports after the end of its authority
 	IdleSpot     time.Duration
 	IdleOrdinary time.Duration
 	UseSpot      bool
@@ -45,6 +46,10 @@
 	freed     bool   // the last look found that something had ended
 	rebuilt   bool
 	deposed   bool
+	isDark    bool // its machines are out of reach all together
+
+	rested  time.Time // silences are counted from here at the earliest
+	stepped time.Time // when the last step was made
 
 	touched []*job          // jobs whose waiting tasks are to be listed anew
 	waiting map[*job]bool   // jobs with waiting tasks
@@ -144,7 +149,7 @@
 		// bounded by the lease counted from here: they had lost their authority
 		// when the claim succeeded.
 		m.inherited = m.rosterAddr != ""
-		m.leaseUntil = now.Add(cfg.LeaseEnd)
+		m.leaseUntil = c.leaseEnd(now, m)
 	}
 	for id, rec := range jobs {
 		c.applyJob(now, id, rec, versions[id], true)
@@ -177,6 +182,24 @@
 
 func (c *Core) may(now time.Time) bool { return !c.deposed && now.Before(c.authority) }
 
+// tends says whether the owner still answers reports though its authority has
+// ended: a zone that is cut off has nobody else, and its machines would end what
+// they run. It gives no commands then.
+func (c *Core) tends(now time.Time) bool {
+	for_ := time.Duration(float64(c.cfg.Tending)*(1-constants.ClockDrift)) - constants.AuthorityMargin
+	return !c.deposed && !c.authority.IsZero() && now.Before(c.authority.Add(for_))
+}
+
+// leaseEnd is when the lease of a machine has surely ended that is answered now.
+// Until it shows a token of this term the owner before may be tending it.
+func (c *Core) leaseEnd(now time.Time, m *machine) time.Time {
+	tended := c.claimed.Add(time.Duration(float64(c.cfg.Tending)*(1+constants.ClockDrift)) + constants.AuthorityMargin)
+	if !m.verified(c.term) && tended.After(now) {
+		now = tended
+	}
+	return now.Add(c.cfg.LeaseEnd)
+}
+
 // token is what the owner's answers and commands to a machine carry: its term,
 // and below it a count of its own for the machine, which makes what it sent
 // there before harmless without a new term.
@@ -393,6 +416,11 @@
 
 // Step does what is due and returns the actions gathered since the last call.
 func (c *Core) Step(now time.Time) []Action {
+	if !c.stepped.IsZero() && now.Sub(c.stepped) > constants.StoodStill {
+		slog.Warn("stood still", "part", c.cfg.Part, "for_ms", now.Sub(c.stepped).Milliseconds())
+		c.rest(now)
+	}
+	c.stepped = now
 	slow := now.Sub(c.lastSlow) >= constants.SlowStep
 	if slow {
 		c.lastSlow = now
--- a/part/core_test.go
+++ b/part/core_test.go
@@ -321,7 +321,9 @@
 	if !returned["m-0"] || len(returned) != 1 {
 		t.Fatalf("returned %v, wanted m-0 alone", returned)
 	}
-	r.wait(r.strayMemory() + 2*time.Second)
+	for range 80 {
+		r.wait(100 * time.Millisecond)
+	}
 	r.Strays(r.now, []Stray{{"m-1", 1, 3}, {"m-2", 1, 3}, {"m-3", 1, 3}}, true)
 	if _, strays := r.CutOff(r.now); strays {
 		t.Fatal("late copies of old reports count as evidence")
@@ -452,3 +454,102 @@
 		t.Fatalf("the running attempt was not adopted: %+v", h)
 	}
 }
+
+// Without authority an owner keeps its machines' leases alive for its tending
+// time, and gives no command; its successor counts a machine's lease from the end
+// of that, unless the machine has shown the new token and so drops old answers.
+func TestTendingIsCountedByTheNextOwner(t *testing.T) {
+	const tending = 15 * time.Second
+	old := newRig(map[string]*state.Job{"run-1": array("run-1", 2, "a")})
+	old.cfg.Tending = tending
+	old.up("m-0")
+	old.write(old.wait(time.Second))
+	over := old.now
+	old.SetAuthority(over)
+	seq := uint64(10)
+	last := time.Time{}
+	for ; old.now.Before(over.Add(2 * tending)); old.now = old.now.Add(time.Second) {
+		seq++
+		reply, ok := old.Report(old.now, report("m-0", 1, seq, old.shown("m-0")))
+		if !ok {
+			break
+		}
+		if len(reply.Commands) > 0 {
+			t.Fatalf("commands without authority: %v", reply.Commands)
+		}
+		last = old.now
+	}
+	if d := last.Sub(over); d < tending-3*time.Second || d > tending {
+		t.Fatalf("tended for %s, wanted about %s", d, tending)
+	}
+	for name, shows := range map[string]bool{"silent": false, "shows the new token": true} {
+		t.Run(name, func(t *testing.T) {
+			next := newRig(map[string]*state.Job{"run-1": array("run-1", 2, "a")}, state.Machine{Name: "m-0", Type: "box", Addr: "m-0:1"})
+			next.Core = New(Config{Part: "a", Report: 3 * time.Second, LeaseEnd: leaseEnd, Tending: tending, ValueBytes: 8192, TxnOps: 12, WriteRPS: 100, Order: leader.NewOrder(nil)},
+				6, 51, over, nil, nil, nil, nil, nil)
+			next.SetAuthority(over.Add(time.Hour))
+			// It is heard once, but its answer may be lost, and then the old owner
+			// is asked again.
+			tok := token(5, 0)
+			if shows {
+				tok = token(6, 0)
+			}
+			next.Report(over, report("m-0", 1, 50, tok))
+			m := next.machines["m-0"]
+			ends := m.leaseUntil.Sub(over)
+			if shows && ends != leaseEnd || !shows && (ends < tending+leaseEnd || m.leaseUntil.Before(last.Add(leaseEnd))) {
+				t.Fatalf("its lease counts as over %s after the claim", ends)
+			}
+		})
+	}
+}
+
+// After an owner stood still, or its machines were out of reach all together,
+// nobody is given up for a silence that nobody could have heard.
+func TestNoSilenceFromAnUnreadMailbox(t *testing.T) {
+	r := newRig(nil)
+	r.fleet(40)
+	for _, m := range r.machines {
+		m.spot = true // ordinary ones would be emptied
+	}
+	var returned []string
+	look := func(d time.Duration) {
+		for end := r.now.Add(d); r.now.Before(end); {
+			for _, a := range r.wait(100 * time.Millisecond) {
+				switch a := a.(type) {
+				case SendCommands:
+					r.CommandResult(r.now, a.Machine, nil)
+				case Return:
+					returned = append(returned, a.Names...)
+				}
+			}
+		}
+	}
+	look(time.Second)
+	r.now = r.now.Add(7 * time.Second) // stands still; the reports made meanwhile still wait
+	look(2 * time.Second)
+	if len(returned) > 0 {
+		t.Fatalf("returned %d machines whose reports were not read yet", len(returned))
+	}
+	// Out of reach all together, the part is dark and rents nothing; then they
+	// come back one after the other.
+	look(4 * time.Second)
+	r.submit(array("run-2", 400, "a"))
+	look(4 * time.Second)
+	if !r.isDark || len(returned) > 0 || len(r.pendingRents) > 0 {
+		t.Fatalf("dark %v, returned %d, rentals %d", r.isDark, len(returned), len(r.pendingRents))
+	}
+	if a := r.Aggregate(r.now, 1); a.RentOrdinary || a.RentSpot || a.Ordinary.CPUs.Sum > 0 {
+		t.Fatalf("a dark part offers room: %+v", a)
+	}
+	for i := range 20 {
+		name := fmt.Sprintf("m-%05d", i)
+		rep := report(name, 1, 100, r.shown(name))
+		rep.Spot = true
+		r.Report(r.now, rep)
+	}
+	look(2 * time.Second)
+	if r.isDark || len(returned) > 0 {
+		t.Fatalf("dark %v, returned %d machines that were about to report", r.isDark, len(returned))
+	}
+}
--- a/part/model.go
+++ b/part/model.go
@@ -107,6 +107,7 @@
 	leaseUntil   time.Time // after it, the session last known has surely ended
 	inherited    bool      // stood in the roster when the term began
 	up           bool      // has reported in this term
+	lapsed       bool      // its lease ended while nobody heard it; it may come back
 	holds        []*hold   // by attempt
 	sums         sums
 	stale        bool // sums are to be made anew
--- a/part/place.go
+++ b/part/place.go
@@ -9,6 +9,7 @@
 
 	"ravenport/constants"
 	"ravenport/leader"
+	"ravenport/state"
 	"ravenport/wire"
 )
 
@@ -567,17 +568,38 @@
 
 // elsewhere says whether another part is known to have room for one more of a
 // job's tasks, after so many.
-func (c *Core) elsewhere(now time.Time, s *wire.Submission, after int) bool {
+func (c *Core) elsewhere(now time.Time, rec *state.Job, after int) bool {
+	s := &rec.Spec
 	n := 0
 	for _, o := range c.others {
 		if now.Sub(o.at) < constants.StaleAggregate && (s.Zone == "" || s.Zone == o.agg.Part) {
 			n += o.agg.Takes(s)
 		}
 	}
+	// spread may leave no place for it outside this part, whatever the room.
+	if s.Spread && s.Tasks > 1 {
+		n = min(n, c.spreadElsewhere(rec))
+	}
 	// Others see the same room.
 	return n > (after+1)*max(1, len(c.others))
 }
 
+// spreadElsewhere is how many more tasks of a job may be in the other parts,
+// beside those there: at most half of all in each.
+func (c *Core) spreadElsewhere(rec *state.Job) int {
+	n := 0
+	for name := range c.others {
+		left := (rec.Spec.Tasks + 1) / 2
+		for _, ch := range rec.Chunks {
+			if ch.Part == name && !ch.Closed {
+				left -= ch.Tasks()
+			}
+		}
+		n += max(left, 0)
+	}
+	return n
+}
+
 // sendBack marks a waiting task to be sent back to the leader. From here on
 // it is not placed, until a newer record says what became of it.
 func (c *Core) sendBack(j *job, t *task) {
--- a/part/push.go
+++ b/part/push.go
@@ -13,7 +13,7 @@
 // are coming.
 func (c *Core) Aggregate(now time.Time, revision uint64) leader.Aggregate {
 	a := leader.Aggregate{Part: c.cfg.Part, Term: c.term, Revision: revision, Waiting: c.excess,
-		Warm: map[string]float64{}, RentOrdinary: !now.Before(c.refused[false]), RentSpot: c.cfg.UseSpot && !now.Before(c.refused[true])}
+		Warm: map[string]float64{}, RentOrdinary: c.rentable(now, false), RentSpot: c.cfg.UseSpot && c.rentable(now, true)}
 	add := func(free resources, spot bool) {
 		r := &a.Ordinary
 		if spot {
@@ -112,11 +112,12 @@
 	WaitingCPUs float64 `json:"waiting_cpus"`
 	RefusedSpot bool    `json:"spot_refused"` // the cloud had none a moment ago
 	Refused     bool    `json:"ordinary_refused"`
+	Dark        bool    `json:"out_of_reach"` // all its machines together
 }
 
 // Summary counts what the owner knows.
 func (c *Core) Summary(now time.Time) Summary {
-	s := Summary{Rebuilt: c.rebuilt, WaitingCPUs: c.unplaced.cpus, RefusedSpot: now.Before(c.refused[true]), Refused: now.Before(c.refused[false])}
+	s := Summary{Rebuilt: c.rebuilt, WaitingCPUs: c.unplaced.cpus, RefusedSpot: now.Before(c.refused[true]), Refused: now.Before(c.refused[false]), Dark: c.isDark}
 	for _, m := range c.fleet {
 		switch {
 		case m.returning:
--- a/part/rent.go
+++ b/part/rent.go
@@ -32,7 +32,7 @@
 
 // coming says whether a machine that has not come up yet is still counted on.
 func (c *Core) coming(now time.Time, m *machine) bool {
-	return !m.up && !m.inherited && !m.returning && m.typ != nil && c.bootAge(now, m) < constants.BootUsual
+	return !m.up && !m.inherited && !c.isDark && !m.returning && m.typ != nil && c.bootAge(now, m) < constants.BootUsual
 }
 
 // arriving lists the room of machines that are not up yet or may not take
@@ -113,7 +113,7 @@
 			case bin != nil && n.fits(bin.free):
 				bin.free = bin.free.minus(n)
 				c.excess -= n.cpus
-			case !t.keep && back && c.elsewhere(now, s, away):
+			case !t.keep && back && c.elsewhere(now, j.rec, away):
 				// It does not fit: the next part is asked, if one is known to
 				// have room. Otherwise it would come back, for two writes more.
 				c.sendBack(j, t)
@@ -124,7 +124,7 @@
 				bin = &c.roomComing[len(c.roomComing)-1]
 				want[kind{typ.Name, spot}]++
 				c.excess -= n.cpus
-			case now.Sub(t.waitSince) > constants.KeepWait && back && c.elsewhere(now, s, away):
+			case now.Sub(t.waitSince) > constants.KeepWait && back && c.elsewhere(now, j.rec, away):
 				c.sendBack(j, t)
 				away++
 			}
@@ -222,7 +222,7 @@
 // reserveMissing is how many ordinary machines of which type are missing to
 // keep room ready for production work.
 func (c *Core) reserveMissing(now time.Time) (string, int) {
-	if c.prod.largest.cpus == 0 || now.Before(c.refused[false]) {
+	if c.prod.largest.cpus == 0 || !c.rentable(now, false) {
 		return "", 0
 	}
 	room := 0.0
@@ -303,6 +303,12 @@
 	return true
 }
 
+// rentable says whether the part may get more machines of a kind: the cloud had
+// some a moment ago, and they would not be out of reach like all others.
+func (c *Core) rentable(now time.Time, spot bool) bool {
+	return !c.isDark && !now.Before(c.refused[spot])
+}
+
 // pick chooses the cheapest kind of machine for a task that can be had.
 func (c *Core) pick(now time.Time, s *wire.Submission) (*wire.MachineType, bool, bool) {
 	var best *wire.MachineType
@@ -312,7 +318,7 @@
 			continue
 		}
 		for _, spot := range []bool{false, true} {
-			if spot && (!s.Spot || !c.cfg.UseSpot) || now.Before(c.refused[spot]) {
+			if spot && (!s.Spot || !c.cfg.UseSpot) || !c.rentable(now, spot) {
 				continue
 			}
 			price := t.Price
--- a/part/report.go
+++ b/part/report.go
@@ -14,7 +14,7 @@
 		return reply, false
 	}
 	c.outranked(r)
-	if !c.may(now) {
+	if !c.may(now) && !c.tends(now) {
 		return reply, false
 	}
 	if _, gone := c.gone[r.Machine]; gone {
@@ -30,7 +30,10 @@
 	c.arrive(now, m, r)
 	c.absorb(now, m, r, true)
 	c.heard(now, m)
-	m.leaseUntil = now.Add(c.cfg.LeaseEnd)
+	m.leaseUntil = c.leaseEnd(now, m)
+	if !c.may(now) {
+		return wire.ReportReply{Token: c.token(m), Commands: []wire.Command{}}, true
+	}
 	if c.usable(now, m) && !c.fill(now, m) {
 		c.dirty = true
 	}
@@ -97,7 +100,7 @@
 // arrive notes what a report says of the machine itself.
 func (c *Core) arrive(now time.Time, m *machine, r *wire.Report) {
 	if !m.up {
-		m.up = true
+		m.up, m.lapsed = true, false
 		m.idleSince = now
 		c.dirty, c.pushDirty = true, true
 		if m.typeName == "" {
@@ -127,7 +130,7 @@
 		m.answersSince = 0
 		// A session has a lease of its own from its first moment on, also when
 		// the owner hears of it by a direct command's answer.
-		m.leaseUntil = now.Add(c.cfg.LeaseEnd)
+		m.leaseUntil = c.leaseEnd(now, m)
 	}
 	// Who is answered stays, and its next report is the next in number.
 	m.missed = beat && m.answeredAt != 0 && r.Session == m.beatIn && r.Seq > m.answeredAt+1
--- a/part/silence.go
+++ b/part/silence.go
@@ -11,12 +11,30 @@
 // silent says that no report of a machine's own has come for so long that its
 // lease may end, whether or not it answers when it is called.
 func (c *Core) silent(now time.Time, m *machine) bool {
-	return now.Sub(m.heard) > c.periods(constants.SilentPeriods)
+	return c.silence(now, m) > c.periods(constants.SilentPeriods)
 }
 
 // overdueReport says that a machine's report is later than any should be.
 func (c *Core) overdueReport(now time.Time, m *machine) bool {
-	return now.Sub(m.heard) > c.periods(constants.ProbePeriods)
+	return c.silence(now, m) > c.periods(constants.ProbePeriods)
+}
+
+// silence is for how long no report of a machine has come while it could have:
+// what nobody could hear, or had not yet read, says nothing.
+func (c *Core) silence(now time.Time, m *machine) time.Duration {
+	if c.rested.After(m.heard) {
+		return now.Sub(c.rested)
+	}
+	return now.Sub(m.heard)
+}
+
+// rest begins all silences anew: the owner stood still, or its machines were out
+// of reach all together and come back one after the other.
+func (c *Core) rest(now time.Time) {
+	c.rested = now
+	for _, m := range c.fleet {
+		m.unanswered, m.unheeded = 0, 0
+	}
 }
 
 // lapse forgets what was on machines whose lease has surely ended.
@@ -32,6 +50,9 @@
 		if m.session > 0 {
 			m.minSession = m.session + 1
 		}
+		if m.up || m.inherited {
+			m.lapsed, m.rentedAt = true, now // it gets as long to come back as one that boots
+		}
 		m.inherited = false
 		m.up = false
 		m.leaseUntil = time.Time{}
@@ -46,7 +67,18 @@
 	var names []string
 	heard, up := 0, 0
 	inherited, back := 0, 0
+	asked := c.claimed // since when the machines could have come
+	if c.rested.After(asked) {
+		asked = c.rested
+	}
 	sum := c.census(now)
+	if dark := c.dark(now, sum); dark != c.isDark {
+		c.isDark, c.dirty, c.pushDirty = dark, true, true
+		if !dark {
+			c.rest(now)
+		}
+		slog.Warn("machines of the part out of reach", "part", c.cfg.Part, "all", dark, "machines", sum.known)
+	}
 	idleToo := now.Sub(c.returnedAt) >= c.cfg.CloudGap // a few more come together
 	for _, m := range c.fleet {
 		if m.rosterAddr != "" && !m.returning {
@@ -84,13 +116,13 @@
 			// It is heard, here or by others, and hears nothing: its lease
 			// runs out whatever it reports. Nobody's hearing of it counts.
 			why = "deaf"
-		case m.up && now.Sub(m.heard) > c.periods(constants.MutePeriods) && sum.hears && heard*2 > up:
+		case m.up && c.silence(now, m) > c.periods(constants.MutePeriods) && sum.hears && heard*2 > up:
 			// It answers but does not report: its lease ends all the same.
 			why = "mute"
 		case m.up && !m.notice.IsZero() && now.After(m.notice):
 			why = "taken back" // it is gone; the return says so at once
 		case m.inherited && !m.up && m.unanswered > 1 && c.alone(now, m, sum) &&
-			(now.Sub(c.claimed) > c.periods(constants.SilentAtTakeover) || back*4 >= inherited*3 && now.Sub(c.claimed) > constants.TakeoverPatience):
+			(now.Sub(asked) > c.periods(constants.SilentAtTakeover) || back*4 >= inherited*3 && now.Sub(asked) > constants.TakeoverPatience):
 			// What is uncertain waits for it. Once most are back, those that
 			// neither reported nor answered twice will not be.
 			why = "silent since the takeover"
@@ -110,6 +142,7 @@
 // census is what the owner hears of its machines taken together.
 type census struct {
 	known int // machines that should report here
+	up    int // those that have, in this term and session
 	quiet int // those that have been silent
 	seen  int // those that another controller has heard since
 	few   bool
@@ -124,13 +157,17 @@
 	var s census
 	recent, fresh := 0, 0
 	for _, m := range c.fleet {
-		if m.returning || !m.up && !m.inherited {
+		if m.returning || !m.up && !m.inherited && !m.lapsed {
 			continue
 		}
 		s.known++
+		if now.Sub(m.strayAt) < c.strayMemory() {
+			s.seen++
+		}
 		if !m.up {
 			continue
 		}
+		s.up++
 		silence := now.Sub(m.heard)
 		if silence < c.periods(constants.HearingPeriods) {
 			recent++
@@ -141,9 +178,6 @@
 		if c.silent(now, m) {
 			s.quiet++
 		}
-		if now.Sub(m.strayAt) < c.strayMemory() {
-			s.seen++
-		}
 	}
 	s.few = s.known < constants.FewMachines
 	if s.few {
@@ -191,7 +225,16 @@
 	if now.Sub(c.claimed) < c.periods(constants.LateReport) {
 		return false, false // not all can have come yet
 	}
-	return !s.hears, s.seen*constants.HearingShare > s.known
+	strays = s.seen*constants.HearingShare > s.known
+	// Of machines that nobody ever heard it is not known whose fault it is.
+	return !s.hears && (s.up > 0 || strays), strays
+}
+
+// dark says that the part's machines as a whole are out of reach. Then none are
+// rented, which would be so as well, and the leader sends nothing here that may
+// go elsewhere.
+func (c *Core) dark(now time.Time, s census) bool {
+	return !s.few && !s.hears && now.Sub(c.claimed) > constants.TakeoverPatience && now.Sub(c.rested) > c.periods(constants.LateReport)
 }
 
 // Stray is a report that a machine made to another controller.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -319,13 +319,26 @@
 // too late; short is true when it was.
 func (s *Settings) Authority() (d time.Duration, short bool) {
 	d = time.Duration(float64(s.Operator.LeaseLife)*(1-constants.ClockDrift)) - constants.AuthorityMargin
-	room := Seconds(s.Params.Workers.CancelS) - s.LeaseEnd() - 2*constants.LeaseMargin
+	room := s.cancelRoom()
 	if d > room {
 		return max(room, 500*time.Millisecond), true
 	}
 	return d, false
 }
 
+// Tending is how long after the end of its authority an owner may go on
+// answering reports, so that the machines of a zone that is cut off with it keep
+// their leases: whatever cancel_s leaves beside authority and lease.
+func (s *Settings) Tending() time.Duration {
+	d, _ := s.Authority()
+	return max(0, s.cancelRoom()-d)
+}
+
+// cancelRoom is what cancel_s leaves beside a worker's lease.
+func (s *Settings) cancelRoom() time.Duration {
+	return Seconds(s.Params.Workers.CancelS) - s.LeaseEnd() - 2*constants.LeaseMargin
+}
+
 // ReadGap is the least time between two watches of one controller, and between
 // two reads of the revision: together they use up to their share of the state
 // service's requests, which all controllers have together.
