A part that has just come back is not handed back at once; lapsed machines are asked

Changed: a part is handed back once it was rebuilt and in reach for 12 s; lapsed machines are asked; 32 calls at most go into a dark part (there were 160 a second).

--- a/constants/constants.go
+++ b/constants/constants.go
@@ -134,6 +134,10 @@
 	// HandBackAfter is how long a better-placed controller must have been
 	// up before it is given its part back.
 	HandBackAfter = 5 * time.Second
+	// HandBackSettled is how long a part must have been rebuilt and in reach
+	// before it is handed back: machines that were out of reach come back within
+	// a period or so, and what they lost is placed meanwhile.
+	HandBackSettled = 12 * time.Second
 )
 
 // Controllers among themselves.
@@ -293,6 +297,9 @@
 	TakeoverPatience = 3500 * time.Millisecond
 	// AskTimeout bounds a question to a machine, which carries no command.
 	AskTimeout = 1200 * time.Millisecond
+	// DarkCalls bounds the calls under way to a part that is out of reach as a
+	// whole (calls): enough to notice its return.
+	DarkCalls = 32
 	// AsksAStep bounds the machines that are asked directly in one step: each
 	// question costs a connection.
 	AsksAStep = 32
--- a/node/control.go
+++ b/node/control.go
@@ -128,9 +128,10 @@
 	leaderRef  *child
 	ledSince   time.Time
 	status     map[string]partStatus
-	forecast   forecast  // of the leader here
-	pushAt     time.Time // when anybody was last told
-	pushAllAt  time.Time // and when everybody was
+	unsettled  map[string]time.Time // by key: when a part here last was not rebuilt, or out of reach
+	forecast   forecast             // of the leader here
+	pushAt     time.Time            // when anybody was last told
+	pushAllAt  time.Time            // and when everybody was
 	pushNow    bool
 	pushing    map[string]bool
 	peersState map[string]peerView
@@ -161,7 +162,7 @@
 	c := &control{
 		set: set, io: out, self: self, door: door, cancels: cancels, started: time.Now(), grants: map[string]time.Time{},
 		jobs: map[string]*state.Job{}, versions: map[string]uint64{}, roster: map[string]*state.Page{}, rosterV: map[string]uint64{}, partOf: map[string]string{}, odd: map[string]bool{},
-		claiming: map[string]time.Time{}, yielded: map[string]uint64{}, successor: map[string]string{}, owners: map[string]*child{},
+		claiming: map[string]time.Time{}, yielded: map[string]uint64{}, successor: map[string]string{}, unsettled: map[string]time.Time{}, owners: map[string]*child{},
 		status: map[string]partStatus{}, pushing: map[string]bool{}, peersState: map[string]peerView{}, strays: map[string]stray{},
 	}
 	var short bool
@@ -229,6 +230,9 @@
 		}
 	case partStatus:
 		c.pushNow = true
+		if m.counts != nil && (m.summary.Dark || !m.summary.Rebuilt) {
+			c.unsettled[state.KeyPart(m.part)] = now
+		}
 		if m.counts != nil {
 			c.door.Tell(frontdoor.Counts{Part: m.part, Jobs: m.counts})
 		} else {
@@ -420,6 +424,9 @@
 			continue
 		}
 		if cl.To != c.set.Node {
+			if now.Sub(c.unsettled[cl.Key]) < constants.HandBackSettled {
+				continue // a second rebuild right after the first leaves more waiting for longer
+			}
 			slog.Info("handing on", "key", cl.Key, "to", cl.To)
 			c.yield(now, cl)
 			continue
--- a/part/report.go
+++ b/part/report.go
@@ -390,6 +390,10 @@
 			flying++
 		}
 	}
+	most := constants.CommandFanout
+	if c.isDark {
+		most = constants.DarkCalls
+	}
 	for _, m := range c.fleet {
 		if m.inFlight || m.returning || m.addr == "" || now.Before(m.nextDirect) {
 			continue
@@ -398,7 +402,7 @@
 		if !probe && !m.wantCommand && !c.overdue(now, m) {
 			continue
 		}
-		if flying >= constants.CommandFanout {
+		if flying >= most {
 			return
 		}
 		req := wire.CommandRequest{Token: c.token(m), Session: max(m.session, 1), Commands: []wire.Command{}}
@@ -419,11 +423,14 @@
 
 // questionable says whether a machine is asked directly: an inherited one for
 // what is on it, once it had the time to report by itself, one that missed its
-// report whether it still is there, and one in doubt whether it hears.
+// report whether it still is there, one whose lease ended unheard whether it is
+// back, and one in doubt whether it hears.
 func (c *Core) questionable(now time.Time, m *machine) bool {
 	switch {
 	case m.inherited && !m.verified(c.term):
 		return len(c.fleet) <= constants.AsksAStep || now.Sub(c.claimed) > constants.TakeoverAsk
+	case m.lapsed:
+		return true
 	case !m.up:
 		return false
 	case m.doubted():
