--- a/state/client.go
+++ b/state/client.go
@@ -45,8 +45,8 @@
 	waiting *rate.Limiter // of writes that can wait
 	users   *atomic.Int64 // until when users' writes have taken the allowance (ns of the steady clock since began)
 	began   time.Time
-	later   bool          // this client's writes can wait
-	first   bool          // and this one's cannot at all
+	later   bool // this client's writes can wait
+	first   bool // and this one's cannot at all
 }
 
 // Later returns the same client for writes that can wait: they leave part of
