A part that lost all is placed again at a fifth of the processor

Cause: as a cut-off zone came back, its owner used all of its processor for 10 s (peak 1.0 of its share). A benchmark of such a comeback (600 machines, 4000 waiting tasks) showed where: for each of hundreds of jobs that had waited long, every round looked over the whole fleet for a machine to keep for it, though no more may be kept; and tasks of jobs for which a round already knew that there is neither room nor anything to stop were listed anew. Changed: a round notes that no more machines may be kept, and passes over jobs of which it knows that nothing can come.

--- /dev/null
+++ b/part/comeback_test.go
@@ -0,0 +1,51 @@
+package part
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// BenchmarkComeback is a whole part that comes back with nothing left on its
+// machines: all report new sessions within a period, and all tasks that it had
+// are placed again, services and arrays of many jobs.
+func BenchmarkComeback(b *testing.B) {
+	const machines, services, arrays = 600, 200, 60
+	for b.Loop() {
+		b.StopTimer()
+		jobs := map[string]*state.Job{}
+		for i := range services {
+			id := fmt.Sprintf("run-s%04d", i)
+			jobs[id] = &state.Job{ID: id, Spec: wire.Submission{ID: id, Kind: wire.KindService, Priority: wire.PriorityProduction, Tasks: 16, CPUs: 2, MemoryGB: 3, Image: fmt.Sprintf("i%d", i%12), Spread: true},
+				Chunks: []state.Chunk{{From: 0, To: 8, Part: "a", Keep: true}, {From: 8, To: 16, Part: "b", Keep: true}}}
+		}
+		for i := range arrays {
+			id := fmt.Sprintf("run-a%04d", i)
+			jobs[id] = array(id, 40, "a")
+		}
+		var roster []state.Machine
+		for i := range machines {
+			name := fmt.Sprintf("m-%05d", i)
+			roster = append(roster, state.Machine{Name: name, Type: "box", Addr: name + ":1"})
+		}
+		r := newRig(jobs, roster...)
+		r.now = r.now.Add(leaseEnd + time.Second)
+		r.Step(r.now)
+		b.StartTimer()
+		for step := range 300 { // 6 s
+			for i := range 2 {
+				name := fmt.Sprintf("m-%05d", step*2+i)
+				r.Report(r.now, report(name, 2, 1, 0))
+				r.Report(r.now, report(name, 2, 2, r.shown(name)))
+			}
+			for _, a := range r.wait(20 * time.Millisecond) {
+				if s, ok := a.(SendCommands); ok {
+					r.CommandResult(r.now, s.Machine, nil)
+				}
+			}
+		}
+	}
+}
--- a/part/place.go
+++ b/part/place.go
@@ -33,6 +33,7 @@
 	// lowest is the lowest priority among what could be stopped, and loose the
 	// teams that run arrays beyond their guarantee; made when first asked for.
 	scanned bool
+	crowded bool // as many machines are kept for single jobs as may be
 	saving  bool // some of it saves first
 	lowest  int
 	loose   map[string]bool
@@ -56,6 +57,15 @@
 	return false
 }
 
+// hopeless says that nothing can be stopped for a job's first waiting task either.
+func (r *round) hopeless(j *job, d demand, n resources) bool {
+	d.level = wire.PriorityLevel(j.rec.Spec.Priority)
+	if len(j.waiting) > 0 && j.waiting[0].guarantee {
+		d.guarantee = j.rec.Spec.Team
+	}
+	return !r.saving && r.known(r.stuck, d, n)
+}
+
 func demandOf(s *wire.Submission) demand {
 	d := demand{spot: s.Spot}
 	for _, t := range s.Types {
@@ -122,13 +132,18 @@
 
 // placeJob places what it can of a job's waiting tasks.
 func (c *Core) placeJob(now time.Time, j *job, r *round) {
+	s := &j.rec.Spec
+	n := need(s)
+	d := demandOf(s)
+	overdue := leader.Overdue(now, j.rec, j.begun)
+	full := r.known(r.full, d, n)
+	if full && r.hopeless(j, d, n) && !(overdue && !r.crowded) && (s.Priority != wire.PriorityProduction || s.Spread && s.Tasks > 1) {
+		return // nothing can come of a look at its tasks
+	}
 	tasks := c.ready(now, j)
 	if len(tasks) == 0 {
 		return
 	}
-	s := &j.rec.Spec
-	n := need(s)
-	d := demandOf(s)
 	if c.warmerElsewhere(now, s) {
 		kept := tasks[:0]
 		for _, t := range tasks {
@@ -140,11 +155,11 @@
 		}
 		tasks = kept
 	}
-	if !s.IsService() && leader.Overdue(now, j.rec, j.begun) {
+	if !s.IsService() && overdue {
 		tasks = tasks[:min(len(tasks), leader.BeginShare(s.Tasks))]
 	}
 	var fit []*machine
-	if !r.known(r.full, d, n) {
+	if !full {
 		fit = c.candidates(s, n, r)
 	}
 	prod := s.Priority == wire.PriorityProduction
@@ -170,8 +185,8 @@
 			r.full[d] = append(r.full[d], n)
 			if m = c.preempt(now, t, false, r); m == nil {
 				c.askToSave(now, t, r)
-				if leader.Overdue(now, j.rec, j.begun) {
-					c.collect(now, j)
+				if overdue {
+					c.collect(now, j, r)
 				}
 				return // the job's other tasks need the same, and rank no higher
 			}
@@ -183,7 +198,10 @@
 // collect keeps the room that falls free on a machine for a job that has long
 // found none: its tasks may be larger than what others leave, and smaller ones
 // would take every gap before one was large enough.
-func (c *Core) collect(now time.Time, j *job) {
+func (c *Core) collect(now time.Time, j *job, r *round) {
+	if r.crowded {
+		return // hundreds of jobs may be waiting after a part has lost all
+	}
 	s := &j.rec.Spec
 	n := need(s)
 	var best *machine
@@ -206,7 +224,7 @@
 			best, most = m, room
 		}
 	}
-	if best == nil || kept > len(c.fleet)/constants.MachinesACollect {
+	if r.crowded = kept > len(c.fleet)/constants.MachinesACollect; best == nil || r.crowded {
 		return
 	}
 	slog.Info("keeping room for a job that waits", "job", s.ID, "machine", best.name)
