--- a/member/core.go
+++ b/member/core.go
@@ -220,8 +220,13 @@
 }
 
 // HandOn gives a held term to the best placed other live controller, because
-// this one is cut off from what it takes to make use of it.
-func (c *Core) HandOn(key string) (Claim, bool) {
+// this one is cut off from what it takes to make use of it. A leadership that was
+// handed on for that a moment ago stays: where no controller reaches another, it
+// would go round for ever.
+func (c *Core) HandOn(now time.Time, key string) (Claim, bool) {
+	if t := c.terms[key]; key == state.KeyLeader && t.Cut && now.Sub(t.since) < constants.CutPause {
+		return Claim{}, false
+	}
 	for _, k := range c.order(key) {
 		if n, ok := c.nodes[k.Name]; ok && k.Name != c.me {
 			cl := c.claimOf(key, k.Name, n.incarnation, n.version, true)
--- a/member/core_test.go
+++ b/member/core_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"ravenport/constants"
 	_ "ravenport/internal/testseed"
 	"ravenport/state"
 )
@@ -140,7 +141,7 @@
 	}
 	key := state.KeyPart("b")
 	s.set(now, key, &state.Term{Part: "b", Node: "n-1", Incarnation: 2, Number: 4})
-	cl, ok := s.cores[1].HandOn(key)
+	cl, ok := s.cores[1].HandOn(now, key)
 	if !ok || cl.To == "n-1" || !s.try(now, cl) {
 		t.Fatalf("not handed on: %+v", cl)
 	}
@@ -159,3 +160,30 @@
 	}
 	fmt.Fprintln(t.Output(), "given back after", back)
 }
+
+// Where no controller reaches another, the leadership goes round once and stays.
+func TestLeadershipDoesNotGoRound(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := &sim{keys: map[string]state.Change{}, inc: []uint64{1, 2, 3}}
+	for _, k := range three {
+		s.cores = append(s.cores, New(k.Name, three, []string{"a", "b"}, now))
+	}
+	for i, k := range three {
+		s.set(now, state.KeyNode(k.Name), &state.Node{Name: k.Name, Incarnation: uint64(i + 1)})
+	}
+	s.set(now, state.KeyLeader, &state.Term{Node: "n-1", Incarnation: 2, Number: 4})
+	moved := 0
+	for at := time.Duration(0); at < constants.CutPause; at += time.Second {
+		for i, k := range three {
+			if holder, _ := s.cores[0].Holder(state.KeyLeader); holder != k.Name {
+				continue
+			}
+			if cl, ok := s.cores[i].HandOn(now.Add(at), state.KeyLeader); ok && s.try(now.Add(at), cl) {
+				moved++
+			}
+		}
+	}
+	if moved != 1 {
+		t.Fatalf("handed on %d times", moved)
+	}
+}
--- a/node/control.go
+++ b/node/control.go
@@ -468,7 +468,7 @@
 
 // handOn gives up a term that this controller cannot make use of.
 func (c *control) handOn(ctx context.Context, now time.Time, key string) {
-	cl, ok := c.member.HandOn(key)
+	cl, ok := c.member.HandOn(now, key)
 	if !ok || c.claimBusy(now, key) || !c.settled(now) {
 		return
 	}
