Sockets by need: crowded answers end connections, calls are bounded for all parts

For fleets half as large again than the files show, all on one controller: the front leaves a sixth of the sockets to calls outward, direct commands of all parts together stay within that, and above seven eighths of the front's sockets answers end their connections, so that workers between two reports shut out neither users nor health checks.

--- a/constants/constants.go
+++ b/constants/constants.go
@@ -28,8 +28,17 @@
 	// stopped: users give up after 5 s themselves.
 	ServerSlowRequest = 10 * time.Second
 	// ReservedSockets are kept from the front for state service, cloud,
-	// workers and peers (sockets).
+	// workers and peers: at least so many, and of many sockets one in so many
+	// (sockets, part).
 	ReservedSockets = 256
+	ReservedPart    = 6
+	// OwnSockets of those are for anything but direct commands (sockets).
+	OwnSockets = 64
+	// ServerCrowded: with more than that many eighths of the front's sockets in
+	// use, answers end their connections. All workers of a large fleet may come
+	// to one controller; between two reports they must not shut out users and
+	// health checks (eighths).
+	ServerCrowded = 7
 )
 
 // Clients of the state service, the cloud and workers.
@@ -80,9 +89,12 @@
 	// CommandTimeout bounds a direct command: the next report carries the
 	// same commands anyway.
 	CommandTimeout = 2 * time.Second
-	// CommandFanout bounds direct commands under way at once (calls): each is
-	// a socket, and a silent machine holds one for CommandTimeout.
+	// CommandFanout bounds a part's direct commands under way at once (calls):
+	// each is a socket, and a silent machine holds one for CommandTimeout. Fewer
+	// where all parts on one controller would need more than is reserved, and
+	// CommandsLeast at least.
 	CommandFanout = 200
+	CommandsLeast = 16
 	// IdleCommands bounds the connections to workers that are kept open for
 	// the next command (connections).
 	IdleCommands = 100
--- a/node/actors.go
+++ b/node/actors.go
@@ -183,6 +183,7 @@
 		ListLag:    time.Duration(set.Params.Cloud.ListLagS * float64(time.Second)),
 		ValueBytes: set.ValueBytes(), TxnOps: set.Params.State.TxnOps, WriteRPS: max(set.Params.State.WriteRPS, 1), CloudGap: set.CloudGap(), Order: leader.NewOrder(set.Params.Objectives),
 	}
+	_, cfg.Calls = set.Sockets()
 	a := &partActor{part: name, store: c.io.Later, cloud: c.io.Cloud, self: actor.NewRef(), control: c.self,
 		workers: c.io.Workers(), revision: c.revision}
 	a.core = part.New(cfg, term, version, now, c.types, c.jobs, c.versions, roster, rosterV)
--- a/node/node.go
+++ b/node/node.go
@@ -129,11 +129,8 @@
 	go func() {
 		failed <- peer.Serve(ctx, set.PeerAddr, n.PeerStatus)
 	}()
-	limit := set.Params.Limits.MaxConnections
-	if limit <= 2*constants.ReservedSockets {
-		limit = 4 * constants.ReservedSockets
-	}
-	srv := server.New(set.Listen, limit-constants.ReservedSockets, n.route)
+	front, _ := set.Sockets()
+	srv := server.New(set.Listen, front, n.route)
 	go func() { failed <- srv.Run() }()
 	slog.Info("controller started", "node", set.Node, "zone", set.Zone, "listen", set.Listen)
 	select {
--- a/part/core.go
+++ b/part/core.go
@@ -23,6 +23,7 @@
 	ListLag      time.Duration
 	CloudGap     time.Duration // between calls of one kind to the cloud that can wait for each other
 	ValueBytes   int           // the state service's limit on a record
+	Calls        int           // direct commands that may be under way at once
 	TxnOps       int           // and on the changes of a transaction
 	WriteRPS     float64       // and on changes a second, of all controllers
 	Order        leader.Order
--- a/part/report.go
+++ b/part/report.go
@@ -390,9 +390,9 @@
 			flying++
 		}
 	}
-	most := constants.CommandFanout
+	most := c.cfg.Calls
 	if c.isDark {
-		most = constants.DarkCalls
+		most = min(most, constants.DarkCalls)
 	}
 	for _, m := range c.fleet {
 		if m.inFlight || m.returning || m.addr == "" || now.Before(m.nextDirect) {
--- a/server/server.go
+++ b/server/server.go
@@ -19,6 +19,7 @@
 type Request struct {
 	*httpwire.Message
 	conn gnet.Conn
+	srv  *Server
 	done atomic.Bool
 }
 
@@ -27,7 +28,7 @@
 	if r.done.Swap(true) {
 		return
 	}
-	resp.Close = resp.Close || r.Close
+	resp.Close = resp.Close || r.Close || r.srv.crowded.Load()
 	buf := httpwire.AppendResponse(make([]byte, 0, 192+len(resp.Body)), resp)
 	closing := resp.Close
 	// The callback runs on the event loop, which owns the connection's state.
@@ -61,6 +62,7 @@
 	handle  Handler
 	eng     gnet.Engine
 	conns   map[gnet.Conn]*session // owned by the event loop
+	crowded atomic.Bool            // nearly all sockets are in use: answers end their connections
 	ready   chan struct{}
 }
 
@@ -104,6 +106,7 @@
 	ses := &session{since: time.Now()}
 	s.conns[c] = ses
 	c.SetContext(ses)
+	s.count()
 	return nil, gnet.None
 }
 
@@ -131,9 +134,13 @@
 // OnClose implements gnet.EventHandler.
 func (s *Server) OnClose(c gnet.Conn, _ error) gnet.Action {
 	delete(s.conns, c)
+	s.count()
 	return gnet.None
 }
 
+// count notes whether sockets are running out.
+func (s *Server) count() { s.crowded.Store(len(s.conns) > s.maxConn*constants.ServerCrowded/8+1) }
+
 // OnTick closes connections that idle or trickle too long, so that slow or
 // forgotten clients cannot hold all sockets.
 func (s *Server) OnTick() (time.Duration, gnet.Action) {
@@ -189,7 +196,7 @@
 	}
 	ses.busy = true
 	ses.since = time.Now()
-	s.handle(&Request{Message: m, conn: c})
+	s.handle(&Request{Message: m, conn: c, srv: s})
 	return gnet.None
 }
 
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -148,3 +148,54 @@
 		expect(t, in, "200", fmt.Sprintf("GET /healthz%d", i))
 	}
 }
+
+// When nearly all sockets are in use, answers end their connections, so that
+// those who wait for their next report or poll shut nobody out; with room again
+// connections stay open.
+func TestCrowdedServerKeepsRoom(t *testing.T) {
+	addr := start(t, 20)
+	ask := func(c net.Conn, in *bufio.Reader) bool {
+		if _, err := c.Write([]byte("GET /x HTTP/1.1\r\nHost: h\r\n\r\n")); err != nil {
+			t.Fatal(err)
+		}
+		closes, length := false, 0
+		for {
+			line, err := in.ReadString('\n')
+			if err != nil {
+				t.Fatal(err)
+			}
+			closes = closes || strings.EqualFold(strings.TrimSpace(line), "Connection: close")
+			if _, err := fmt.Sscanf(strings.ToLower(line), "content-length: %d", &length); err == nil {
+				continue
+			}
+			if line == "\r\n" {
+				if _, err := in.Discard(length); err != nil {
+					t.Fatal(err)
+				}
+				return closes
+			}
+		}
+	}
+	type client struct {
+		net.Conn
+		in *bufio.Reader
+	}
+	var open []client
+	for i := range 18 {
+		c, in := dial(t, addr)
+		if ask(c, in) {
+			t.Fatalf("connection %d of 20 is ended", i+1)
+		}
+		open = append(open, client{c, in})
+	}
+	c, in := dial(t, addr)
+	if !ask(c, in) {
+		t.Fatal("with 19 of 20 sockets in use the answer keeps its connection")
+	}
+	if _, err := in.ReadByte(); err == nil {
+		t.Fatal("the connection is not ended")
+	}
+	if ask(open[0].Conn, open[0].in) {
+		t.Fatal("with 18 in use again a connection is ended")
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -339,6 +339,18 @@
 	return Seconds(s.Params.Workers.CancelS) - s.LeaseEnd() - 2*constants.LeaseMargin
 }
 
+// Sockets divides the machine's sockets: how many the front may use, and how many
+// direct commands a part's owner may have under way, were all parts here.
+func (s *Settings) Sockets() (front, commands int) {
+	limit := s.Params.Limits.MaxConnections
+	if limit <= 0 {
+		limit = 4 * constants.ReservedSockets
+	}
+	reserved := min(max(constants.ReservedSockets, limit/constants.ReservedPart), limit/2)
+	commands = (reserved - constants.OwnSockets) / max(1, len(s.Params.Zones))
+	return limit - reserved, min(max(commands, constants.CommandsLeast), constants.CommandFanout)
+}
+
 // ReadGap is the least time between two watches of one controller, and between
 // two reads of the revision: together they use up to their share of the state
 // service's requests, which all controllers have together.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -5,6 +5,11 @@
 	"strings"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
+
+	"ravenport/constants"
+	_ "ravenport/internal/testseed"
 )
 
 const good = `
@@ -110,3 +115,26 @@
 		}
 	}
 }
+
+// All sockets together stay within the machine's limit for any number of parts,
+// and a fleet half as large again as any seen finds room at one controller.
+func TestSocketsStayWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s Settings
+		s.Params.Limits.MaxConnections = rapid.IntRange(200, 20000).Draw(t, "limit")
+		s.Params.Zones = make([]string, rapid.IntRange(1, 9).Draw(t, "zones"))
+		front, commands := s.Sockets()
+		if front < s.Params.Limits.MaxConnections/2 || commands < 1 {
+			t.Fatalf("front %d, commands %d", front, commands)
+		}
+		all := front + commands*len(s.Params.Zones)
+		if commands > constants.CommandsLeast && all > s.Params.Limits.MaxConnections-constants.OwnSockets {
+			t.Fatalf("front %d and %d commands for each of %d parts: more than %d", front, commands, len(s.Params.Zones), s.Params.Limits.MaxConnections)
+		}
+	})
+	s := Settings{}
+	s.Params.Limits.MaxConnections, s.Params.Zones = 3130, []string{"a", "b"}
+	if front, _ := s.Sockets(); front < 2600 {
+		t.Fatalf("2600 workers do not fit the front's %d sockets", front)
+	}
+}
