A cut-off zone runs on though one machine was reached; a part gone as a whole is told by the list

And in small parts the owner outside returned all machines of a cut-off zone after 11 s. Changed: a machine that shows a later token is refused, the others are tended on; tending is bounded by time, not by nobody having claimed (docs/safety.md, 13). Of more than two machines silent together none is returned, unless two lists of the cloud in a row no longer show it: gone, not cut off.

--- a/constants/constants.go
+++ b/constants/constants.go
@@ -289,6 +289,12 @@
 	// FewMachines: of fewer, the reports of so short a time say nothing
 	// (machines).
 	FewMachines = 16
+	// FewTogether: of more machines than that, none falls silent by chance just
+	// when all others do (machines).
+	FewTogether = 2
+	// ListsMissing is how many of the cloud's lists in a row a machine must be
+	// absent from to count as taken: one may be older than the one before (lists).
+	ListsMissing = 2
 	// LateReport is how late a report may be (periods), and NextController when
 	// a worker without an answer has turned to another controller: after 4 s
 	// and one more.
--- a/node/actors.go
+++ b/node/actors.go
@@ -286,7 +286,11 @@
 	if silent, seen := a.core.CutOff(now); silent {
 		a.control.Tell(cutOff{a.part, seen})
 	}
-	if !a.listing && now.Sub(a.listAt) > constants.CloudListEvery*time.Duration(1+a.listed/wire.MaxList) {
+	every := constants.CloudListEvery
+	if !a.core.Dark() { // the list tells whether its machines are cut off or gone
+		every *= time.Duration(1 + a.listed/wire.MaxList)
+	}
+	if !a.listing && now.Sub(a.listAt) > every {
 		a.listing, a.listAt = true, now
 		go func() {
 			l, err := a.cloud.List(ctx)
--- a/node/sim_test.go
+++ b/node/sim_test.go
@@ -305,7 +305,7 @@
 // An owner that reaches its machines while their reports do not reach it hands
 // its part on before their leases end: answers to its calls renew none.
 func TestOwnerWithoutReportsHandsOn(t *testing.T) {
-	undisturbed(t, 8, func(w *world) {
+	undisturbed(t, 8, 4, func(w *world) {
 		w.mu.Lock()
 		w.nodes[0].cutBeats = true
 		w.mu.Unlock()
@@ -316,7 +316,7 @@
 // While the state service is away for all, and the controllers reach each other,
 // what runs goes on, for much longer than the workers' lease.
 func TestOutageLongerThanTheLeaseStopsNothing(t *testing.T) {
-	undisturbed(t, 6, func(w *world) {
+	undisturbed(t, 6, 4, func(w *world) {
 		w.setOutage(true)
 		time.Sleep(90 * time.Second)
 		w.setOutage(false)
@@ -324,22 +324,86 @@
 	})
 }
 
+// A zone that is cut off with its owner, for longer than the workers' lease, runs
+// on: the owner inside tends its machines, and the next one outside, which hears
+// none of them, returns none.
+func TestCutOffZoneRunsOn(t *testing.T) {
+	undisturbed(t, 8, 12, func(w *world) {
+		set := func(z string) { w.mu.Lock(); w.cutZone = z; w.mu.Unlock() }
+		set("a")
+		time.Sleep(32 * time.Second)
+		set("")
+		time.Sleep(15 * time.Second)
+	})
+}
+
+// Tending for longer than the next owner counts on would let tasks run twice, and
+// the checker sees it; as long as it is counted it does not.
+func TestTendingMustBeCounted(t *testing.T) {
+	quietLogs(t)
+	for _, counted := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(9, []string{"a", "b"}, 3)
+			w.late, w.tame = 0, true
+			for _, n := range w.nodes {
+				n.set.Params.Workers.CancelS = 100 // so that much is tended
+				n.start()
+			}
+			go w.expireLeases()
+			time.Sleep(5 * time.Second)
+			w.service("run-000001", 2) // one in each zone: machines with room
+			time.Sleep(30 * time.Second)
+			j := &simJob{spec: wire.Submission{ID: "run-000002", Class: "c", Team: "free", Kind: wire.KindService, Priority: wire.PriorityProduction,
+				Tasks: 1, CPUs: 4, MemoryGB: 1, Image: "i", ImageGB: 1}, doneTasks: map[int]bool{}}
+			w.mu.Lock()
+			w.jobs[j.spec.ID] = j
+			w.mu.Unlock()
+			go w.user(j, 0, 0)
+			time.Sleep(30 * time.Second)
+			w.mu.Lock()
+			zone := ""
+			for _, m := range w.machines {
+				for _, x := range m.held {
+					if id, _, _ := wire.SplitTask(x.name); id == j.spec.ID {
+						zone = m.zone
+					}
+				}
+			}
+			w.cloudOut, w.cutZone = true, zone // nothing is surely gone but by its lease
+			w.mu.Unlock()
+			if !counted {
+				for _, n := range w.nodes {
+					n.set.Params.Workers.CancelS = 45 // as whoever claims from here on counts
+				}
+			}
+			time.Sleep(120 * time.Second)
+			if broken := len(w.broken) > 0; broken == counted {
+				t.Errorf("counted %v, in %s: %d broken rules %v", counted, zone, len(w.broken), w.broken)
+			}
+			w.mu.Lock()
+			w.broken, w.cutZone = nil, ""
+			w.mu.Unlock()
+			w.end(t)
+		})
+	}
+}
+
 // undisturbed sees to it that a service runs on through a trouble without a
 // single start.
-func undisturbed(t *testing.T, seed uint64, trouble func(*world)) {
+func undisturbed(t *testing.T, seed uint64, tasks int, trouble func(*world)) {
 	t.Helper()
 	quietLogs(t)
 	synctest.Test(t, func(t *testing.T) {
 		w := quietWorld(seed)
-		w.service("run-000001", 4)
+		w.service("run-000001", tasks)
 		time.Sleep(60 * time.Second)
 		w.mu.Lock()
 		starts := w.starts
 		w.mu.Unlock()
 		trouble(w)
 		w.mu.Lock()
-		if n := w.running("run-000001"); n != 4 || w.starts != starts {
-			t.Errorf("%d of 4 replicas run, %d starts since", n, w.starts-starts)
+		if n := w.running("run-000001"); n != tasks || w.starts != starts {
+			t.Errorf("%d of %d replicas run, %d starts since", n, tasks, w.starts-starts)
 		}
 		w.mu.Unlock()
 		w.end(t)
--- a/node/standin_test.go
+++ b/node/standin_test.go
@@ -893,6 +893,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	m := w.machines[addr]
+	for m != nil && w.apart(m.zone, c.n) { // a cut holds it back
+		w.mu.Unlock()
+		time.Sleep(time.Second)
+		w.mu.Lock()
+	}
 	if m == nil || m.gone || m.hung || m.deaf || time.Now().Before(m.boots) {
 		return worker.Result{Err: fmt.Errorf("gone")}
 	}
--- a/part/core.go
+++ b/part/core.go
@@ -184,11 +184,12 @@
 func (c *Core) may(now time.Time) bool { return !c.deposed && now.Before(c.authority) }
 
 // tends says whether the owner still answers reports though its authority has
-// ended: a zone that is cut off has nobody else, and its machines would end what
-// they run. It gives no commands then.
+// ended, whether or not another one is known to have begun: a zone that is cut off
+// has nobody else, and its machines would end what they run. It gives no commands
+// then, and does not keep a machine that has seen a later token.
 func (c *Core) tends(now time.Time) bool {
 	for_ := time.Duration(float64(c.cfg.Tending)*(1-constants.ClockDrift)) - constants.AuthorityMargin
-	return !c.deposed && !c.authority.IsZero() && now.Before(c.authority.Add(for_))
+	return !c.authority.IsZero() && now.Before(c.authority.Add(for_))
 }
 
 // leaseEnd is when the lease of a machine has surely ended that is answered now.
--- a/part/core_test.go
+++ b/part/core_test.go
@@ -553,3 +553,44 @@
 		t.Fatalf("dark %v, returned %d machines that were about to report", r.isDark, len(returned))
 	}
 }
+
+// A part that falls silent as a whole is taken to be cut off, and nobody is
+// returned, until the cloud stops listing its machines: those are gone, and the
+// part must not wait for their leases, or rent nothing for ever.
+func TestWholePartCutOffOrGone(t *testing.T) {
+	r := newRig(nil)
+	r.fleet(5)
+	var list []wire.CloudMachine
+	for _, m := range r.machines {
+		m.spot = true
+		list = append(list, wire.CloudMachine{Name: m.name, Zone: "a", Type: "box", Spot: true, State: wire.MachineRunning, AgeS: 100})
+	}
+	r.Listed(r.now, list)
+	returned := 0
+	look := func(d time.Duration) {
+		for end := r.now.Add(d); r.now.Before(end); {
+			r.siblingsAt = r.now
+			for _, a := range r.wait(100 * time.Millisecond) {
+				switch a := a.(type) {
+				case SendCommands:
+					r.CommandResult(r.now, a.Machine, nil)
+				case Return:
+					returned += len(a.Names)
+					r.Returned(r.now, a.Names)
+				}
+			}
+		}
+	}
+	look(9 * time.Second)
+	r.Listed(r.now, list)
+	r.Listed(r.now, nil) // one list may be older than the one before
+	look(time.Second)
+	if returned > 0 || !r.isDark {
+		t.Fatalf("returned %d machines that are listed, dark %v", returned, r.isDark)
+	}
+	r.Listed(r.now, nil)
+	look(7 * time.Second)
+	if returned != 5 || r.isDark {
+		t.Fatalf("returned %d of 5 machines that are gone, dark %v", returned, r.isDark)
+	}
+}
--- a/part/model.go
+++ b/part/model.go
@@ -107,6 +107,8 @@
 	leaseUntil   time.Time // after it, the session last known has surely ended
 	inherited    bool      // stood in the roster when the term began
 	up           bool      // has reported in this term
+	listed       bool      // the cloud's list has shown it
+	missing      int       // lists in a row since then that did not
 	lapsed       bool      // its lease ended while nobody heard it; it may come back
 	holds        []*hold   // by attempt
 	sums         sums
--- a/part/report.go
+++ b/part/report.go
@@ -14,7 +14,7 @@
 		return reply, false
 	}
 	c.outranked(r)
-	if !c.may(now) && !c.tends(now) {
+	if !c.may(now) && (!c.tends(now) || r.Token>>constants.EpochBits > c.term) {
 		return reply, false
 	}
 	if _, gone := c.gone[r.Machine]; gone {
--- a/part/silence.go
+++ b/part/silence.go
@@ -146,6 +146,7 @@
 	quiet int // those that have been silent
 	seen  int // those that another controller has heard since
 	few   bool
+	none  bool // there are few, but more than two, and none is heard
 	hears bool // enough reports have come lately
 }
 
@@ -157,7 +158,7 @@
 	var s census
 	recent, fresh := 0, 0
 	for _, m := range c.fleet {
-		if m.returning || !m.up && !m.inherited && !m.lapsed {
+		if m.returning || m.vanished() || !m.up && !m.inherited && !m.lapsed {
 			continue
 		}
 		s.known++
@@ -182,12 +183,18 @@
 	s.few = s.known < constants.FewMachines
 	if s.few {
 		s.hears = fresh*2 > s.known
+		s.none = s.known > constants.FewTogether && fresh == 0
 	} else {
 		s.hears = recent*constants.HearingShare >= s.known
 	}
 	return s
 }
 
+// vanished says that the cloud has stopped listing a machine: it was most likely
+// taken back. That proves nothing, since a list may be old, but a silent machine
+// that is listed all the same is more likely cut off.
+func (m *machine) vanished() bool { return m.missing >= constants.ListsMissing }
+
 // alone says whether a silent machine is silent by itself: the owner hears
 // others, or, where there are few, it has been silent for long enough to be
 // heard by another controller, and all of those are heard and none was. Else it
@@ -197,12 +204,15 @@
 	if now.Sub(m.strayAt) < c.strayMemory() {
 		return false
 	}
+	if m.vanished() {
+		return true
+	}
 	last := m.heard
 	if last.Before(c.claimed) {
 		last = c.claimed
 	}
 	elsewhere := c.periods(constants.LateReport) + constants.NextController + 2*constants.PushEvery
-	return s.hears || s.few && c.siblingsHeard(now) && now.Sub(last) > elsewhere
+	return s.hears || s.few && !s.none && c.siblingsHeard(now) && now.Sub(last) > elsewhere
 }
 
 // siblingsHeard says whether all live controllers were heard from lately.
@@ -230,11 +240,14 @@
 	return !s.hears && (s.up > 0 || strays), strays
 }
 
+// Dark says whether the part's machines as a whole count as out of reach.
+func (c *Core) Dark() bool { return c.isDark }
+
 // dark says that the part's machines as a whole are out of reach. Then none are
 // rented, which would be so as well, and the leader sends nothing here that may
 // go elsewhere.
 func (c *Core) dark(now time.Time, s census) bool {
-	return !s.few && !s.hears && now.Sub(c.claimed) > constants.TakeoverPatience && now.Sub(c.rested) > c.periods(constants.LateReport)
+	return (!s.few && !s.hears || s.none) && now.Sub(c.claimed) > constants.TakeoverPatience && now.Sub(c.rested) > c.periods(constants.LateReport)
 }
 
 // Stray is a report that a machine made to another controller.
@@ -286,12 +299,23 @@
 			delete(c.gone, name)
 		}
 	}
+	shown := make(map[string]bool, len(list))
+	defer func() {
+		for _, m := range c.fleet {
+			if shown[m.name] {
+				m.listed, m.missing = true, 0
+			} else if m.listed || (m.inherited || m.lapsed) && now.Sub(m.rentedAt) > 3*c.cfg.ListLag {
+				m.missing++
+			}
+		}
+	}()
 	var failed []string
 	for i := range list {
 		l := &list[i]
 		if l.Zone != c.cfg.Part {
 			continue
 		}
+		shown[l.Name] = true
 		m := c.machines[l.Name]
 		if l.State == wire.MachineFailed {
 			if m == nil || !m.returning {
