--- a/member/core_test.go
+++ b/member/core_test.go
@@ -128,10 +128,8 @@
 	})
 }
 
-// A part that was given up because its machines could not reach the owner is
-// not given back at once.
-func TestCutPartStaysAway(t *testing.T) {
-	now := time.Unix(1000, 0)
+// allUp is three controllers that are up and know of each other.
+func allUp(now time.Time) *sim {
 	s := &sim{keys: map[string]state.Change{}, inc: []uint64{1, 2, 3}}
 	for _, k := range three {
 		s.cores = append(s.cores, New(k.Name, three, []string{"a", "b"}, now))
@@ -139,6 +137,14 @@
 	for i, k := range three {
 		s.set(now, state.KeyNode(k.Name), &state.Node{Name: k.Name, Incarnation: uint64(i + 1)})
 	}
+	return s
+}
+
+// A part that was given up because its machines could not reach the owner is
+// not given back at once.
+func TestCutPartStaysAway(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := allUp(now)
 	key := state.KeyPart("b")
 	s.set(now, key, &state.Term{Part: "b", Node: "n-1", Incarnation: 2, Number: 4})
 	cl, ok := s.cores[1].HandOn(now, key)
@@ -164,13 +170,7 @@
 // Where no controller reaches another, the leadership goes round once and stays.
 func TestLeadershipDoesNotGoRound(t *testing.T) {
 	now := time.Unix(1000, 0)
-	s := &sim{keys: map[string]state.Change{}, inc: []uint64{1, 2, 3}}
-	for _, k := range three {
-		s.cores = append(s.cores, New(k.Name, three, []string{"a", "b"}, now))
-	}
-	for i, k := range three {
-		s.set(now, state.KeyNode(k.Name), &state.Node{Name: k.Name, Incarnation: uint64(i + 1)})
-	}
+	s := allUp(now)
 	s.set(now, state.KeyLeader, &state.Term{Node: "n-1", Incarnation: 2, Number: 4})
 	moved := 0
 	for at := time.Duration(0); at < constants.CutPause; at += time.Second {
--- a/part/core_test.go
+++ b/part/core_test.go
@@ -110,6 +110,24 @@
 	return out
 }
 
+// unheard plays time in which nobody answers a call and the cloud confirms what
+// is returned, and names that.
+func (r *rig) unheard(d time.Duration, each func()) (returned []string) {
+	for end := r.now.Add(d); r.now.Before(end); {
+		each()
+		for _, a := range r.wait(100 * time.Millisecond) {
+			switch a := a.(type) {
+			case SendCommands:
+				r.CommandResult(r.now, a.Machine, nil)
+			case Return:
+				returned = append(returned, a.Names...)
+				r.Returned(r.now, a.Names)
+			}
+		}
+	}
+	return returned
+}
+
 func (r *rig) submit(j *state.Job) {
 	r.version++
 	r.Apply(r.now, state.Change{Key: state.KeyJob(j.ID), Version: r.version, Record: j})
@@ -513,18 +531,7 @@
 		m.spot = true // ordinary ones would be emptied
 	}
 	var returned []string
-	look := func(d time.Duration) {
-		for end := r.now.Add(d); r.now.Before(end); {
-			for _, a := range r.wait(100 * time.Millisecond) {
-				switch a := a.(type) {
-				case SendCommands:
-					r.CommandResult(r.now, a.Machine, nil)
-				case Return:
-					returned = append(returned, a.Names...)
-				}
-			}
-		}
-	}
+	look := func(d time.Duration) { returned = append(returned, r.unheard(d, func() {})...) }
 	look(time.Second)
 	r.now = r.now.Add(7 * time.Second) // stands still; the reports made meanwhile still wait
 	look(2 * time.Second)
@@ -567,20 +574,7 @@
 	}
 	r.Listed(r.now, list)
 	returned := 0
-	look := func(d time.Duration) {
-		for end := r.now.Add(d); r.now.Before(end); {
-			r.siblingsAt = r.now
-			for _, a := range r.wait(100 * time.Millisecond) {
-				switch a := a.(type) {
-				case SendCommands:
-					r.CommandResult(r.now, a.Machine, nil)
-				case Return:
-					returned += len(a.Names)
-					r.Returned(r.now, a.Names)
-				}
-			}
-		}
-	}
+	look := func(d time.Duration) { returned += len(r.unheard(d, func() { r.siblingsAt = r.now })) }
 	look(9 * time.Second)
 	r.Listed(r.now, list)
 	r.Listed(r.now, nil) // one list may be older than the one before
--- a/part/scale_test.go
+++ b/part/scale_test.go
@@ -306,8 +306,8 @@
 	}
 	seq := make([]uint64, n)
 	turn := 0
-	play := func(d time.Duration, reporting func(i int) bool) (returned []string) {
-		for end := r.now.Add(d); r.now.Before(end); {
+	play := func(d time.Duration, reporting func(i int) bool) []string {
+		return r.unheard(d, func() {
 			turn++
 			for i := range n {
 				if i%30 == turn%30 && reporting(i) {
@@ -318,16 +318,7 @@
 					r.Report(r.now, rep)
 				}
 			}
-			for _, a := range r.wait(100 * time.Millisecond) {
-				switch a := a.(type) {
-				case SendCommands:
-					r.CommandResult(r.now, a.Machine, nil)
-				case Return:
-					returned = append(returned, a.Names...)
-				}
-			}
-		}
-		return returned
+		})
 	}
 	if got := play(6*time.Second, func(int) bool { return true }); len(got) != 0 {
 		t.Fatalf("returned %d healthy machines", len(got))
--- a/part/silence.go
+++ b/part/silence.go
@@ -247,7 +247,10 @@
 // rented, which would be so as well, and the leader sends nothing here that may
 // go elsewhere.
 func (c *Core) dark(now time.Time, s census) bool {
-	return (!s.few && !s.hears || s.none) && now.Sub(c.claimed) > constants.TakeoverPatience && now.Sub(c.rested) > c.periods(constants.LateReport)
+	// Where all controllers had ended, a worker may come back to this one only
+	// after it has tried the others and its next report is due.
+	return (!s.few && !s.hears || s.none) && now.Sub(c.claimed) > c.periods(constants.LateReport)+constants.NextController &&
+		now.Sub(c.rested) > c.periods(constants.LateReport)
 }
 
 // Stray is a report that a machine made to another controller.
