--- a/constants/constants.go
+++ b/constants/constants.go
@@ -76,8 +76,6 @@
 	// the allowance before the user is told to come back, a second or more later:
 	// a burst of submissions takes its turn within that.
 	AllowanceWait = 600 * time.Millisecond
-	// LaterYield is how long a write that can wait lets users' writes go first.
-	LaterYield = 2 * time.Second
 	// LaterShare is the part of the write allowance that one controller's
 	// writes that can wait may use (share).
 	LaterShare = 0.5
--- a/state/client.go
+++ b/state/client.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -43,10 +42,8 @@
 	reads   *rate.Limiter
 	writes  *rate.Limiter
 	waiting *rate.Limiter // of writes that can wait
-	users   *atomic.Int64 // until when users' writes have taken the allowance (ns of the steady clock since began)
-	began   time.Time
-	later   bool // this client's writes can wait
-	first   bool // and this one's cannot at all
+	later   bool          // this client's writes can wait
+	first   bool          // and this one's cannot at all
 }
 
 // Later returns the same client for writes that can wait: they leave part of
@@ -77,7 +74,6 @@
 		if err := c.waiting.WaitN(ctx, min(n, c.waiting.Burst())); err != nil {
 			return err
 		}
-		c.yield(ctx)
 	}
 	r := c.writes.ReserveN(time.Now(), min(n, c.writes.Burst()))
 	d := r.Delay()
@@ -86,28 +82,11 @@
 		return ErrLimited
 	}
 	if d > 0 {
-		if !c.later {
-			c.users.Store(int64(time.Since(c.began) + d))
-		}
 		pause(ctx, d)
 	}
 	return ctx.Err()
 }
 
-// yield lets users' writes that wait for the allowance go first, for a while:
-// after an outage all come back at once, together with what owners and the
-// leader have to write.
-func (c *Client) yield(ctx context.Context) {
-	limit := time.Now().Add(constants.LaterYield)
-	for ctx.Err() == nil && time.Now().Before(limit) {
-		d := time.Duration(c.users.Load()) - time.Since(c.began)
-		if d <= 0 {
-			return
-		}
-		pause(ctx, d)
-	}
-}
-
 // NewClient makes a client of the service at addr with the settings' limits.
 func NewClient(addr string, rps, writeRPS float64) *Client {
 	lim := httpwire.Limits{Header: constants.MaxHeader, Body: constants.ClientMaxBody}
@@ -120,8 +99,6 @@
 		reads:   share(rps, constants.StateShare),
 		writes:  share(writeRPS, constants.StateShare),
 		waiting: share(writeRPS, constants.LaterShare),
-		users:   &atomic.Int64{},
-		began:   time.Now(),
 	}
 }
 
