--- a/constants/constants.go
+++ b/constants/constants.go
@@ -403,6 +403,16 @@
 	DrainWait = 0.5
 	// LeastLeft is what a task that outran its estimate is expected to run on.
 	LeastLeft = 5 * time.Second
+	// GangReplace: a lost task of a gang that has not begun is replaced while that
+	// much of the time is left unused for which its others wait (percent): an image
+	// may have to come yet.
+	GangReplace = 60
+	// GangPatience is how long a gang waits in a part for room that may be coming
+	// before it goes to another part that could start it at once.
+	GangPatience = 3 * time.Second
+	// ShapeMemory is how long the shape of a gang is remembered after the last of
+	// its kind: longer than most classes pause, and not for ever.
+	ShapeMemory = 10 * time.Minute
 	// FaultPause is how long a machine that failed a task is avoided.
 	FaultPause = 60 * time.Second
 	// JobFaultMachines: a job that failed on that many machines is itself at
@@ -416,6 +426,7 @@
 	ScoreShared   = 3.0  // less, for an ordinary machine with services
 	ScoreOrdinary = 5.0  // an ordinary machine that could be emptied
 	ScoreDraining = 20.0 // it is being emptied
+	ScoreForGangs = 4.0  // its room is held ready for gangs
 	// CostCold is what fetching an image weighs against work that is lost by
 	// stopping it (CPU seconds).
 	CostCold = 100.0
--- a/frontdoor/frontdoor.go
+++ b/frontdoor/frontdoor.go
@@ -483,7 +483,7 @@
 		return "unknown team"
 	}
 	tasks := 1.0
-	if s.IsService() {
+	if s.Whole() {
 		tasks = float64(s.Tasks)
 	}
 	if t.CPUsMax > 0 && s.CPUs*tasks > t.CPUsMax+1e-9 || t.GPUsMax > 0 && s.GPUs*tasks > t.GPUsMax+1e-9 {
--- a/leader/core.go
+++ b/leader/core.go
@@ -62,6 +62,8 @@
 	// Warm is, by image, ordinary room (CPUs), yielding room included, on
 	// machines that hold the image already.
 	Warm map[string]float64 `json:"w,omitempty"`
+	// Gangs is, by shape, how many tasks of a gang could start now.
+	Gangs map[string]GangRoom `json:"gangs,omitempty"`
 }
 
 // fits estimates how many tasks of the given size the room takes. The sum
@@ -103,7 +105,7 @@
 type booking struct {
 	revision        uint64 // 0: under way
 	cpus, gpus, mem float64
-	spot            bool
+	spot, gang      bool
 	job             string
 }
 
@@ -351,15 +353,23 @@
 		want += r[1] - r[0]
 	}
 	n := c.admit(s, want)
-	if s.IsService() && n < want || n == 0 {
+	if s.Whole() && n < want || n == 0 {
 		c.limited = true
 		return Commit{}, false
 	}
-	if !s.IsService() && Overdue(now, j.rec, len(j.rec.Chunks) > 0) {
+	if !s.Whole() && Overdue(now, j.rec, len(j.rec.Chunks) > 0) {
 		n = min(n, BeginShare(want))
 	}
 	guaranteed := c.guaranteed(s)
-	plan := c.plan(now, j, n)
+	var plan []share
+	if s.IsGang() {
+		plan = c.planGang(now, j)
+		if guaranteed < want {
+			guaranteed = 0 // as a whole or not
+		}
+	} else {
+		plan = c.plan(now, j, n)
+	}
 	type booked struct {
 		part string
 		n    int
@@ -392,6 +402,9 @@
 		j.notAt = now.Add(constants.PartialGap)
 	}
 	rec.Normalize()
+	if s.IsGang() {
+		numberGang(rec)
+	}
 	value := state.Encode(rec)
 	if len(value) > c.set.ValueBytes() {
 		// A job in too many pieces would outgrow a value of the state service.
@@ -406,7 +419,7 @@
 	}
 	for _, b := range books {
 		p := c.parts[b.part]
-		p.bookings = append(p.bookings, booking{job: rec.ID, spot: s.Spot,
+		p.bookings = append(p.bookings, booking{job: rec.ID, spot: s.Spot, gang: s.IsGang(),
 			cpus: float64(b.n) * s.CPUs, gpus: float64(b.n) * s.GPUs, mem: float64(b.n) * s.MemoryGB})
 	}
 	j.busy = true
--- a/node/actors.go
+++ b/node/actors.go
@@ -13,6 +13,7 @@
 	"ravenport/httpwire"
 	"ravenport/leader"
 	"ravenport/part"
+	"ravenport/settings"
 	"ravenport/state"
 	"ravenport/wire"
 	"ravenport/worker"
@@ -177,11 +178,13 @@
 
 func newPartActor(c *control, name string, term, version uint64, now time.Time, roster map[string]*state.Page, rosterV map[string]uint64) *partActor {
 	set := c.set
+	limits := set.StateLimits()
 	cfg := part.Config{
 		Part: name, Report: set.Report(), LeaseEnd: set.LeaseEnd(), Tending: set.Tending(),
 		IdleSpot: set.Operator.IdleSpot, IdleOrdinary: set.Operator.IdleOrdinary, UseSpot: set.Operator.UseSpot,
+		GangWait: settings.Seconds(set.Params.Workers.GangWaitS), GangPeer: settings.Seconds(set.Params.Workers.GangPeerS),
 		ListLag:    time.Duration(set.Params.Cloud.ListLagS * float64(time.Second)),
-		ValueBytes: set.ValueBytes(), TxnOps: set.Params.State.TxnOps, WriteRPS: max(set.Params.State.WriteRPS, 1), CloudGap: set.CloudGap(), Order: leader.NewOrder(set.Params.Objectives),
+		ValueBytes: set.ValueBytes(), TxnOps: limits.TxnOps, WriteRPS: max(limits.WriteRPS, 1), CloudGap: set.CloudGap(), Order: leader.NewOrder(set.Params.Objectives),
 	}
 	_, cfg.Calls = set.Sockets()
 	a := &partActor{part: name, store: c.io.Later, cloud: c.io.Cloud, self: actor.NewRef(), control: c.self,
--- a/node/node.go
+++ b/node/node.go
@@ -108,7 +108,8 @@
 func Run(ctx context.Context, set *settings.Settings) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	store := state.NewClient(set.Services.State, set.Params.State.RPS, set.Params.State.WriteRPS)
+	limits := set.StateLimits()
+	store := state.NewClient(set.Services.State, limits.RPS, limits.WriteRPS)
 	out := Outside{
 		State:   store,
 		First:   store.First(),
--- a/node/standin_test.go
+++ b/node/standin_test.go
@@ -165,7 +165,7 @@
 		b.WriteString("[outside]\ncloud = \"10.1.0.1:1\"\nstate = \"10.1.0.2:1\"\n[facts]\n")
 		fmt.Fprintf(&b, "size = %d\nzones = [\"%s\"]\n", nodes, strings.Join(zones, "\", \""))
 		b.WriteString("[[facts.teams]]\nname = \"free\"\n[[facts.teams]]\nname = \"tight\"\ncpus = 4.0\ncpus_max = 10.0\n")
-		b.WriteString("[facts.workers]\nreport_s = 3.0\nlease_s = 20.0\ncancel_s = 45.0\n[facts.state]\nrps = 200.0\nwrite_rps = 100.0\nvalue_kb = 8.0\ntxn_ops = 12\n[facts.cloud]\nrps = 10.0\nlist_lag_s = 5.0\n")
+		b.WriteString("[facts.workers]\nreport_s = 3.0\nlease_s = 20.0\ncancel_s = 45.0\ngang_wait_s = 15.0\ngang_peer_s = 4.0\n[facts.state]\nrps = 200.0\nwrite_rps = 100.0\nvalue_kb = 8.0\ntxn_ops = 12\n[facts.cloud]\nrps = 10.0\nlist_lag_s = 5.0\n")
 		set, err := settings.Parse([]byte(b.String()))
 		if err != nil {
 			panic(err)
--- a/part/chunks.go
+++ b/part/chunks.go
@@ -104,7 +104,7 @@
 		switch {
 		case t == nil:
 			return false
-		case j.rec.End != "" && t.uncertain, j.rec.End == "" && !t.done:
+		case (j.rec.End != "" || j.gang != nil) && t.uncertain, j.rec.End == "" && !t.done:
 			return false
 		case c.somewhere(j.rec.ID, k):
 			return false
--- a/part/core.go
+++ b/part/core.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -24,6 +26,8 @@
 	CloudGap     time.Duration // between calls of one kind to the cloud that can wait for each other
 	ValueBytes   int           // the state service's limit on a record
 	Calls        int           // direct commands that may be under way at once
+	GangWait     time.Duration // how long a gang's tasks wait for each other
+	GangPeer     time.Duration // within which they notice that one is gone, or must all be told to stop
 	TxnOps       int           // and on the changes of a transaction
 	WriteRPS     float64       // and on changes a second, of all controllers
 	Order        leader.Order
@@ -79,6 +83,9 @@
 	lastSlow     time.Time
 	lastMove     time.Time
 	prod         arrivals // of production work
+	gangs        arrivals // of gangs, each as a whole
+	shapes       map[string]gangShape
+	gangNeed     float64 // room (CPUs) to be held ready for gangs
 	drainAt      time.Time
 	drainWork    float64   // CPU seconds before the machines that are there
 	drainCPUs    float64   // what those can give to arrays
@@ -139,11 +146,15 @@
 	jobs map[string]*state.Job, versions map[string]uint64, roster map[string]*state.Page, rosterVersions map[string]uint64) *Core {
 	c := &Core{cfg: cfg, term: term, termVer: termVersion, claimed: now, budget: constants.PartBudget,
 		types: map[string]*wire.MachineType{}, jobs: map[string]*job{}, machines: map[string]*machine{},
-		byTask: map[taskKey][]*hold{}, waiting: map[*job]bool{}, toClose: map[string]*job{}, pages: map[int]*page{},
+		byTask: map[taskKey][]*hold{}, shapes: map[string]gangShape{}, waiting: map[*job]bool{}, toClose: map[string]*job{}, pages: map[int]*page{},
 		pendingRents: map[string]*rental{}, refused: map[bool]time.Time{}, gone: map[string]time.Time{}, others: map[string]other{}, dirty: true, pushDirty: true}
 	c.SetTypes(types)
-	for key, r := range roster {
-		c.applyPage(now, r, rosterVersions[key])
+	// Pages split off a large one have higher numbers: a machine found on both
+	// stays on its new page.
+	keys := slices.Collect(maps.Keys(roster))
+	slices.SortFunc(keys, func(a, b string) int { return roster[b].Number - roster[a].Number })
+	for _, key := range keys {
+		c.applyPage(now, roster[key], rosterVersions[key])
 	}
 	for _, m := range c.machines {
 		// Whatever earlier owners started, or sent and is still on its way, is
@@ -244,6 +255,7 @@
 func (c *Core) applyJob(now time.Time, id string, rec *state.Job, version uint64, inherited bool) {
 	j := c.jobs[id]
 	mine := 0
+	c.noteGang(now, rec)
 	for _, ch := range rec.Chunks {
 		if ch.Part == c.cfg.Part && !ch.Closed {
 			mine += ch.Tasks()
@@ -255,6 +267,10 @@
 	if j == nil {
 		j = &job{rec: rec, tasks: make(map[int]*task, mine)}
 		c.jobs[id] = j
+		if rec.Spec.IsGang() {
+			j.gang, j.gangSince = &gang{}, now
+			c.gangs.add(now, time.Duration(now.UnixMilli()-rec.AcceptedMS)*time.Millisecond, need(&rec.Spec).times(rec.Spec.Tasks))
+		}
 	}
 	if version <= j.version {
 		return
@@ -307,6 +323,9 @@
 			}
 		}
 	}
+	if j.gang != nil {
+		c.gangRecord(j)
+	}
 	c.touch(j)
 	c.check(j)
 	c.dirty, c.pushDirty = true, true
@@ -356,6 +375,9 @@
 			t.hold = nil
 			t.waitSince = now
 			t.keep = false // lost its machine: what does not fit here goes up at once
+			if j.gang != nil {
+				c.lostOne(j, h)
+			}
 		}
 		c.touch(j)
 		c.check(j)
@@ -373,6 +395,10 @@
 func (c *Core) matchHold(t *task, h *hold) {
 	h.m.stale = true
 	c.touch(t.job)
+	if t.job.gang != nil {
+		c.matchGang(t, h)
+		return
+	}
 	if h.exited() {
 		if h.cause == wire.CauseDone && !t.job.rec.Spec.IsService() {
 			t.done = true
@@ -427,6 +453,7 @@
 	if slow {
 		c.lastSlow = now
 		c.lapse(now)
+		c.keepForGangs(now)
 	}
 	if c.may(now) {
 		c.roster(now)
--- a/part/empty.go
+++ b/part/empty.go
@@ -26,6 +26,14 @@
 				continue
 			}
 			s := &t.job.rec.Spec
+			if t.job.gang != nil {
+				// It saves whole, at the last moment at which all can be told, or
+				// is left to end by itself.
+				if !h.instant && left <= h.grace(c)+c.cfg.GangPeer+constants.NoticeMargin {
+					c.stopGang(t.job, "a machine will be taken back")
+				}
+				continue
+			}
 			ends := settings.Seconds(s.EstimateS)
 			if !h.runSince.IsZero() {
 				ends -= now.Sub(h.runSince)
@@ -36,7 +44,7 @@
 			case !h.instant:
 			case !s.IsService() && float64(ends) < constants.NoticeDoubt*float64(left):
 				continue // it may well be done before
-			case c.bestFit(now, s) == nil:
+			case c.bestFit(now, s, nil) == nil:
 				continue
 			}
 			h.stop = true
@@ -84,7 +92,7 @@
 		}
 		return ms[a].name > ms[b].name
 	})
-	keep := c.reserve(now) + c.prod.largest.cpus
+	keep := c.reserve(now) + c.prod.largest.cpus + c.gangNeed
 	looked := 0
 	for _, m := range ms {
 		// Without it the part must keep its room ready, and have room for what
@@ -158,7 +166,7 @@
 		if h.state != wire.TaskRunning || t == nil || t.hold != h || h.stop || !t.job.rec.Spec.IsService() || !h.instant {
 			continue
 		}
-		if to := c.bestFit(now, &t.job.rec.Spec); to != nil && !to.draining && to.images[t.job.rec.Spec.Image] {
+		if to := c.bestFit(now, &t.job.rec.Spec, nil); to != nil && !to.draining && to.images[t.job.rec.Spec.Image] {
 			h.stop = true
 			m.stale, m.wantCommand = true, true
 			slog.Debug("moving service", "task", h.key.task, "from", m.name, "to", to.name)
--- a/part/model.go
+++ b/part/model.go
@@ -121,6 +121,7 @@
 	draining     bool // its tasks move elsewhere; it takes new ones last
 	spareSince   time.Time
 	avoidUntil   time.Time
+	forGangs     bool // no array begins here: its room is for gangs
 	keptFor      *job // its room is kept for a task of it
 	keptUntil    time.Time
 
@@ -207,7 +208,7 @@
 		if s.IsService() {
 			m.sums.services++
 		}
-		if h.instant && stoppable(h, t) && wire.PriorityLevel(s.Priority) < wire.PriorityLevel(wire.PriorityProduction) {
+		if h.instant && !s.IsGang() && stoppable(h, t) && wire.PriorityLevel(s.Priority) < wire.PriorityLevel(wire.PriorityProduction) {
 			m.sums.yielding += h.needs.cpus
 		}
 	}
@@ -268,6 +269,9 @@
 	closeAt time.Time       // when chunks that are over are recorded though others here are not; zero: none is
 	errors  map[string]bool // machines on which its tasks failed
 
+	gang      *gang     // of a gang
+	gangSince time.Time // since when the gang has been here
+
 	begun   bool    // a task of it runs or is done, here or elsewhere
 	stale   bool    // waiting and begun are to be made anew
 	waiting []*task // those within the guarantee first, then by index
--- a/part/place.go
+++ b/part/place.go
@@ -132,6 +132,10 @@
 
 // placeJob places what it can of a job's waiting tasks.
 func (c *Core) placeJob(now time.Time, j *job, r *round) {
+	if j.gang != nil {
+		c.placeGang(now, j, r)
+		return
+	}
 	s := &j.rec.Spec
 	n := need(s)
 	d := demandOf(s)
@@ -268,7 +272,7 @@
 		}
 		s := &j.rec.Spec
 		n := need(s)
-		if m.keptFor != nil && m.keptFor != j || len(j.waiting) == 0 || !n.fits(free) || !allowed(s, m.typeName, m.spot) || c.jobs[s.ID] != j || j.rec.End != "" {
+		if j.gang != nil || m.forGangs && !s.IsService() || m.keptFor != nil && m.keptFor != j || len(j.waiting) == 0 || !n.fits(free) || !allowed(s, m.typeName, m.spot) || c.jobs[s.ID] != j || j.rec.End != "" {
 			continue
 		}
 		looked++
@@ -296,7 +300,7 @@
 	}
 	var cs []cand
 	for _, m := range r.room {
-		if free := c.free(m); n.fits(free) && allowed(s, m.typeName, m.spot) && (m.keptFor == nil || m.keptFor.rec.ID == s.ID) {
+		if free := c.free(m); n.fits(free) && allowed(s, m.typeName, m.spot) && (m.keptFor == nil || m.keptFor.rec.ID == s.ID) && (!m.forGangs || s.Whole()) {
 			cs = append(cs, cand{m, c.score(s, n, m, free)})
 		}
 	}
@@ -336,11 +340,15 @@
 	if m.draining {
 		score += constants.ScoreDraining
 	}
+	if m.forGangs && !s.IsGang() {
+		score += constants.ScoreForGangs
+	}
 	return score
 }
 
-// bestFit is the best candidate for one task of a job, or nil.
-func (c *Core) bestFit(now time.Time, s *wire.Submission) *machine {
+// bestFit is the best candidate for one task of a job, or nil; except leaves out
+// those that it is false for.
+func (c *Core) bestFit(now time.Time, s *wire.Submission, except func(*machine) bool) *machine {
 	n := need(s)
 	var best *machine
 	var least float64
@@ -349,7 +357,7 @@
 			continue
 		}
 		free := c.free(m)
-		if !n.fits(free) || m.keptFor != nil && m.keptFor.rec.ID != s.ID {
+		if !n.fits(free) || m.keptFor != nil && m.keptFor.rec.ID != s.ID || m.forGangs && !s.Whole() || except != nil && !except(m) {
 			continue
 		}
 		if score := c.score(s, n, m, free); best == nil || score < least || score == least && m.name < best.name {
@@ -394,7 +402,7 @@
 			for _, h := range m.holds {
 				if t := c.taskOf(h); stoppable(h, t) {
 					s := &t.job.rec.Spec
-					r.saving = r.saving || !h.instant
+					r.saving = r.saving || !h.instant || t.job.gang != nil
 					r.lowest = min(r.lowest, wire.PriorityLevel(s.Priority))
 					if !t.guarantee && !s.IsService() {
 						r.loose[s.Team] = true
@@ -439,14 +447,8 @@
 			continue
 		}
 		free := c.free(m)
-		can = can[:0]
-		most := free
-		for _, h := range m.holds {
-			if t := c.taskOf(h); h.instant && stoppable(h, t) && mayStop(t, for_) {
-				can = append(can, h)
-				most = most.plus(h.needs)
-			}
-		}
+		var most resources
+		can, most = c.victims(m, for_, can[:0])
 		if len(can) == 0 || !n.fits(most) {
 			continue
 		}
@@ -494,6 +496,19 @@
 	return best
 }
 
+// victims lists what on a machine could be stopped at once for a task, after what
+// is in can, and all the room that makes. A gang is stopped whole or not at all.
+func (c *Core) victims(m *machine, for_ *task, can []*hold) ([]*hold, resources) {
+	most := c.free(m)
+	for _, h := range m.holds {
+		if t := c.taskOf(h); h.instant && stoppable(h, t) && t.job.gang == nil && mayStop(t, for_) {
+			can = append(can, h)
+			most = most.plus(h.needs)
+		}
+	}
+	return can, most
+}
+
 // endangers says whether a job that would have met an objective on finishing
 // would miss it if this task of it began anew.
 func (c *Core) endangers(now time.Time, h *hold) bool {
@@ -532,6 +547,9 @@
 			free = free.plus(h.needs)
 			victims = append(victims, h)
 			cost += h.needs.cpus
+			if t.job.gang != nil {
+				cost += h.needs.cpus * float64(len(t.job.tasks)-1) // all of it goes
+			}
 		}
 		if len(victims) > 0 && n.fits(free) && cost < bestCost {
 			best, bestCost = victims, cost
@@ -539,9 +557,15 @@
 	}
 	wait := time.Duration(0)
 	for _, h := range best {
+		wait = max(wait, h.grace(c)+c.together(h))
+		if t := c.taskOf(h); t.job.gang != nil {
+			if !h.stop {
+				c.stopGang(t.job, "makes room")
+			}
+			continue
+		}
 		h.stop = true
 		h.m.stale, h.m.wantCommand = true, true
-		wait = max(wait, h.grace(c))
 		slog.Debug("task saves and makes room", "task", h.key.task, "machine", h.m.name)
 	}
 	if len(best) > 0 {
@@ -549,11 +573,16 @@
 	}
 }
 
-// start decides an attempt. From here on the task counts as maybe there.
+// start decides an attempt of its own.
 func (c *Core) start(now time.Time, t *task, m *machine) {
 	c.counter++
+	c.startAs(now, t, m, c.term<<constants.AttemptBits|c.counter)
+}
+
+// startAs decides an attempt. From here on the task counts as maybe there.
+func (c *Core) startAs(now time.Time, t *task, m *machine, attempt uint64) {
 	h := &hold{
-		key:   holdKey{wire.TaskName(t.job.rec.ID, t.index), c.term<<constants.AttemptBits | c.counter},
+		key:   holdKey{wire.TaskName(t.job.rec.ID, t.index), attempt},
 		jobID: t.job.rec.ID, index: t.index, m: m, state: stateSent, sentAt: now,
 	}
 	c.fillHold(h, t.job)
--- a/part/push.go
+++ b/part/push.go
@@ -42,6 +42,7 @@
 			a.Warm[image] += room
 		}
 	}
+	a.Gangs = c.gangFigures(now)
 	for _, b := range c.roomComing {
 		add(b.free, b.spot)
 	}
--- a/part/rent.go
+++ b/part/rent.go
@@ -67,6 +67,12 @@
 	return max(k, 0)
 }
 
+// kind is a kind of machine to rent.
+type kind struct {
+	typ  string
+	spot bool
+}
+
 // rent asks for machines for what waits and fits on nothing that is coming.
 func (c *Core) rent(now time.Time) {
 	c.lastRent = now
@@ -75,13 +81,13 @@
 	if len(c.types) == 0 || !c.rebuilt {
 		return
 	}
-	type kind struct {
-		typ  string
-		spot bool
-	}
 	want := map[kind]int{}
 	q, _ := c.queue(now)
 	for _, j := range q {
+		if j.gang != nil {
+			c.rentForGang(now, j, want)
+			continue
+		}
 		s := &j.rec.Spec
 		n := need(s)
 		tasks := c.ready(now, j)
@@ -222,7 +228,7 @@
 // reserveMissing is how many ordinary machines of which type are missing to
 // keep room ready for production work.
 func (c *Core) reserveMissing(now time.Time) (string, int) {
-	if c.prod.largest.cpus == 0 || !c.rentable(now, false) {
+	if c.prod.largest.cpus == 0 && c.gangNeed == 0 || !c.rentable(now, false) {
 		return "", 0
 	}
 	room := 0.0
@@ -236,7 +242,7 @@
 			room += b.free.cpus
 		}
 	}
-	missing := c.reserve(now) - room
+	missing := max(c.reserve(now)-room, c.gangRoomMissing())
 	if missing <= 0 {
 		return "", 0
 	}
--- a/part/report.go
+++ b/part/report.go
@@ -34,7 +34,7 @@
 	if !c.may(now) {
 		return wire.ReportReply{Token: c.token(m), Commands: []wire.Command{}}, true
 	}
-	if c.usable(now, m) && !c.fill(now, m) {
+	if c.usable(now, m) && !c.fill(now, m) || m.forGangs && c.freed {
 		c.dirty = true
 	}
 	if (m.lost || c.sumsOf(m).exited >= constants.ExitedRaise) && m.token == c.token(m) {
@@ -203,6 +203,9 @@
 		// term in its number bounds the tokens under which it was ever sent.
 		h = &hold{key: holdKey{ts.Task, ts.Attempt}, jobID: jobID, index: index, m: m, direct: true, instant: true}
 		h.directed = (ts.Attempt>>constants.AttemptBits+1)<<constants.EpochBits - 1
+		if ts.Attempt>>constants.AttemptBits == 0 {
+			h.directed = c.term<<constants.EpochBits - 1 // a gang's shared number names no term
+		}
 		if j := c.jobs[jobID]; j != nil {
 			c.fillHold(h, j)
 		}
@@ -226,7 +229,7 @@
 				"accepted_s", float64(now.UnixMilli()-j.rec.AcceptedMS)/1000, "sent_s", now.Sub(h.sentAt).Seconds(), "cached", m.images[h.image])
 		}
 	}
-	if h.state == wire.TaskRunning && h.image != "" {
+	if (h.state == wire.TaskRunning || h.state == wire.TaskWaiting) && h.image != "" {
 		m.images[h.image] = true
 	}
 	if h.exited() && was != wire.TaskExited && !h.runSince.IsZero() {
@@ -256,8 +259,8 @@
 func (c *Core) failed(now time.Time, t *task, h *hold) {
 	t.waitSince = now
 	switch h.cause {
-	case wire.CauseStopped:
-		return
+	case wire.CauseStopped, wire.CausePeers, wire.CauseAlone:
+		return // nobody's fault
 	case wire.CauseError, wire.CauseUnknown:
 		slog.Warn("task failed", "task", h.key.task, "machine", h.m.name, "cause", h.cause)
 		j := t.job
@@ -330,13 +333,18 @@
 			}
 		case !c.wanted(h):
 			// A saving task is left to finish unless its time is up.
-			if h.state == wire.TaskSaving && now.Sub(h.told) < h.grace(c) {
+			// A gang's tasks save together, and show it only by their exits: until
+			// their time is up they are told the same again, should they have missed it.
+			together := c.together(h)
+			if h.state == wire.TaskSaving && now.Sub(h.told) < h.grace(c)+together {
 				continue
 			}
 			g := 0.0
 			if h.told.IsZero() {
 				h.told = now
 				g = h.grace(c).Seconds()
+			} else if together > 0 && now.Sub(h.told) < h.grace(c)+together {
+				g = h.grace(c).Seconds()
 			}
 			out = append(out, wire.Command{Op: wire.OpStop, Task: h.key.task, Attempt: h.key.attempt, GraceS: &g})
 		case h.state == stateSent && m.verified(c.term):
@@ -364,6 +372,15 @@
 	return time.Duration((t.job.rec.Spec.SaveS + 0.5) * float64(time.Second))
 }
 
+// together is how much longer an attempt takes to save because a gang's tasks
+// wait for each other.
+func (c *Core) together(h *hold) time.Duration {
+	if j := c.jobs[h.jobID]; j == nil || j.gang == nil || h.instant {
+		return 0
+	}
+	return c.cfg.GangPeer
+}
+
 // forgettable says whether an exited attempt may be forgotten by its machine.
 // An attempt started by a direct command must be kept while that command
 // could arrive once more, late: forgotten, it would start again. A done task
--- a/part/roster.go
+++ b/part/roster.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -24,6 +26,8 @@
 	stored  map[string]bool // machines that the durable page names
 	dirty   bool
 	sent    []state.Machine // content of the write under way
+
+	writtenAt time.Time // when it was last sent
 }
 
 // applyPage takes in a page as the state service has it.
@@ -42,6 +46,7 @@
 		}
 		m := c.machine(e.Name)
 		if m.page != r.Number && m.page != pageless {
+			p.dirty = true // it was moved, and the owner that did it ended
 			continue
 		}
 		m.page = r.Number
@@ -64,9 +69,48 @@
 			p.dirty = true
 		}
 	}
+	c.split(p)
 	c.dirty = true
 }
 
+// split moves machines off a page that is larger than a value may be: the version
+// before, with larger limits, may have left it, at any takeover.
+func (c *Core) split(p *page) {
+	most := c.pageBytes()
+	if p.bytes <= most {
+		return
+	}
+	names := slices.Sorted(maps.Keys(p.names))
+	for len(names) > 1 && p.bytes > most {
+		c.moveOff(p, names[len(names)-1])
+		names = names[:len(names)-1]
+	}
+}
+
+// moveOff gives a machine a place on another page. Until it stands there durably
+// its old page is not written, so it is never on none.
+func (c *Core) moveOff(p *page, name string) {
+	m := c.machines[name]
+	p.drop(name)
+	p.dirty = true
+	m.page = pageless
+	c.enrol(m)
+}
+
+// writable says whether all machines that a page has lost stand durably on
+// theirs.
+func (c *Core) writable(p *page) bool {
+	for name := range p.stored {
+		if m := c.machines[name]; m != nil && m.page != p.number && m.page != pageless && !c.pages[m.page].stored[name] {
+			return false
+		}
+	}
+	return true
+}
+
+// pageBytes is what the entries of a page may take.
+func (c *Core) pageBytes() int { return c.cfg.ValueBytes * constants.PageFill / 100 }
+
 func (c *Core) page(n int) *page {
 	p := c.pages[n]
 	if p == nil {
@@ -101,17 +145,20 @@
 func (p *page) put(name string) {
 	if !p.names[name] {
 		p.names[name] = true
-		p.bytes += len(name) + constants.RosterEntryBytes
+		p.bytes += entryBytes(name)
 	}
 }
 
 func (p *page) drop(name string) {
 	if p.names[name] {
 		delete(p.names, name)
-		p.bytes -= len(name) + constants.RosterEntryBytes
+		p.bytes -= entryBytes(name)
 	}
 }
 
+// entryBytes is what a machine takes of a page.
+func entryBytes(name string) int { return len(name) + constants.RosterEntryBytes }
+
 // enrol gives a machine a place in the roster.
 func (c *Core) enrol(m *machine) {
 	if m.page != pageless {
@@ -120,7 +167,7 @@
 	}
 	for n := 0; ; n++ {
 		p := c.page(n)
-		if p.bytes < c.cfg.ValueBytes*constants.PageFill/100 {
+		if len(p.names) == 0 || p.bytes+entryBytes(m.name) <= c.pageBytes() {
 			m.page = n
 			p.put(m.name)
 			p.dirty = true
@@ -151,28 +198,49 @@
 	}
 	var ps []*page
 	for _, p := range c.pages {
-		if p.dirty {
+		if p.dirty && c.writable(p) {
 			ps = append(ps, p)
 		}
 	}
 	if len(ps) == 0 {
 		return
 	}
-	sort.Slice(ps, func(a, b int) bool { return ps[a].number < ps[b].number })
+	// The one written longest ago first: small pages are many, and those of low
+	// numbers, which change most, must not keep the others waiting.
+	sort.Slice(ps, func(a, b int) bool {
+		if !ps[a].writtenAt.Equal(ps[b].writtenAt) {
+			return ps[a].writtenAt.Before(ps[b].writtenAt)
+		}
+		return ps[a].number < ps[b].number
+	})
 	ps = ps[:min(len(ps), constants.RosterPages, max(1, c.cfg.TxnOps))]
 	var changes []wire.Change
 	var conds []wire.Condition
 	for _, p := range ps {
-		p.dirty = false
-		p.sent = c.entries(p)
+		entries := c.entries(p)
 		key := state.KeyRoster(c.cfg.Part, p.number)
 		var r state.Page
-		for _, e := range p.sent {
+		for _, e := range entries {
 			r.Add(e)
 		}
-		changes = append(changes, wire.Change{Put: key, Value: state.Encode(r)})
+		value := state.Encode(r)
+		if len(value) > c.cfg.ValueBytes && len(entries) > 1 {
+			// Many kinds of machine or long addresses take more than was allowed
+			// for: half of them go to another page, and this one waits for that.
+			for _, e := range entries[len(entries)/2:] {
+				c.moveOff(p, e.Name)
+			}
+			continue
+		}
+		p.dirty = false
+		p.sent = entries
+		p.writtenAt = now
+		changes = append(changes, wire.Change{Put: key, Value: value})
 		conds = append(conds, wire.Condition{Key: key, Version: p.version})
 	}
+	if len(changes) == 0 {
+		return
+	}
 	// Its share of the state service's changes, so that a wave of boots or
 	// returns becomes one change of a page and not one a machine.
 	c.rosterBusy = true
--- a/part/silence.go
+++ b/part/silence.go
@@ -106,7 +106,7 @@
 		switch {
 		case !m.up && !m.inherited && c.bootAge(now, m) > constants.BootPatience:
 			why = "did not come up"
-		case idleToo && m.up && !m.idleSince.IsZero() && (m.draining || now.Sub(m.idleSince) > idle) && !c.busy(m) && m.verified(c.term):
+		case idleToo && !m.forGangs && m.up && !m.idleSince.IsZero() && (m.draining || now.Sub(m.idleSince) > idle) && !c.busy(m) && m.verified(c.term):
 			why = "idle"
 		case m.up && (c.silent(now, m) && m.unanswered > 0 || c.overdueReport(now, m) && m.unanswered > 1) && c.alone(now, m, sum):
 			// Returning it makes what was on it surely gone, long before its
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -53,12 +53,15 @@
 		ReportS float64 `toml:"report_s"`
 		LeaseS  float64 `toml:"lease_s"`
 		CancelS float64 `toml:"cancel_s"`
+		// A waiting gang task gives up after GangWaitS; tasks of a gang notice
+		// within GangPeerS that another is gone or is being stopped.
+		GangWaitS float64 `toml:"gang_wait_s"`
+		GangPeerS float64 `toml:"gang_peer_s"`
 	} `toml:"workers"`
 	State struct {
-		RPS      float64 `toml:"rps"`
-		WriteRPS float64 `toml:"write_rps"`
-		ValueKB  float64 `toml:"value_kb"`
-		TxnOps   int     `toml:"txn_ops"`
+		StateLimits
+		// Next are the limits that come at some later moment, unannounced.
+		Next NextLimits `toml:"next"`
 	} `toml:"state"`
 	Cloud struct {
 		RPS      float64 `toml:"rps"`
@@ -71,6 +74,37 @@
 	} `toml:"machine_limits"`
 }
 
+// StateLimits are the state service's limits.
+type StateLimits struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// NextLimits are limits to come; what is absent stays as it is.
+type NextLimits struct {
+	RPS      *float64 `toml:"rps"`
+	WriteRPS *float64 `toml:"write_rps"`
+	ValueKB  *float64 `toml:"value_kb"`
+	TxnOps   *int     `toml:"txn_ops"`
+}
+
+// StateLimits are the smaller of the present limits and those to come: whatever
+// keeps within them can be written whenever those come.
+func (s *Settings) StateLimits() StateLimits {
+	l, n := s.Params.State.StateLimits, s.Params.State.Next
+	for _, f := range []struct{ to, next *float64 }{{&l.RPS, n.RPS}, {&l.WriteRPS, n.WriteRPS}, {&l.ValueKB, n.ValueKB}} {
+		if f.next != nil {
+			*f.to = min(*f.to, *f.next)
+		}
+	}
+	if n.TxnOps != nil {
+		l.TxnOps = min(l.TxnOps, *n.TxnOps)
+	}
+	return l
+}
+
 // Team is a team's guarantee and limit; a limit of 0 means none.
 type Team struct {
 	Name    string  `toml:"name"`
@@ -201,7 +235,9 @@
 		v    float64
 	}{
 		{"facts.workers.report_s", p.Workers.ReportS}, {"facts.workers.lease_s", p.Workers.LeaseS},
-		{"facts.workers.cancel_s", p.Workers.CancelS}, {"facts.state.rps", p.State.RPS},
+		{"facts.workers.cancel_s", p.Workers.CancelS},
+		{"facts.workers.gang_wait_s", p.Workers.GangWaitS}, {"facts.workers.gang_peer_s", p.Workers.GangPeerS},
+		{"facts.state.rps", p.State.RPS},
 		{"facts.state.write_rps", p.State.WriteRPS}, {"facts.state.value_kb", p.State.ValueKB},
 		{"facts.state.txn_ops", float64(p.State.TxnOps)}, {"facts.cloud.rps", p.Cloud.RPS},
 	} {
@@ -209,6 +245,20 @@
 			return &Error{f.name, "must be larger than 0"}
 		}
 	}
+	for _, f := range []struct {
+		name string
+		v    *float64
+	}{
+		{"facts.state.next.rps", p.State.Next.RPS}, {"facts.state.next.write_rps", p.State.Next.WriteRPS},
+		{"facts.state.next.value_kb", p.State.Next.ValueKB},
+	} {
+		if f.v != nil && !(*f.v > 0) {
+			return &Error{f.name, "must be larger than 0"}
+		}
+	}
+	if n := p.State.Next.TxnOps; n != nil && *n < 1 {
+		return &Error{"facts.state.next.txn_ops", "must be larger than 0"}
+	}
 	if !(p.Cloud.ListLagS >= 0) {
 		return &Error{"facts.cloud.list_lag_s", "must not be negative"}
 	}
@@ -355,7 +405,7 @@
 // two reads of the revision: together they use up to their share of the state
 // service's requests, which all controllers have together.
 func (s *Settings) ReadGap() time.Duration {
-	rps := max(s.Params.State.RPS, 1) * constants.ReadShare / float64(max(1, len(s.Nodes())))
+	rps := max(s.StateLimits().RPS, 1) * constants.ReadShare / float64(max(1, len(s.Nodes())))
 	return min(max(Seconds(1/rps), constants.ReadGapMin), constants.ReadGapMax)
 }
 
@@ -367,8 +417,8 @@
 // CloudGap is the time that two calls take of this controller's share.
 func (s *Settings) CloudGap() time.Duration { return Seconds(2 / s.CloudShare()) }
 
-// ValueBytes is the state service's limit on a value.
-func (s *Settings) ValueBytes() int { return int(s.Params.State.ValueKB * 1024) }
+// ValueBytes is the state service's limit on a value, now and later.
+func (s *Settings) ValueBytes() int { return int(s.StateLimits().ValueKB * 1024) }
 
 // Seconds turns a number of seconds into a duration.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -36,6 +36,8 @@
 report_s = 3.0
 lease_s = 26.0
 cancel_s = 56.0
+gang_wait_s = 30.0
+gang_peer_s = 8.0
 [facts.state]
 rps = 200.0
 write_rps = 20.0
--- a/state/records.go
+++ b/state/records.go
@@ -123,6 +123,9 @@
 	AcceptedMS int64           `json:"at"`
 	End        string          `json:"end,omitempty"` // wire.JobDone or wire.JobCancelled
 	Chunks     []Chunk         `json:"ch,omitempty"`
+	// Attempt is the number under which a gang in several parts is started. It
+	// rises with every such assignment and is never used again.
+	Attempt uint64 `json:"try,omitempty"`
 }
 
 // Chunk is a range of a job's tasks that one part looks after. Tasks in no
--- a/wire/users.go
+++ b/wire/users.go
@@ -18,6 +18,7 @@
 const (
 	KindArray   = "sweep"
 	KindService = "standing"
+	KindGang    = "ensemble"
 )
 
 // States of a job as told to users.
@@ -100,6 +101,13 @@
 // IsService says whether the job's tasks run until it is cancelled.
 func (s *Submission) IsService() bool { return s.Kind == KindService }
 
+// IsGang says whether the job's tasks run at the same time or not at all.
+func (s *Submission) IsGang() bool { return s.Kind == KindGang }
+
+// Whole says whether the job's tasks are admitted together: all of them have to
+// fit their team's limit.
+func (s *Submission) Whole() bool { return s.IsService() || s.IsGang() }
+
 // rawSubmission tells a missing field from a zero one.
 type rawSubmission struct {
 	ID          *string   `json:"uid"`
@@ -143,7 +151,7 @@
 		ID:          c.id("uid", raw.ID),
 		Class:       c.name("lane", raw.Class),
 		Team:        c.name("crew", raw.Team),
-		Kind:        c.oneOf("shape", raw.Kind, KindArray, KindService),
+		Kind:        c.oneOf("shape", raw.Kind, KindArray, KindService, KindGang),
 		Priority:    c.oneOf("rank", raw.Priority, PriorityProduction, PriorityHigh, PriorityNormal, PriorityLow),
 		Tasks:       c.count("pieces", raw.Tasks, 1, MaxTasks),
 		CPUs:        c.amount("cpus", raw.CPUs),
--- a/wire/workers.go
+++ b/wire/workers.go
@@ -16,6 +16,7 @@
 // States of a task in a worker's report.
 const (
 	TaskFetching = "pulling"
+	TaskWaiting  = "waiting" // a gang's, for the other tasks of its attempt
 	TaskRunning  = "running"
 	TaskSaving   = "saving"
 	TaskExited   = "exited"
@@ -29,6 +30,8 @@
 	CauseNoRoom  = "full"
 	CauseBusy    = "busy"
 	CauseUnknown = "unknown"
+	CausePeers   = "peers" // a gang's: another task of it is gone
+	CauseAlone   = "alone" // a gang's: it was not complete in time
 )
 
 // Operations of a command.
