--- a/node/sim_test.go
+++ b/node/sim_test.go
@@ -28,6 +28,7 @@
 		n.start()
 	}
 	go w.expireLeases()
+	go w.playGangs()
 	for i := range 24 {
 		s := wire.Submission{
 			ID: fmt.Sprintf("run-%06d", i), Class: "c", Team: "free", Kind: wire.KindArray, Priority: wire.PriorityNormal,
@@ -45,6 +46,14 @@
 		if i%8 == 5 {
 			s.OneZone, s.Spread = true, false
 		}
+		if i%6 == 2 {
+			s.Kind, s.Tasks, s.CPUs = wire.KindGang, 2+w.rng.IntN(3), float64(1+w.rng.IntN(2))
+			s.CheckpointS, s.SaveS, s.Priority = 4, 1, []string{wire.PriorityNormal, wire.PriorityHigh}[w.rng.IntN(2)]
+			s.OneZone, s.Spread = w.rng.IntN(2) == 0, false
+			if i%12 == 8 {
+				s.OneZone, s.Spread = false, true
+			}
+		}
 		if i%8 == 7 {
 			s.Zone, s.Spread = zones[w.rng.IntN(len(zones))], false
 		}
@@ -226,7 +235,10 @@
 			if len(w.broken) > 0 {
 				t.Fatalf("seed %d: %d broken rules, first: %s", seed, len(w.broken), strings.Join(w.broken[:min(4, len(w.broken))], "; "))
 			}
-			t.Logf("seed %d: %d starts, %d machines, %d revisions", seed, w.starts, w.seq, w.revision)
+			if w.gangStarts == 0 {
+				t.Errorf("seed %d: no gang began", seed)
+			}
+			t.Logf("seed %d: %d starts, %d gangs, %d machines, %d revisions", seed, w.starts, w.gangStarts, w.seq, w.revision)
 			if w.starts < 20 {
 				t.Errorf("seed %d: only %d tasks started", seed, w.starts)
 			}
--- /dev/null
+++ b/node/standin_gang_test.go
@@ -0,0 +1,189 @@
+package node
+
+import (
+	"fmt"
+	"log/slog"
+	"math"
+	"slices"
+	"time"
+
+	"ravenport/wire"
+)
+
+// How the stand-in's gangs wait and notice, as in the settings of newWorld.
+const (
+	simGangWait = 15 * time.Second
+	simGangPeer = 4 * time.Second
+)
+
+// simGang is one attempt of a gang, as its tasks see it.
+type simGang struct {
+	began     time.Time // all tasks were there
+	over      bool
+	done      bool
+	kept      bool
+	failAt    time.Time // when the others notice that one is gone
+	firstStop time.Time
+	told      map[int]time.Time // tasks told to save
+}
+
+// gangTask is one task of an attempt on a machine.
+type gangTask struct {
+	m *simWorker
+	t *simTask
+	i int
+}
+
+func gangKey(t *simTask) string {
+	job, _, _ := wire.SplitTask(t.name)
+	return fmt.Sprintf("%s#%d", job, t.attempt)
+}
+
+// onMachine says whether a task counts as on its machine.
+func onMachine(state string) bool {
+	return state == wire.TaskRunning || state == wire.TaskWaiting || state == wire.TaskSaving
+}
+
+// playGangs lets the tasks of gangs see each other.
+func (w *world) playGangs() {
+	for {
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+		w.mu.Lock()
+		groups := map[string][]gangTask{}
+		for _, m := range w.machines {
+			for _, t := range m.held {
+				job, i, _ := wire.SplitTask(t.name)
+				if j := w.jobs[job]; j != nil && j.spec.IsGang() {
+					groups[gangKey(t)] = append(groups[gangKey(t)], gangTask{m, t, i})
+				}
+			}
+		}
+		var keys []string
+		for key := range w.gangs {
+			keys = append(keys, key)
+		}
+		for key := range groups {
+			if w.gangs[key] == nil {
+				w.gangs[key] = &simGang{told: map[int]time.Time{}}
+				keys = append(keys, key)
+			}
+		}
+		slices.Sort(keys)
+		for _, key := range keys {
+			w.playGang(w.gangs[key], groups[key])
+		}
+		w.mu.Unlock()
+	}
+}
+
+// playGang moves one attempt on. The caller holds the lock.
+func (w *world) playGang(g *simGang, all []gangTask) {
+	if len(all) == 0 {
+		g.over = g.over || !g.began.IsZero()
+		return
+	}
+	now := time.Now()
+	job, _, _ := wire.SplitTask(all[0].t.name)
+	j := w.jobs[job]
+	there := map[int]bool{} // on a machine that carries out its tasks
+	for _, x := range all {
+		if onMachine(x.t.state) && !x.m.hung && (w.noLease || time.Since(x.m.renewed) < 20*time.Second) {
+			there[x.i] = true
+		}
+	}
+	whole := len(there) == j.spec.Tasks
+	if g.began.IsZero() && !g.over && whole {
+		g.began = now
+		w.gangStarts++
+		slog.Debug("stand-in: gang begins", "job", job, "attempt", all[0].t.attempt)
+		for _, x := range all {
+			x.m.changed = true
+			if x.t.state == wire.TaskWaiting {
+				x.t.state = wire.TaskRunning
+			}
+		}
+	}
+	if !g.began.IsZero() && !g.over {
+		end := now
+		if !g.firstStop.IsZero() {
+			end = g.firstStop
+		}
+		progress := j.saved + end.Sub(g.began).Seconds()
+		mark := max(j.saved, math.Floor(progress/max(j.spec.CheckpointS, 0.1))*j.spec.CheckpointS)
+		switch {
+		case whole && !g.firstStop.IsZero() && len(g.told) == j.spec.Tasks:
+			last := g.firstStop
+			for _, at := range g.told {
+				if at.After(last) {
+					last = at
+				}
+			}
+			if now.Sub(last).Seconds() >= j.spec.SaveS {
+				g.over, g.kept, j.saved = true, true, progress
+			}
+		case !g.firstStop.IsZero():
+			if now.Sub(g.firstStop) > simGangPeer || !whole {
+				g.over, j.saved = true, mark
+			}
+		case !whole:
+			if g.failAt.IsZero() {
+				g.failAt = now.Add(time.Duration(w.rng.Int64N(int64(simGangPeer))))
+			}
+			if !now.Before(g.failAt) {
+				g.over, j.saved = true, mark
+			}
+		case progress >= j.spec.EstimateS:
+			g.over, g.done = true, true
+			for i := range j.spec.Tasks {
+				j.doneTasks[i] = true
+			}
+		default:
+			g.failAt = time.Time{}
+		}
+	}
+	for _, x := range all {
+		if x.m.hung || x.t.state == wire.TaskExited || x.t.state == wire.TaskFetching {
+			continue
+		}
+		_, told := g.told[x.i]
+		switch {
+		case x.t.state == wire.TaskWaiting:
+			if now.Sub(x.t.since) > simGangWait {
+				x.m.exit(x.t, wire.CauseAlone)
+			}
+		case !g.over:
+		case g.done:
+			x.m.exit(x.t, wire.CauseDone)
+		case told:
+			x.m.exit(x.t, wire.CauseStopped)
+			x.t.kept = g.kept
+		default:
+			x.m.exit(x.t, wire.CausePeers)
+		}
+	}
+}
+
+func (m *simWorker) exit(t *simTask, cause string) {
+	t.state, t.cause, t.next = wire.TaskExited, cause, time.Time{}
+	m.changed = true
+}
+
+// stopGangTask carries out a stop of a gang's task. The caller holds the lock.
+func (m *simWorker) stopGangTask(t *simTask, j *simJob, graceS float64) {
+	_, i, _ := wire.SplitTask(t.name)
+	g := m.w.gangs[gangKey(t)]
+	if t.state == wire.TaskRunning && g != nil && !g.over && j.spec.CheckpointS > 0 && graceS >= j.spec.SaveS {
+		if g.firstStop.IsZero() {
+			g.firstStop = time.Now()
+		}
+		if _, told := g.told[i]; !told {
+			g.told[i] = time.Now()
+		}
+		return
+	}
+	m.exit(t, wire.CauseStopped)
+}
--- a/node/standin_test.go
+++ b/node/standin_test.go
@@ -50,8 +50,11 @@
 	jobs  map[string]*simJob
 	stop  chan struct{}
 
-	broken []string
-	starts int
+	gangs map[string]*simGang // by job and attempt
+
+	broken     []string
+	starts     int
+	gangStarts int
 
 	// Guards of the protocol that a test may take away, to see that the
 	// checker notices.
@@ -145,12 +148,13 @@
 	asked     bool // cancellation asked for
 	answered  time.Time
 	doneTasks map[int]bool
+	saved     float64 // of a gang: progress at its last checkpoint (s)
 }
 
 func newWorld(seed uint64, zones []string, nodes int) *world {
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 7)), kv: map[string]*entry{}, leases: map[uint64]*simLease{}, changed: make(chan struct{}),
-		machines: map[string]*simWorker{}, requests: map[string][]string{}, capacity: map[string]int{}, jobs: map[string]*simJob{}, stop: make(chan struct{}), late: 0.15,
+		machines: map[string]*simWorker{}, requests: map[string][]string{}, capacity: map[string]int{}, gangs: map[string]*simGang{}, jobs: map[string]*simJob{}, stop: make(chan struct{}), late: 0.15,
 	}
 	var b strings.Builder
 	for i := range nodes {
@@ -583,14 +587,16 @@
 	attempt uint64
 	state   string
 	cause   string
+	kept    bool
 	next    time.Time // when its state changes by itself
+	since   time.Time // when its image was there
 }
 
 func (m *simWorker) report() *wire.Report {
 	m.seq++
 	r := &wire.Report{Machine: m.name, Addr: m.name, Type: "box", Zone: m.zone, Spot: m.spot, Session: m.session, Seq: m.seq, Token: m.token}
 	for _, t := range m.held {
-		r.Tasks = append(r.Tasks, wire.TaskStatus{Task: t.name, Attempt: t.attempt, State: t.state, Cause: t.cause})
+		r.Tasks = append(r.Tasks, wire.TaskStatus{Task: t.name, Attempt: t.attempt, State: t.state, Cause: t.cause, Saved: t.kept})
 	}
 	return r
 }
@@ -728,6 +734,14 @@
 		case wire.TaskFetching:
 			t.state = wire.TaskRunning
 			t.next = time.Time{}
+			t.since = now
+			if j.spec.IsGang() {
+				m.w.started(m, t, j)
+				if t.state = wire.TaskWaiting; j.doneTasks[i] {
+					m.exit(t, wire.CauseDone)
+				}
+				continue
+			}
 			if !j.spec.IsService() {
 				t.next = now.Add(time.Duration(j.spec.EstimateS * float64(time.Second)))
 				if j.doneTasks[i] {
@@ -744,7 +758,7 @@
 	for _, t := range m.held {
 		job, _, _ := wire.SplitTask(t.name)
 		j := m.w.jobs[job]
-		if t.state == wire.TaskRunning && !j.cancelled.IsZero() && now.Sub(j.cancelled) > 45*time.Second {
+		if onMachine(t.state) && !j.cancelled.IsZero() && now.Sub(j.cancelled) > 45*time.Second {
 			m.w.broke("ran_cancelled", "%s on %s", t.name, m.name)
 			j.cancelled = now
 		}
@@ -762,7 +776,7 @@
 			continue // hangs beyond its lease: what it held is dead, and it will see to that before anything else
 		}
 		for _, x := range o.held {
-			if x.state != wire.TaskRunning {
+			if !onMachine(x.state) {
 				continue
 			}
 			job, _, _ := wire.SplitTask(x.name)
@@ -824,7 +838,17 @@
 				t.next = time.Now().Add(time.Duration(m.w.rng.IntN(3000)) * time.Millisecond)
 			}
 		case wire.OpStop:
-			if t != nil && t.state != wire.TaskExited {
+			if t == nil || t.state == wire.TaskExited {
+				continue
+			}
+			job, _, _ := wire.SplitTask(c.Task)
+			if j := m.w.jobs[job]; j.spec.IsGang() {
+				graceS := 0.0
+				if c.GraceS != nil {
+					graceS = *c.GraceS
+				}
+				m.stopGangTask(t, j, graceS)
+			} else {
 				t.state, t.cause, t.next = wire.TaskExited, wire.CauseStopped, time.Time{}
 				m.changed = true
 			}
