--- a/constants/constants.go
+++ b/constants/constants.go
@@ -343,6 +343,9 @@
 	RosterEntryBytes = 30
 	// PageFill is how much of a value a page may take (percent).
 	PageFill = 90
+	// LeastValue is the smallest value that the roster's pages are made for when
+	// the state service finds fault with one (bytes): a few machines.
+	LeastValue = 512
 	// NoticeMoves is how many tasks leave a machine that is about to be taken
 	// in one step, so that room is found for each (tasks).
 	NoticeMoves = 2
--- a/frontdoor/frontdoor.go
+++ b/frontdoor/frontdoor.go
@@ -63,6 +63,8 @@
 	}
 	// Metrics asks for figures in the text format that Prometheus reads.
 	Metrics struct{ Req Request }
+	// Packs says that every controller reads packed records.
+	Packs struct{}
 	// Tick lets waiting requests be looked at.
 	Tick time.Time
 
@@ -117,6 +119,7 @@
 	busy    int           // requests that wait for the state service
 	stats   stats
 	cancels *Cancels
+	sizes   state.Sizes
 	down    time.Time // until then the state service counts as away
 }
 
@@ -141,7 +144,7 @@
 
 // New makes a front door that is spoken to through self.
 func New(set *settings.Settings, store Store, self *actor.Ref, cancels *Cancels) *Door {
-	return &Door{cancels: cancels, set: set, store: store, self: self, jobs: map[string]known{}, counts: map[string]map[string][2]int{}, stats: newStats(), gap: set.ReadGap()}
+	return &Door{cancels: cancels, set: set, sizes: set.Sizes(), store: store, self: self, jobs: map[string]known{}, counts: map[string]map[string][2]int{}, stats: newStats(), gap: set.ReadGap()}
 }
 
 // Receive implements actor.Handler.
@@ -170,6 +173,8 @@
 		d.read(ctx)
 	case Metrics:
 		d.metrics(m.Req)
+	case Packs:
+		d.sizes.Packs = true
 	case Tick:
 		d.tick(ctx, time.Time(m))
 	}
@@ -400,6 +405,8 @@
 			m.Req.Answer(&httpwire.Response{Status: status, Body: body(problem)})
 			return
 		}
+	} else if !d.sizes.Storable(&state.Job{Spec: s, AcceptedMS: time.Now().UnixMilli()}, d.set.Params.Zones) {
+		status, problem = 422, wire.Problem{Error: "too long to be stored"}
 	} else if len(d.types) == 0 {
 		status = 503
 	} else if why := d.impossible(&s); why != "" {
@@ -454,6 +461,11 @@
 	default:
 		// Perhaps it was stored all the same; then the user's repeat finds it.
 		d.stats.refused++
+		if errors.Is(m.err, state.ErrInvalid) {
+			slog.Error("submission found invalid by the state service", "job", m.s.ID, "err", m.err)
+			m.req.Answer(&httpwire.Response{Status: 422, Body: body(wire.Problem{Error: "too long to be stored"})})
+			return
+		}
 		slog.Info("submission refused", "job", m.s.ID, "took_ms", took, "err", m.err)
 		if errors.Is(m.err, state.ErrLimited) {
 			// Many come at once: they are told to come back at different times.
@@ -516,11 +528,12 @@
 		return
 	}
 	d.busy++
+	sizes := d.sizes
 	go func() {
 		defer d.self.Tell(finished{})
 		ctx, cancel := context.WithTimeout(ctx, constants.AnswerLimit)
 		defer cancel()
-		end, err := d.end(ctx, m.ID)
+		end, err := d.end(ctx, m.ID, sizes)
 		switch {
 		case err != nil:
 			Refuse(m.Req, 503, "state service away")
@@ -534,7 +547,7 @@
 
 // end cancels a job that is not over and returns how it ended; empty if there
 // is no such job. It runs beside the actor.
-func (d *Door) end(ctx context.Context, id string) (string, error) {
+func (d *Door) end(ctx context.Context, id string, sizes state.Sizes) (string, error) {
 	for {
 		rec, version, err := d.fetch(ctx, id)
 		if err != nil {
@@ -547,10 +560,16 @@
 			d.cancels.raise(rec.End, version)
 			return rec.End, nil
 		}
+		was := *rec
 		rec.End = wire.JobCancelled
+		value, ok := sizes.Encode(rec, &was)
+		if !ok {
+			slog.Error("job's record does not fit", "job", id, "bytes", len(value))
+			return "", state.ErrRefused
+		}
 		txn := wire.Txn{
 			If:   []wire.Condition{{Key: state.KeyJob(id), Version: version}},
-			Then: []wire.Change{{Put: state.KeyJob(id), Value: state.Encode(rec)}},
+			Then: []wire.Change{{Put: state.KeyJob(id), Value: value}},
 		}
 		revision, err := d.commit(ctx, txn)
 		var conflict *state.Conflict
@@ -558,6 +577,8 @@
 		case err == nil:
 			d.cancels.raise(rec.End, revision)
 			return rec.End, nil
+		case errors.Is(err, state.ErrInvalid) && !sizes.Packs:
+			sizes.Packs = true // the smaller limits have come, so all have this version
 		case errors.As(err, &conflict), errors.Is(err, state.ErrUnknown):
 			// Another change came first, or it is not known whether this one
 			// was made: the key itself tells.
--- a/leader/core.go
+++ b/leader/core.go
@@ -129,6 +129,7 @@
 type Core struct {
 	set       *settings.Settings
 	order     Order
+	sizes     state.Sizes
 	termVer   uint64
 	parts     map[string]*partState
 	jobs      map[string]*jobState  // all that are not over
@@ -150,7 +151,7 @@
 
 // New makes the core at the moment when the feed showed the claim.
 func New(set *settings.Settings, termVersion uint64, now time.Time, jobs map[string]*state.Job, versions map[string]uint64) *Core {
-	c := &Core{set: set, order: NewOrder(set.Params.Objectives), termVer: termVersion, began: now, parts: map[string]*partState{}, jobs: map[string]*jobState{}, waiting: map[string]*jobState{}, use: map[string][2]float64{}, reserved: map[string][2]float64{}}
+	c := &Core{set: set, sizes: set.Sizes(), order: NewOrder(set.Params.Objectives), termVer: termVersion, began: now, parts: map[string]*partState{}, jobs: map[string]*jobState{}, waiting: map[string]*jobState{}, use: map[string][2]float64{}, reserved: map[string][2]float64{}}
 	for _, z := range set.Params.Zones {
 		c.parts[z] = &partState{}
 	}
@@ -163,6 +164,9 @@
 // SetAuthority says until when the leader may assign.
 func (c *Core) SetAuthority(until time.Time) { c.authority = until }
 
+// SetPacks says that no process of the version before can come any more.
+func (c *Core) SetPacks() { c.sizes.Packs = true }
+
 // Pushed takes in a part's aggregate.
 func (c *Core) Pushed(now time.Time, a Aggregate) {
 	p := c.parts[a.Part]
@@ -405,8 +409,8 @@
 	if s.IsGang() {
 		numberGang(rec)
 	}
-	value := state.Encode(rec)
-	if len(value) > c.set.ValueBytes() {
+	value, ok := c.sizes.Encode(rec, j.rec)
+	if !ok {
 		// A job in too many pieces would outgrow a value of the state service.
 		// A piece that joins its neighbour takes no room: so it is never put
 		// off for ever.
@@ -414,7 +418,7 @@
 			j.notAt = now.Add(constants.RetryMax)
 			return Commit{}, false
 		}
-		value = state.Encode(rec)
+		value, _ = c.sizes.Encode(rec, j.rec)
 		books, given = nil, n
 	}
 	for _, b := range books {
@@ -455,7 +459,7 @@
 				rec.Chunks[i].From -= k
 			}
 			rec.Normalize()
-			if len(state.Encode(rec)) <= c.set.ValueBytes() {
+			if _, ok := c.sizes.Encode(rec, j.rec); ok {
 				return rec
 			}
 		}
--- a/member/core.go
+++ b/member/core.go
@@ -23,6 +23,7 @@
 	nodes       map[string]node
 	terms       map[string]term // by key
 	vacantSince map[string]time.Time
+	packs       map[string]bool // controllers seen to read packed records
 }
 
 type node struct {
@@ -39,7 +40,7 @@
 // New makes the core of the controller named me.
 func New(me string, controllers []Controller, parts []string, now time.Time) *Core {
 	c := &Core{me: me, controllers: slices.Clone(controllers), parts: parts, started: now,
-		nodes: map[string]node{}, terms: map[string]term{}, vacantSince: map[string]time.Time{}}
+		nodes: map[string]node{}, terms: map[string]term{}, vacantSince: map[string]time.Time{}, packs: map[string]bool{}}
 	slices.SortFunc(c.controllers, func(a, b Controller) int {
 		if a.Name < b.Name {
 			return -1
@@ -59,6 +60,7 @@
 			n.since = old.since
 		}
 		c.nodes[r.Name] = n
+		c.packs[r.Name] = c.packs[r.Name] || r.Packs
 	case *state.Term:
 		c.terms[ch.Key] = term{*r, ch.Version, now}
 	case nil:
@@ -74,6 +76,17 @@
 	return t.Term, t.version
 }
 
+// Packs says whether every controller has been seen to read packed records: then
+// each has come back with this version, and none returns with the one before.
+func (c *Core) Packs() bool {
+	for _, k := range c.controllers {
+		if !c.packs[k.Name] {
+			return false
+		}
+	}
+	return true
+}
+
 // Alive says whether a controller's lease is known to live.
 func (c *Core) Alive(name string) bool { _, ok := c.nodes[name]; return ok }
 
--- a/node/actors.go
+++ b/node/actors.go
@@ -25,7 +25,9 @@
 	committed struct {
 		id       string
 		revision uint64 // 0: not known to have been written
+		invalid  bool   // the state service found fault with it
 	}
+	packs struct{} // every controller reads packed records
 	commandDone struct {
 		machine string
 		result  worker.Result
@@ -51,8 +53,8 @@
 
 // commit carries out a transaction and returns its revision, 0 if it is not
 // known to have been written. One without an answer is repeated: its
-// conditions make that safe.
-func commit(ctx context.Context, store Store, txn wire.Txn, what string) uint64 {
+// conditions make that safe. One that the service found fault with is not.
+func commit(ctx context.Context, store Store, txn wire.Txn, what string) committed {
 	ctx, cancel := context.WithTimeout(ctx, 2*constants.StateTimeout)
 	defer cancel()
 	began := time.Now()
@@ -65,13 +67,18 @@
 		var conflict *state.Conflict
 		if errors.As(err, &conflict) {
 			slog.Debug("overtaken", "what", what, "err", err)
+		} else if errors.Is(err, state.ErrInvalid) {
+			for _, ch := range txn.Then {
+				slog.Error("write found invalid", "key", ch.Put, "bytes", len(ch.Value), "changes", len(txn.Then), "err", err)
+			}
+			return committed{invalid: true}
 		} else if ctx.Err() == nil {
 			slog.Info("not written", "what", what, "err", err)
 		}
-		return 0
+		return committed{}
 	}
 	slog.Debug("written", "what", what, "took_ms", time.Since(began).Milliseconds())
-	return rev
+	return committed{revision: rev}
 }
 
 // pace keeps an actor's steps apart: what comes in between is decided together.
@@ -129,7 +136,12 @@
 		a.core.Pushed(now, m)
 	case authority:
 		a.core.SetAuthority(time.Time(m))
+	case packs:
+		a.core.SetPacks()
 	case committed:
+		if m.invalid {
+			a.core.SetPacks()
+		}
 		a.core.Committed(now, m.id, m.revision)
 	case wake:
 		if m.soon {
@@ -143,7 +155,9 @@
 	}
 	for _, cm := range a.core.Step(now) {
 		go func() {
-			a.self.Tell(committed{cm.ID, commit(ctx, a.store, cm.Txn, "assignment of "+cm.ID)})
+			r := commit(ctx, a.store, cm.Txn, "assignment of "+cm.ID)
+			r.id = cm.ID
+			a.self.Tell(r)
 		}()
 	}
 	if now.Sub(a.forecastAt) >= constants.ForecastEvery {
@@ -184,13 +198,16 @@
 		IdleSpot: set.Operator.IdleSpot, IdleOrdinary: set.Operator.IdleOrdinary, UseSpot: set.Operator.UseSpot,
 		GangWait: settings.Seconds(set.Params.Workers.GangWaitS), GangPeer: settings.Seconds(set.Params.Workers.GangPeerS),
 		ListLag:    time.Duration(set.Params.Cloud.ListLagS * float64(time.Second)),
-		ValueBytes: set.ValueBytes(), TxnOps: limits.TxnOps, WriteRPS: max(limits.WriteRPS, 1), CloudGap: set.CloudGap(), Order: leader.NewOrder(set.Params.Objectives),
+		Sizes: set.Sizes(), TxnOps: limits.TxnOps, WriteRPS: max(limits.WriteRPS, 1), CloudGap: set.CloudGap(), Order: leader.NewOrder(set.Params.Objectives),
 	}
 	_, cfg.Calls = set.Sockets()
 	a := &partActor{part: name, store: c.io.Later, cloud: c.io.Cloud, self: actor.NewRef(), control: c.self,
 		workers: c.io.Workers(), revision: c.revision}
 	a.core = part.New(cfg, term, version, now, c.types, c.jobs, c.versions, roster, rosterV)
 	a.core.SetAuthority(c.until())
+	if c.packs {
+		a.core.SetPacks()
+	}
 	a.self.Tell(wake{})
 	return a
 }
@@ -218,7 +235,12 @@
 		a.beat(now, m)
 	case authority:
 		a.core.SetAuthority(time.Time(m))
+	case packs:
+		a.core.SetPacks()
 	case committed:
+		if m.invalid {
+			a.core.Invalid(m.id)
+		}
 		a.core.Committed(now, m.id, m.revision)
 	case commandDone:
 		if m.result.Err != nil {
@@ -314,7 +336,9 @@
 		a.workers.Forget(act.Addr)
 	case part.Commit:
 		go func() {
-			a.self.Tell(committed{act.ID, commit(ctx, a.store, act.Txn, act.ID)})
+			r := commit(ctx, a.store, act.Txn, act.ID)
+			r.id = act.ID
+			a.self.Tell(r)
 		}()
 	case part.Rent:
 		go func() {
--- a/node/control.go
+++ b/node/control.go
@@ -104,6 +104,7 @@
 	synced   bool
 	heardAt  time.Time // last answer of the state service
 
+	packs       bool // no process of the version before can come any more
 	incarnation uint64
 	lease       uint64
 	leaseSent   time.Time
@@ -285,6 +286,17 @@
 			delete(c.rosterV, ch.Key)
 		}
 	}
+	if !c.packs && c.member.Packs() {
+		c.packs = true
+		slog.Info("every controller has this version")
+		c.door.Tell(frontdoor.Packs{})
+		for _, o := range c.owners {
+			o.ref.Tell(packs{})
+		}
+		if c.leaderRef != nil {
+			c.leaderRef.ref.Tell(packs{})
+		}
+	}
 	c.revision = up.Revision
 	c.heardAt = now
 	if !c.synced {
@@ -381,6 +393,9 @@
 		ctx, cancel := context.WithCancel(ctx)
 		a := &leaderActor{core: leader.New(c.set, version, now, c.jobs, c.versions), store: c.io.Later, self: actor.NewRef(), control: c.self, revision: c.revision}
 		a.core.SetAuthority(c.until())
+		if c.packs {
+			a.core.SetPacks()
+		}
 		c.leaderRef = &child{ref: a.self, cancel: cancel, term: t.Number}
 		for _, s := range c.status {
 			a.self.Tell(s.aggregate)
@@ -561,7 +576,7 @@
 				key := state.KeyNode(c.set.Node)
 				_, err = c.io.First.Commit(ctx, wire.Txn{
 					If:   []wire.Condition{{Key: key, Version: version}},
-					Then: []wire.Change{{Put: key, Value: state.Encode(state.Node{Incarnation: inc}), Lease: lease}},
+					Then: []wire.Change{{Put: key, Value: state.Encode(state.Node{Incarnation: inc, Packs: true}), Lease: lease}},
 				})
 			}
 			c.self.Tell(leased{lease, inc, sent, err})
--- a/node/overload_test.go
+++ b/node/overload_test.go
@@ -64,7 +64,7 @@
 	types := []wire.MachineType{{Name: "box", CPUs: 8, MemoryGB: 32, Price: 1, SpotPrice: 0.4, BootS: 30, Zones: set.Params.Zones}}
 	for _, z := range set.Params.Zones {
 		c.owners[z] = part.New(part.Config{Part: z, Report: 3 * time.Second, LeaseEnd: 21 * time.Second, IdleSpot: time.Hour, IdleOrdinary: time.Hour,
-			ListLag: 5 * time.Second, ValueBytes: 8192, TxnOps: 12, WriteRPS: 100, Order: leader.NewOrder(set.Params.Objectives)}, 1, 1, c.now, types, nil, nil, nil, nil)
+			ListLag: 5 * time.Second, Sizes: state.Sizes{Now: 8192, Next: 8192}, TxnOps: 12, WriteRPS: 100, Order: leader.NewOrder(set.Params.Objectives)}, 1, 1, c.now, types, nil, nil, nil, nil)
 		for i := range 10 {
 			w := &crushWorker{name: fmt.Sprintf("m-%s-%d", z, i), zone: z, held: map[string]*crushTask{}}
 			c.workers[w.name] = w
--- a/part/chunks.go
+++ b/part/chunks.go
@@ -1,6 +1,7 @@
 package part
 
 import (
+	"log/slog"
 	"time"
 
 	"ravenport/constants"
@@ -75,7 +76,7 @@
 		}
 	}
 	rec.Normalize()
-	if leaving && len(state.Encode(rec)) > c.cfg.ValueBytes*9/10 {
+	if plain := len(state.Encode(rec)); leaving && plain > c.cfg.Sizes.Next*9/10 && plain > len(state.Encode(j.rec)) {
 		// Scattered gaps would outgrow the state service's values: what is
 		// to leave stays here, and only what closed is written.
 		for _, t := range j.tasks {
@@ -91,8 +92,15 @@
 	if rec.End == "" && !rec.Spec.IsService() && rec.AllClosed() {
 		rec.End = wire.JobDone
 	}
+	value, ok := c.cfg.Sizes.Encode(rec, j.rec)
+	if !ok {
+		slog.Error("job's record does not fit", "job", id, "bytes", len(value))
+		j.retryAt = now.Add(constants.RetryMax)
+		c.check(j)
+		return
+	}
 	j.writing = true
-	c.commit("job/"+id, []wire.Change{{Put: state.KeyJob(id), Value: state.Encode(rec)}},
+	c.commit("job/"+id, []wire.Change{{Put: state.KeyJob(id), Value: value}},
 		wire.Condition{Key: state.KeyJob(id), Version: j.version})
 }
 
--- a/part/core.go
+++ b/part/core.go
@@ -24,7 +24,7 @@
 	UseSpot      bool
 	ListLag      time.Duration
 	CloudGap     time.Duration // between calls of one kind to the cloud that can wait for each other
-	ValueBytes   int           // the state service's limit on a record
+	Sizes        state.Sizes   // the state service's limits on a record
 	Calls        int           // direct commands that may be under way at once
 	GangWait     time.Duration // how long a gang's tasks wait for each other
 	GangPeer     time.Duration // within which they notice that one is gone, or must all be told to stop
@@ -490,6 +490,30 @@
 	return time.Duration(n * float64(c.cfg.Report))
 }
 
+// SetPacks says that no process of the version before can come any more.
+func (c *Core) SetPacks() { c.cfg.Sizes.Packs = true }
+
+// Invalid takes note that the state service found fault with a write: smaller
+// ones follow.
+func (c *Core) Invalid(id string) {
+	if kind, _, _ := strings.Cut(id, "/"); kind != "roster" {
+		c.SetPacks()
+		return
+	}
+	c.cfg.TxnOps = 1
+	largest := 0
+	for _, p := range c.pages {
+		if p.sent != nil {
+			largest = max(largest, p.bytes)
+		}
+	}
+	// Pages are of 90% of a value at most, so nine tenths of it are a smaller one.
+	c.cfg.Sizes.Next = max(constants.LeastValue, min(c.cfg.Sizes.Next, largest)*constants.PageFill/100)
+	for _, p := range c.pages {
+		c.split(p)
+	}
+}
+
 // Committed takes in what came of a transaction. A conflict needs nothing: the
 // feed brings the change that caused it.
 func (c *Core) Committed(now time.Time, id string, revision uint64) {
--- a/part/core_test.go
+++ b/part/core_test.go
@@ -39,7 +39,7 @@
 			pages[k].Add(m)
 		}
 	}
-	cfg := Config{Part: "a", Report: 3 * time.Second, LeaseEnd: leaseEnd, IdleSpot: time.Hour, IdleOrdinary: time.Hour, UseSpot: true, ListLag: 5 * time.Second, ValueBytes: 8192, Calls: 200, TxnOps: 12, WriteRPS: 100, Order: leader.NewOrder(nil)}
+	cfg := Config{Part: "a", Report: 3 * time.Second, LeaseEnd: leaseEnd, IdleSpot: time.Hour, IdleOrdinary: time.Hour, UseSpot: true, ListLag: 5 * time.Second, Sizes: state.Sizes{Now: 8192, Next: 8192}, Calls: 200, TxnOps: 12, WriteRPS: 100, Order: leader.NewOrder(nil)}
 	types := []wire.MachineType{{Name: "box", CPUs: 8, MemoryGB: 32, Price: 1, SpotPrice: 0.4, BootS: 10, Zones: []string{"a"}}}
 	r.Core = New(cfg, r.term, 50, r.now, types, jobs, versions, pages, pageV)
 	r.SetAuthority(r.now.Add(time.Hour))
@@ -503,7 +503,7 @@
 	for name, shows := range map[string]bool{"silent": false, "shows the new token": true} {
 		t.Run(name, func(t *testing.T) {
 			next := newRig(map[string]*state.Job{"run-1": array("run-1", 2, "a")}, state.Machine{Name: "m-0", Type: "box", Addr: "m-0:1"})
-			next.Core = New(Config{Part: "a", Report: 3 * time.Second, LeaseEnd: leaseEnd, Tending: tending, ValueBytes: 8192, Calls: 200, TxnOps: 12, WriteRPS: 100, Order: leader.NewOrder(nil)},
+			next.Core = New(Config{Part: "a", Report: 3 * time.Second, LeaseEnd: leaseEnd, Tending: tending, Sizes: state.Sizes{Now: 8192, Next: 8192}, Calls: 200, TxnOps: 12, WriteRPS: 100, Order: leader.NewOrder(nil)},
 				6, 51, over, nil, nil, nil, nil, nil)
 			next.SetAuthority(over.Add(time.Hour))
 			// It is heard once, but its answer may be lost, and then the old owner
--- a/part/roster.go
+++ b/part/roster.go
@@ -109,7 +109,7 @@
 }
 
 // pageBytes is what the entries of a page may take.
-func (c *Core) pageBytes() int { return c.cfg.ValueBytes * constants.PageFill / 100 }
+func (c *Core) pageBytes() int { return c.cfg.Sizes.Next * constants.PageFill / 100 }
 
 func (c *Core) page(n int) *page {
 	p := c.pages[n]
@@ -224,7 +224,7 @@
 			r.Add(e)
 		}
 		value := state.Encode(r)
-		if len(value) > c.cfg.ValueBytes && len(entries) > 1 {
+		if len(value) > c.cfg.Sizes.Next && len(entries) > 1 {
 			// Many kinds of machine or long addresses take more than was allowed
 			// for: half of them go to another page, and this one waits for that.
 			for _, e := range entries[len(entries)/2:] {
--- a/part/scale_test.go
+++ b/part/scale_test.go
@@ -45,7 +45,7 @@
 			if cm, ok := a.(Commit); ok {
 				writes += len(cm.Txn.Then)
 				for _, ch := range cm.Txn.Then {
-					if len(ch.Value) > r.cfg.ValueBytes {
+					if len(ch.Value) > r.cfg.Sizes.Next {
 						t.Fatalf("a page of %d bytes", len(ch.Value))
 					}
 				}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -17,6 +17,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"ravenport/constants"
+	"ravenport/state"
 )
 
 // Settings is the platform's file.
@@ -420,5 +421,10 @@
 // ValueBytes is the state service's limit on a value, now and later.
 func (s *Settings) ValueBytes() int { return int(s.StateLimits().ValueKB * 1024) }
 
+// Sizes are the limits on a job's record, now and later.
+func (s *Settings) Sizes() state.Sizes {
+	return state.Sizes{Now: int(s.Params.State.ValueKB * 1024), Next: s.ValueBytes()}
+}
+
 // Seconds turns a number of seconds into a duration.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/state/client.go
+++ b/state/client.go
@@ -25,6 +25,9 @@
 	ErrUnknown = errors.New("state: no answer")
 	// ErrNoLease: the lease has ended.
 	ErrNoLease = errors.New("state: no such lease")
+	// ErrInvalid: the service found fault with the call itself, most likely its
+	// size, and will every time.
+	ErrInvalid = errors.New("state: not acceptable")
 	// ErrCompacted: a watch asked for changes that are no longer kept.
 	ErrCompacted = errors.New("state: changes no longer kept")
 )
@@ -156,7 +159,7 @@
 		if json.Unmarshal(m.Body, &p) == nil && p.Error == "no such lease" {
 			return 0, ErrNoLease
 		}
-		return 0, fmt.Errorf("%w: status 400: %.200s", ErrRefused, m.Body)
+		return 0, fmt.Errorf("%w: status 400: %.200s", ErrInvalid, m.Body)
 	}
 	return 0, fmt.Errorf("%w: status %d", ErrUnknown, m.Status)
 }
--- /dev/null
+++ b/state/packed.go
@@ -0,0 +1,197 @@
+package state
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+)
+
+// Sizes are the limits on a record, as they are and as they will be.
+type Sizes struct {
+	Now, Next int // bytes; Next is the smaller
+	// Packs: no process of the version before can come any more, which could not
+	// read a packed record.
+	Packs bool
+}
+
+// Encode writes a job's record so that it can be stored; ok is false if it cannot
+// be. A record of usual size is written plainly. One that the version before left
+// larger than the limit to come stays plain while that version may still read it,
+// as the old limit holds as long, and is packed afterwards.
+func (z Sizes) Encode(j, was *Job) (value json.RawMessage, ok bool) {
+	plain := Encode(j)
+	switch {
+	case len(plain) <= z.Next:
+		return plain, true
+	case z.Packs:
+		packed := pack(j)
+		return packed, len(packed) <= z.Next
+	}
+	return plain, len(plain) <= z.Now && was != nil && len(Encode(was)) > z.Next
+}
+
+// Storable says whether a job could be stored to its end: with a piece in each of
+// so many parts, closed or not, and its end told.
+func (z Sizes) Storable(j *Job, parts []string) bool {
+	full := *j
+	full.End = "cancelled "
+	full.Attempt = 1 << 32
+	for i, p := range parts {
+		full.Chunks = append(full.Chunks, Chunk{From: j.Spec.Tasks - i, To: j.Spec.Tasks, Part: p, Closed: true, Keep: true, Guaranteed: true})
+	}
+	return len(Encode(full)) <= z.Next
+}
+
+// A packed record is an array, which the version before cannot take for a job and
+// leaves alone: the record without chunks, the chunks as runs, and the names of
+// the parts in them. If that is still too large it is an array of one string,
+// the same compressed.
+
+// Codes of a run: a gap, closed, and from codeOpen on four for each part.
+const (
+	codeGap = iota
+	codeClosed
+	codeOpen
+	codeKeep       = 1
+	codeGuaranteed = 2
+	codesAPart     = 4
+)
+
+const digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+
+func pack(j *Job) json.RawMessage {
+	bare := *j
+	bare.Chunks = nil
+	var runs strings.Builder
+	parts := []string{}
+	index := map[string]int{}
+	run := func(code, n int) {
+		if n <= 0 {
+			return
+		}
+		var b []byte
+		for {
+			b = append(b, digits[code%len(digits)])
+			if code /= len(digits); code == 0 {
+				break
+			}
+		}
+		runs.Write(b)
+		runs.WriteString(strconv.FormatInt(int64(n), 36))
+	}
+	at := 0
+	for _, ch := range j.Chunks {
+		run(codeGap, ch.From-at)
+		at = ch.To
+		if ch.Closed {
+			run(codeClosed, ch.Tasks())
+			continue
+		}
+		i, ok := index[ch.Part]
+		if !ok {
+			i = len(parts)
+			index[ch.Part] = i
+			parts = append(parts, ch.Part)
+		}
+		code := codeOpen + i*codesAPart
+		if ch.Keep {
+			code += codeKeep
+		}
+		if ch.Guaranteed {
+			code += codeGuaranteed
+		}
+		run(code, ch.Tasks())
+	}
+	plain := Encode([]any{bare, runs.String(), parts})
+	var z bytes.Buffer
+	w, err := flate.NewWriter(&z, flate.BestCompression)
+	if err == nil {
+		if _, err = w.Write(plain); err == nil {
+			err = w.Close()
+		}
+	}
+	if err != nil {
+		panic(fmt.Sprintf("state: packing: %v", err)) // into memory: cannot happen
+	}
+	if small := Encode([]string{base64.StdEncoding.EncodeToString(z.Bytes())}); len(small) < len(plain) {
+		return small
+	}
+	return plain
+}
+
+var errPacked = errors.New("not a packed record")
+
+// unpack reads what pack wrote.
+func unpack(data []byte, j *Job) error {
+	var parts []json.RawMessage
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return err
+	}
+	if len(parts) == 1 {
+		var text string
+		if err := json.Unmarshal(parts[0], &text); err != nil {
+			return err
+		}
+		z, err := base64.StdEncoding.DecodeString(text)
+		if err != nil {
+			return err
+		}
+		plain, err := io.ReadAll(flate.NewReader(bytes.NewReader(z)))
+		if err != nil {
+			return err
+		}
+		if err := json.Unmarshal(plain, &parts); err != nil {
+			return err
+		}
+	}
+	if len(parts) != 3 {
+		return errPacked
+	}
+	var runs string
+	var names []string
+	if err := errors.Join(json.Unmarshal(parts[0], j), json.Unmarshal(parts[1], &runs), json.Unmarshal(parts[2], &names)); err != nil {
+		return err
+	}
+	at := 0
+	for len(runs) > 0 {
+		code, scale := 0, 1
+		for len(runs) > 0 && strings.IndexByte(digits, runs[0]) >= 0 {
+			code += scale * strings.IndexByte(digits, runs[0])
+			scale *= len(digits)
+			runs = runs[1:]
+		}
+		end := strings.IndexAny(runs, digits)
+		if end < 0 {
+			end = len(runs)
+		}
+		n, err := strconv.ParseInt(runs[:end], 36, 32)
+		if err != nil || n <= 0 {
+			return errPacked
+		}
+		runs = runs[end:]
+		ch := Chunk{From: at, To: at + int(n)}
+		at = ch.To
+		switch {
+		case code == codeGap:
+			continue
+		case code == codeClosed:
+			ch.Closed = true
+		default:
+			code -= codeOpen
+			if code/codesAPart >= len(names) {
+				return errPacked
+			}
+			ch.Part = names[code/codesAPart]
+			ch.Keep = code%codesAPart&codeKeep != 0
+			ch.Guaranteed = code%codesAPart&codeGuaranteed != 0
+		}
+		j.Chunks = append(j.Chunks, ch)
+	}
+	return nil
+}
--- a/state/records.go
+++ b/state/records.go
@@ -41,6 +41,8 @@
 type Node struct {
 	Name        string `json:"-"`
 	Incarnation uint64 `json:"inc"`
+	// Packs: this version reads packed records.
+	Packs bool `json:"pack,omitempty"`
 }
 
 // Term says who leads or owns, and under which token. Terms are never
@@ -206,8 +208,9 @@
 		if c.From >= c.To {
 			continue
 		}
-		if n := len(out); n > 0 && out[n-1].To == c.From && out[n-1].Part == c.Part &&
-			out[n-1].Closed == c.Closed && (c.Closed || out[n-1].Keep == c.Keep && out[n-1].Guaranteed == c.Guaranteed) {
+		// Of a closed chunk nothing but its range matters any more.
+		if n := len(out); n > 0 && out[n-1].To == c.From && out[n-1].Closed == c.Closed &&
+			(c.Closed || out[n-1].Part == c.Part && out[n-1].Keep == c.Keep && out[n-1].Guaranteed == c.Guaranteed) {
 			out[n-1].To = c.To
 			continue
 		}
@@ -245,7 +248,14 @@
 		}
 		v = &Page{Part: part, Number: n}
 	case strings.HasPrefix(key, jobPrefix):
-		v = &Job{ID: key[len(jobPrefix):]}
+		j := &Job{ID: key[len(jobPrefix):]}
+		if len(data) > 0 && data[0] == '[' {
+			if err := unpack(data, j); err != nil {
+				return nil, fmt.Errorf("record %s: %w", key, err)
+			}
+			return j, nil
+		}
+		v = j
 	default:
 		return nil, nil
 	}
