--- a/part/gang.go
+++ b/part/gang.go
@@ -439,6 +439,7 @@
 // gang needs all its places at the same moment, and arrays would take each that
 // falls free. It is made anew each time, so none outlives its reason.
 func (c *Core) keepForGangs(now time.Time) {
+	c.refresh()
 	c.gangNeed = c.gangReserve(now)
 	waits := 0.0
 	for j := range c.waiting {
