--- a/constants/constants.go
+++ b/constants/constants.go
@@ -239,6 +239,12 @@
 	WorkPerSecond = 100.0
 	// MaxAssignments bounds assignments under way at once (transactions).
 	MaxAssignments = 16
+	// AssignmentsAhead is how much of the state service's allowance may be queued
+	// for by assignments: what is decided later, in a better order, must not wait
+	// behind them for long. LeastAssignments may be under way whatever the
+	// allowance, since each waits for its answer (transactions).
+	AssignmentsAhead = 500 * time.Millisecond
+	LeastAssignments = 4
 )
 
 // Part owner.
--- a/leader/order.go
+++ b/leader/order.go
@@ -11,7 +11,8 @@
 )
 
 // Order ranks jobs that wait: by priority, then those that have waited long and
-// nothing of which has begun, then guaranteed work, then those of which an
+// nothing of which has begun, then guaranteed work, then gangs, whose tasks begin
+// together or not at all, then those of which an
 // objective can still be met before those that missed it, then by age and work.
 type Order struct {
 	within map[string][]time.Duration // by class, rising
@@ -56,6 +57,7 @@
 	priority int
 	overdue  int     // 0: nothing of it has begun, and it is time
 	borrowed int     // 1: beyond the team's guarantee
+	single   int     // 0: a gang, which needs all its room at one moment
 	band     int     // objectives missed so far
 	score    float64 // seconds: when it was accepted, later for more work
 	accepted int64
@@ -77,7 +79,7 @@
 // team's guarantee, begun whether any of its tasks runs or is done.
 func (o Order) Place(now time.Time, rec *state.Job, guaranteed, begun bool) Place {
 	s := &rec.Spec
-	p := Place{borrowed: 1, overdue: 1, priority: -wire.PriorityLevel(s.Priority), accepted: rec.AcceptedMS, id: rec.ID}
+	p := Place{borrowed: 1, overdue: 1, single: 1, priority: -wire.PriorityLevel(s.Priority), accepted: rec.AcceptedMS, id: rec.ID}
 	if guaranteed {
 		p.borrowed = 0
 	}
@@ -87,6 +89,9 @@
 	if s.IsService() {
 		return p
 	}
+	if s.IsGang() {
+		p.single = 0
+	}
 	age := time.Duration(now.UnixMilli()-rec.AcceptedMS) * time.Millisecond
 	end := age + settings.Seconds(s.EstimateS)
 	last := time.Duration(0)
@@ -114,6 +119,8 @@
 		return p.overdue < q.overdue
 	case p.borrowed != q.borrowed:
 		return p.borrowed < q.borrowed
+	case p.single != q.single:
+		return p.single < q.single
 	case p.band != q.band:
 		return p.band < q.band
 	case p.score != q.score:
--- a/node/actors.go
+++ b/node/actors.go
@@ -27,7 +27,7 @@
 		revision uint64 // 0: not known to have been written
 		invalid  bool   // the state service found fault with it
 	}
-	packs struct{} // every controller reads packed records
+	packs       struct{} // every controller reads packed records
 	commandDone struct {
 		machine string
 		result  worker.Result
@@ -197,8 +197,8 @@
 		Part: name, Report: set.Report(), LeaseEnd: set.LeaseEnd(), Tending: set.Tending(),
 		IdleSpot: set.Operator.IdleSpot, IdleOrdinary: set.Operator.IdleOrdinary, UseSpot: set.Operator.UseSpot,
 		GangWait: settings.Seconds(set.Params.Workers.GangWaitS), GangPeer: settings.Seconds(set.Params.Workers.GangPeerS),
-		ListLag:    time.Duration(set.Params.Cloud.ListLagS * float64(time.Second)),
-		Sizes: set.Sizes(), TxnOps: limits.TxnOps, WriteRPS: max(limits.WriteRPS, 1), CloudGap: set.CloudGap(), Order: leader.NewOrder(set.Params.Objectives),
+		ListLag: time.Duration(set.Params.Cloud.ListLagS * float64(time.Second)),
+		Sizes:   set.Sizes(), TxnOps: limits.TxnOps, WriteRPS: max(limits.WriteRPS, 1), CloudGap: set.CloudGap(), Order: leader.NewOrder(set.Params.Objectives),
 	}
 	_, cfg.Calls = set.Sockets()
 	a := &partActor{part: name, store: c.io.Later, cloud: c.io.Cloud, self: actor.NewRef(), control: c.self,
--- a/node/node.go
+++ b/node/node.go
@@ -59,6 +59,7 @@
 	State   Store
 	First   Store // the same, for leases and claims, which come before all others
 	Later   Store // and for writes that leave users' writes the way
+	Lead    Store // the same, for the leader's
 	Cloud   Cloud
 	Workers func() Workers // one for each owner
 	Peers   map[string]Peer
@@ -114,6 +115,7 @@
 		State:   store,
 		First:   store.First(),
 		Later:   store.Later(),
+		Lead:    store.Lead(),
 		Cloud:   cloud.NewClient(set.Services.Cloud, set.CloudShare()),
 		Workers: func() Workers { return worker.NewCommander() },
 		Peers:   map[string]Peer{},
--- a/node/overload_test.go
+++ b/node/overload_test.go
@@ -57,7 +57,7 @@
 		workers: map[string]*crushWorker{}, jobs: map[string]*crushJob{}}
 	set := &settings.Settings{}
 	set.Params.Zones = []string{"a", "b"}
-	set.Params.State.ValueKB = 8
+	set.Params.State.ValueKB, set.Params.State.WriteRPS = 8, 100
 	set.Params.Teams = []settings.Team{{Name: "sure", CPUs: 40, CPUsMax: 60}, {Name: "tight", CPUsMax: 48}, {Name: "free"}}
 	set.Params.Objectives = []settings.Objective{{Kind: "finished", Class: "arrays", WithinS: 60}, {Kind: "finished", Class: "arrays", WithinS: 120}}
 	c.leader = leader.New(set, 1, c.now, nil, nil)
--- a/state/client.go
+++ b/state/client.go
@@ -57,6 +57,14 @@
 	return &l
 }
 
+// Lead is Later for the leader's assignments: they do not queue behind what the
+// owners on the same controller write.
+func (c *Client) Lead() *Client {
+	l := c.Later()
+	l.waiting = rate.NewLimiter(c.waiting.Limit(), c.waiting.Burst())
+	return l
+}
+
 // First returns the same client for the few writes that come before all
 // others, leases and claims: they do not wait for the own allowance.
 func (c *Client) First() *Client {
