--- a/constants/constants.go
+++ b/constants/constants.go
@@ -76,6 +76,15 @@
 	// the allowance before the user is told to come back, a second or more later:
 	// a burst of submissions takes its turn within that.
 	AllowanceWait = 600 * time.Millisecond
+	// AllowanceBack, AllowanceStep and AllowanceLeast adapt that to what the other
+	// controllers use: after a refusal for rate by the first, after any other answer
+	// up by the second, and never below the third (shares).
+	AllowanceBack  = 0.8
+	AllowanceStep  = 0.02
+	AllowanceLeast = 0.2
+	// UrgentRetry is the least wait before a write that cannot wait is repeated
+	// that was refused for rate alone, and as much is added at random.
+	UrgentRetry = 25 * time.Millisecond
 	// LaterShare is the part of the write allowance that one controller's
 	// writes that can wait may use (share).
 	LaterShare = 0.5
--- a/leader/core.go
+++ b/leader/core.go
@@ -148,6 +148,8 @@
 type Commit struct {
 	ID  string
 	Txn wire.Txn
+	// Urgent: users count the seconds until the job begins.
+	Urgent bool
 }
 
 // New makes the core at the moment when the feed showed the claim.
@@ -322,9 +324,12 @@
 		if held[q[i].rec.Spec.Team] {
 			continue
 		}
-		if c.flying >= c.most {
+		if c.flying >= constants.MaxAssignments {
 			break // those that come first go first once some have been written
 		}
+		if c.flying >= c.most && !q[i].rec.Spec.Whole() {
+			continue
+		}
 		if cm, ok := c.assign(now, q[i]); ok {
 			out = append(out, cm)
 		} else if c.limited && c.collects(now, q[i].rec) {
@@ -435,7 +440,7 @@
 	r := c.reserved[rec.ID]
 	c.reserve(rec.ID, s.Team, [2]float64{max(r[0], float64(given)*s.CPUs), max(r[1], float64(given)*s.GPUs)})
 	slog.Debug("assigning", "job", rec.ID, "plan", fmt.Sprint(plan))
-	return Commit{ID: rec.ID, Txn: wire.Txn{
+	return Commit{ID: rec.ID, Urgent: s.Whole(), Txn: wire.Txn{
 		If:   []wire.Condition{{Key: state.KeyLeader, Version: c.termVer}, {Key: state.KeyJob(rec.ID), Version: j.version}},
 		Then: []wire.Change{{Put: state.KeyJob(rec.ID), Value: value}},
 	}}, true
--- a/leader/core_test.go
+++ b/leader/core_test.go
@@ -24,7 +24,7 @@
 func facts() *settings.Settings {
 	s := &settings.Settings{}
 	s.Params.Zones = []string{"a", "b", "c"}
-	s.Params.State.ValueKB = 8
+	s.Params.State.ValueKB, s.Params.State.WriteRPS = 8, 100
 	s.Params.Teams = []settings.Team{{Name: "t", CPUs: 6, CPUsMax: 20}, {Name: "free"}}
 	return s
 }
--- a/node/actors.go
+++ b/node/actors.go
@@ -54,14 +54,21 @@
 // commit carries out a transaction and returns its revision, 0 if it is not
 // known to have been written. One without an answer is repeated: its
 // conditions make that safe. One that the service found fault with is not.
-func commit(ctx context.Context, store Store, txn wire.Txn, what string) committed {
+// Urgent ones are repeated at once where the allowance alone was in the way.
+func commit(ctx context.Context, store Store, txn wire.Txn, what string, urgent bool) committed {
 	ctx, cancel := context.WithTimeout(ctx, 2*constants.StateTimeout)
 	defer cancel()
 	began := time.Now()
 	var rev uint64
-	err := state.Retry(ctx, func() (err error) {
+	once := func() (err error) {
 		rev, err = store.Commit(ctx, txn)
 		return err
+	}
+	err := state.Retry(ctx, func() error {
+		if !urgent {
+			return once()
+		}
+		return state.RetryLimited(ctx, 2*constants.StateTimeout, constants.UrgentRetry, constants.UrgentRetry, once)
 	})
 	if err != nil {
 		var conflict *state.Conflict
@@ -103,12 +110,13 @@
 
 // leaderActor runs the leader's decisions.
 type leaderActor struct {
-	core  *leader.Core
-	store Store
-	self  *actor.Ref
-	ticks bool // a wake of LeaderTick is on its way
-	pace  pace
-	over  bool // halted
+	core   *leader.Core
+	store  Store
+	urgent Store // for assignments that users wait for by the second
+	self   *actor.Ref
+	ticks  bool // a wake of LeaderTick is on its way
+	pace   pace
+	over   bool // halted
 
 	control    *actor.Ref
 	revision   uint64
@@ -155,7 +163,11 @@
 	}
 	for _, cm := range a.core.Step(now) {
 		go func() {
-			r := commit(ctx, a.store, cm.Txn, "assignment of "+cm.ID)
+			store := a.store
+			if cm.Urgent {
+				store = a.urgent
+			}
+			r := commit(ctx, store, cm.Txn, "assignment of "+cm.ID, cm.Urgent)
 			r.id = cm.ID
 			a.self.Tell(r)
 		}()
@@ -336,7 +348,7 @@
 		a.workers.Forget(act.Addr)
 	case part.Commit:
 		go func() {
-			r := commit(ctx, a.store, act.Txn, act.ID)
+			r := commit(ctx, a.store, act.Txn, act.ID, false)
 			r.id = act.ID
 			a.self.Tell(r)
 		}()
--- a/node/node.go
+++ b/node/node.go
@@ -60,6 +60,7 @@
 	First   Store // the same, for leases and claims, which come before all others
 	Later   Store // and for writes that leave users' writes the way
 	Lead    Store // the same, for the leader's
+	Urgent  Store // and for those of them that users wait for by the second
 	Cloud   Cloud
 	Workers func() Workers // one for each owner
 	Peers   map[string]Peer
@@ -116,6 +117,7 @@
 		First:   store.First(),
 		Later:   store.Later(),
 		Lead:    store.Lead(),
+		Urgent:  store.Urgent(),
 		Cloud:   cloud.NewClient(set.Services.Cloud, set.CloudShare()),
 		Workers: func() Workers { return worker.NewCommander() },
 		Peers:   map[string]Peer{},
