--- a/constants/constants.go
+++ b/constants/constants.go
@@ -76,12 +76,6 @@
 	// the allowance before the user is told to come back, a second or more later:
 	// a burst of submissions takes its turn within that.
 	AllowanceWait = 600 * time.Millisecond
-	// AllowanceBack, AllowanceStep and AllowanceLeast adapt that to what the other
-	// controllers use: after a refusal for rate by the first, after any other answer
-	// up by the second, and never below the third (shares).
-	AllowanceBack  = 0.8
-	AllowanceStep  = 0.02
-	AllowanceLeast = 0.2
 	// UrgentRetry is the least wait before a write that cannot wait is repeated
 	// that was refused for rate alone, and as much is added at random.
 	UrgentRetry = 25 * time.Millisecond
@@ -248,12 +242,6 @@
 	WorkPerSecond = 100.0
 	// MaxAssignments bounds assignments under way at once (transactions).
 	MaxAssignments = 16
-	// AssignmentsAhead is how much of the state service's allowance may be queued
-	// for by assignments: what is decided later, in a better order, must not wait
-	// behind them for long. LeastAssignments may be under way whatever the
-	// allowance, since each waits for its answer (transactions).
-	AssignmentsAhead = 500 * time.Millisecond
-	LeastAssignments = 4
 )
 
 // Part owner.
@@ -444,7 +432,7 @@
 	ScoreShared   = 3.0  // less, for an ordinary machine with services
 	ScoreOrdinary = 5.0  // an ordinary machine that could be emptied
 	ScoreDraining = 20.0 // it is being emptied
-	ScoreForGangs = 4.0  // its room is held ready for gangs
+	ScoreForGangs = 9.0  // its room is held ready for gangs
 	// CostCold is what fetching an image weighs against work that is lost by
 	// stopping it (CPU seconds).
 	CostCold = 100.0
--- a/leader/core.go
+++ b/leader/core.go
@@ -136,7 +136,6 @@
 	waiting   map[string]*jobState  // those with tasks in no chunk
 	use       map[string][2]float64 // by team: CPUs and GPUs of open chunks and of assignments under way
 	flying    int
-	most      int // assignments that may be under way at once
 	authority time.Time
 	resume    *Place                // where the last round stopped
 	reserved  map[string][2]float64 // by job: CPUs and GPUs of assignments under way
@@ -154,8 +153,7 @@
 
 // New makes the core at the moment when the feed showed the claim.
 func New(set *settings.Settings, termVersion uint64, now time.Time, jobs map[string]*state.Job, versions map[string]uint64) *Core {
-	most := int(set.StateLimits().WriteRPS * constants.LaterShare * constants.AssignmentsAhead.Seconds())
-	c := &Core{set: set, sizes: set.Sizes(), most: min(max(most, constants.LeastAssignments), constants.MaxAssignments), order: NewOrder(set.Params.Objectives), termVer: termVersion, began: now, parts: map[string]*partState{}, jobs: map[string]*jobState{}, waiting: map[string]*jobState{}, use: map[string][2]float64{}, reserved: map[string][2]float64{}}
+	c := &Core{set: set, sizes: set.Sizes(), order: NewOrder(set.Params.Objectives), termVer: termVersion, began: now, parts: map[string]*partState{}, jobs: map[string]*jobState{}, waiting: map[string]*jobState{}, use: map[string][2]float64{}, reserved: map[string][2]float64{}}
 	for _, z := range set.Params.Zones {
 		c.parts[z] = &partState{}
 	}
@@ -324,11 +322,8 @@
 		if held[q[i].rec.Spec.Team] {
 			continue
 		}
-		if c.flying >= constants.MaxAssignments {
-			break // those that come first go first once some have been written
-		}
-		if c.flying >= c.most && !q[i].rec.Spec.Whole() {
-			continue
+		if c.flying >= constants.MaxAssignments && !q[i].rec.Spec.Whole() {
+			continue // those that come first go first once some have been written
 		}
 		if cm, ok := c.assign(now, q[i]); ok {
 			out = append(out, cm)
--- a/leader/gang.go
+++ b/leader/gang.go
@@ -109,6 +109,8 @@
 			switch {
 			case x != y:
 				return x < y
+			case x <= 1 && min(cs[a].warm, n) != min(cs[b].warm, n):
+				return cs[a].warm > cs[b].warm // the image comes to few machines, and is there the next time
 			case x <= 1 || x == 4:
 				return cs[a].sum < cs[b].sum
 			case x < 4:
--- a/node/control.go
+++ b/node/control.go
@@ -391,7 +391,7 @@
 		slog.Info("leading", "term", t.Number)
 		c.ledSince = now
 		ctx, cancel := context.WithCancel(ctx)
-		a := &leaderActor{core: leader.New(c.set, version, now, c.jobs, c.versions), store: c.io.Lead, urgent: c.io.Urgent, self: actor.NewRef(), control: c.self, revision: c.revision}
+		a := &leaderActor{core: leader.New(c.set, version, now, c.jobs, c.versions), store: c.io.Later, urgent: c.io.Urgent, self: actor.NewRef(), control: c.self, revision: c.revision}
 		a.core.SetAuthority(c.until())
 		if c.packs {
 			a.core.SetPacks()
--- a/node/node.go
+++ b/node/node.go
@@ -59,8 +59,7 @@
 	State   Store
 	First   Store // the same, for leases and claims, which come before all others
 	Later   Store // and for writes that leave users' writes the way
-	Lead    Store // the same, for the leader's
-	Urgent  Store // and for those of them that users wait for by the second
+	Urgent  Store // and for those that users count the seconds of
 	Cloud   Cloud
 	Workers func() Workers // one for each owner
 	Peers   map[string]Peer
@@ -116,7 +115,6 @@
 		State:   store,
 		First:   store.First(),
 		Later:   store.Later(),
-		Lead:    store.Lead(),
 		Urgent:  store.Urgent(),
 		Cloud:   cloud.NewClient(set.Services.Cloud, set.CloudShare()),
 		Workers: func() Workers { return worker.NewCommander() },
--- a/node/standin_test.go
+++ b/node/standin_test.go
@@ -205,7 +205,7 @@
 
 func (n *simNode) start() {
 	ctx, cancel := context.WithCancel(context.Background())
-	out := Outside{State: &simStore{n}, First: &simStore{n}, Later: &simStore{n}, Lead: &simStore{n}, Urgent: &simStore{n}, Cloud: &simCloud{n}, Workers: func() Workers { return &simCommands{n} }, Peers: map[string]Peer{}}
+	out := Outside{State: &simStore{n}, First: &simStore{n}, Later: &simStore{n}, Urgent: &simStore{n}, Cloud: &simCloud{n}, Workers: func() Workers { return &simCommands{n} }, Peers: map[string]Peer{}}
 	for _, o := range n.w.nodes {
 		if o != n {
 			out.Peers[o.set.Node] = simPeer{n, o}
--- a/part/gang.go
+++ b/part/gang.go
@@ -260,6 +260,8 @@
 		switch {
 		case x.m.draining != y.m.draining:
 			return y.m.draining
+		case x.m.forGangs != y.m.forGangs:
+			return x.m.forGangs // where the next gangs will be, and find the image
 		case x.k != y.k:
 			return x.k > y.k
 		case x.warm != y.warm:
@@ -273,7 +275,8 @@
 		at := 0
 		// Largest first; the last of those that take all the rest is the best fit.
 		for i := range bs {
-			if bs[i].k >= left && !(bs[i].m.draining && !bs[at].m.draining) && (bs[i].k < bs[at].k || i == 0) {
+			same := bs[i].m.draining == bs[at].m.draining && bs[i].m.forGangs == bs[at].m.forGangs
+			if bs[i].k >= left && (bs[at].k < left || same && bs[i].k < bs[at].k) {
 				at = i
 			}
 		}
--- a/state/client.go
+++ b/state/client.go
@@ -45,7 +45,6 @@
 	reads   *rate.Limiter
 	writes  *rate.Limiter
 	waiting *rate.Limiter // of writes that can wait
-	most    rate.Limit    // its largest rate
 	later   bool          // this client's writes can wait
 	first   bool          // and this one's cannot at all
 	urgent  bool          // and this one's wait for their turn alone
@@ -59,14 +58,6 @@
 	return &l
 }
 
-// Lead is Later for the leader's assignments: they do not queue behind what the
-// owners on the same controller write.
-func (c *Client) Lead() *Client {
-	l := c.Later()
-	l.waiting = rate.NewLimiter(c.waiting.Limit(), c.waiting.Burst())
-	return l
-}
-
 // Urgent returns the same client for writes that wait for their turn however long
 // it takes, and for no longer than that.
 func (c *Client) Urgent() *Client {
@@ -75,23 +66,6 @@
 	return &u
 }
 
-// adapt lets writes that can wait use less of the allowance after a refusal for
-// rate, and slowly more again after others: all controllers together would ask for
-// more than there is, and who asked in vain waits for longer than for a turn.
-func (c *Client) adapt(limited bool) {
-	if !c.later {
-		return
-	}
-	most := float64(c.most)
-	r := float64(c.waiting.Limit())
-	if limited {
-		r = max(r*constants.AllowanceBack, most*constants.AllowanceLeast)
-	} else {
-		r = min(r+most*constants.AllowanceStep, most)
-	}
-	c.waiting.SetLimit(rate.Limit(r))
-}
-
 // First returns the same client for the few writes that come before all
 // others, leases and claims: they do not wait for the own allowance.
 func (c *Client) First() *Client {
@@ -132,7 +106,6 @@
 		return rate.NewLimiter(rate.Limit(r*part), max(1, int(r*part)))
 	}
 	return &Client{
-		most:    rate.Limit(writeRPS * constants.LaterShare),
 		calls:   httpwire.NewClient(addr, constants.IdleConns, constants.DialTimeout, lim),
 		watches: httpwire.NewClient(addr, 1, constants.DialTimeout, lim),
 		reads:   share(rps, constants.StateShare),
@@ -178,9 +151,6 @@
 		t.Then = []wire.Change{}
 	}
 	m, err := c.do(ctx, "POST", wire.PathTxn, t)
-	if limited := errors.Is(err, ErrLimited); limited || err == nil {
-		c.adapt(limited)
-	}
 	if err != nil {
 		return 0, err
 	}
