--- a/leader/order.go
+++ b/leader/order.go
@@ -16,15 +16,19 @@
 // objective can still be met before those that missed it, then by age and work.
 type Order struct {
 	within map[string][]time.Duration // by class, rising
+	start  map[string]time.Duration   // by class, the first
 }
 
 // NewOrder takes in the deployment's objectives.
 func NewOrder(objectives []settings.Objective) Order {
-	o := Order{within: map[string][]time.Duration{}}
+	o := Order{within: map[string][]time.Duration{}, start: map[string]time.Duration{}}
 	for _, x := range objectives {
 		if x.Kind == "finished" && x.WithinS > 0 {
 			o.within[x.Class] = append(o.within[x.Class], settings.Seconds(x.WithinS))
 		}
+		if w := settings.Seconds(x.WithinS); x.Kind == "wait" && w > 0 && (o.start[x.Class] == 0 || w < o.start[x.Class]) {
+			o.start[x.Class] = w
+		}
 	}
 	for _, w := range o.within {
 		sort.Slice(w, func(a, b int) bool { return w[a] < w[b] })
@@ -40,6 +44,9 @@
 	return 0
 }
 
+// StartWithin is the first objective on starting of a class; 0: it has none.
+func (o Order) StartWithin(class string) time.Duration { return o.start[class] }
+
 // Meets is how many objectives on finishing a job of a class meets that is
 // done after that long.
 func (o Order) Meets(class string, after time.Duration) int {
--- a/part/gang.go
+++ b/part/gang.go
@@ -247,12 +247,54 @@
 	switch {
 	case warmRoom >= tasks:
 		return pack(warm, tasks)
+	case allRoom >= tasks && c.missesByFetch(s):
+		// It is late whatever is done: it brings the image to as many of the kept
+		// machines as it can, for those that come after it.
+		return scatter(all, tasks)
 	case allRoom >= tasks:
 		return pack(all, tasks)
 	}
 	return nil
 }
 
+// missesByFetch says whether a gang that has to fetch its image misses its
+// class's aim on starting by that alone.
+func (c *Core) missesByFetch(s *wire.Submission) bool {
+	within := c.cfg.Order.StartWithin(s.Class)
+	for _, t := range c.types {
+		if t.FetchGBPerS > 0 && allowed(s, t.Name, false) && within > 0 && s.ImageGB/t.FetchGBPerS < within.Seconds() {
+			return false
+		}
+	}
+	return within > 0
+}
+
+// scatter fills the machines kept for gangs evenly, and others only with what
+// finds no place there.
+func scatter(bs []bundle, tasks int) []*machine {
+	var kept, others []bundle
+	room := 0
+	for _, b := range bs {
+		if b.m.forGangs && !b.m.draining {
+			kept = append(kept, b)
+			room += b.k
+		} else {
+			others = append(others, b)
+		}
+	}
+	sort.Slice(kept, func(a, b int) bool { return kept[a].m.name < kept[b].m.name })
+	here := min(room, tasks)
+	out := make([]*machine, 0, tasks)
+	for round := 0; len(out) < here; round++ {
+		for _, b := range kept {
+			if b.k > round && len(out) < here {
+				out = append(out, b.m)
+			}
+		}
+	}
+	return append(out, pack(others, tasks-here)...)
+}
+
 // pack fills bundles of enough room.
 func pack(bs []bundle, tasks int) []*machine {
 	sort.Slice(bs, func(a, b int) bool {
