--- a/leader/core.go
+++ b/leader/core.go
@@ -64,6 +64,8 @@
 	Warm map[string]float64 `json:"w,omitempty"`
 	// Gangs is, by shape, how many tasks of a gang could start now.
 	Gangs map[string]GangRoom `json:"gangs,omitempty"`
+	// GangsKept is the room (CPUs) kept ready for gangs.
+	GangsKept float64 `json:"gk,omitempty"`
 }
 
 // fits estimates how many tasks of the given size the room takes. The sum
--- a/leader/gang.go
+++ b/leader/gang.go
@@ -43,6 +43,7 @@
 		rent      bool
 		sum, size float64
 		queued    float64
+		kept      float64 // room kept ready for gangs
 	}
 	var cs []cand
 	fresh := false
@@ -67,6 +68,7 @@
 					taken += b.cpus
 				}
 			}
+			k.kept = a.GangsKept
 			k.size += a.Capacity + a.Waiting
 			k.queued += a.Waiting
 			k.fit = a.Takes(s)
@@ -111,6 +113,8 @@
 				return x < y
 			case x <= 1 && min(cs[a].warm, n) != min(cs[b].warm, n):
 				return cs[a].warm > cs[b].warm // the image comes to few machines, and is there the next time
+			case x <= 1 && cs[a].kept != cs[b].kept:
+				return cs[a].kept > cs[b].kept
 			case x <= 1 || x == 4:
 				return cs[a].sum < cs[b].sum
 			case x < 4:
--- a/part/push.go
+++ b/part/push.go
@@ -42,7 +42,7 @@
 			a.Warm[image] += room
 		}
 	}
-	a.Gangs = c.gangFigures(now)
+	a.Gangs, a.GangsKept = c.gangFigures(now), c.gangNeed
 	for _, b := range c.roomComing {
 		add(b.free, b.spot)
 	}
