--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,66 @@
+package peer
+
+import (
+	"encoding/json"
+	"os"
+	"reflect"
+	"testing"
+
+	"ravenport/leader"
+)
+
+// The version before and this one read each other's messages: what it wrote is
+// read to the last field, and what is new here can be missing.
+func TestMessagesOfTheVersionBefore(t *testing.T) {
+	text, err := os.ReadFile("testdata/production.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var was struct {
+		Status []json.RawMessage `json:"status"`
+		Reply  []json.RawMessage `json:"reply"`
+	}
+	if err := json.Unmarshal(text, &was); err != nil {
+		t.Fatal(err)
+	}
+	same := func(raw json.RawMessage, v any) {
+		t.Helper()
+		if err := (codec{}).Unmarshal(raw, v); err != nil {
+			t.Fatal(err)
+		}
+		b, err := codec{}.Marshal(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var a, z any
+		if json.Unmarshal(raw, &a) != nil || json.Unmarshal(b, &z) != nil || !reflect.DeepEqual(a, z) {
+			t.Errorf("%s became %s", raw, b)
+		}
+	}
+	aggregates := 0
+	for _, raw := range was.Status {
+		var s Status
+		same(raw, &s)
+		aggregates += len(s.Aggregates)
+		for _, a := range s.Aggregates {
+			if a.Part == "" || a.Gangs != nil {
+				t.Errorf("%+v", a)
+			}
+		}
+	}
+	if aggregates == 0 || len(was.Reply) == 0 {
+		t.Fatal("no messages to read")
+	}
+	same(was.Reply[0], &Reply{})
+	// And the other way round: the version before ignores fields it does not know.
+	var frozen struct {
+		Aggregates []struct {
+			Part string  `json:"part"`
+			Wait float64 `json:"wait"`
+		} `json:"agg"`
+	}
+	b, err := codec{}.Marshal(Status{Aggregates: []leader.Aggregate{{Part: "a", Waiting: 3, Gangs: map[string]leader.GangRoom{"x": {Now: 1}}, GangsKept: 2}}})
+	if err != nil || json.Unmarshal(b, &frozen) != nil || frozen.Aggregates[0].Part != "a" || frozen.Aggregates[0].Wait != 3 {
+		t.Fatalf("%s: %v", b, err)
+	}
+}
--- /dev/null
+++ b/state/packed_test.go
@@ -0,0 +1,178 @@
+package state
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	_ "ravenport/internal/testseed"
+	"ravenport/wire"
+)
+
+func drawJob(t *rapid.T) *Job {
+	j := &Job{ID: "run-1", AcceptedMS: rapid.Int64Range(0, 1<<45).Draw(t, "at"), Spec: wire.Submission{
+		ID: "run-1", Class: "formula-sweep", Team: "color-lab", Kind: wire.KindArray, Priority: wire.PriorityNormal,
+		CPUs: 4, MemoryGB: 12, Image: "img-07", ImageGB: 0.7, EstimateS: 20}}
+	at := 0
+	for range rapid.IntRange(0, 400).Draw(t, "chunks") {
+		at += rapid.IntRange(0, 2).Draw(t, "gap")
+		n := rapid.IntRange(1, 40).Draw(t, "tasks")
+		j.Chunks = append(j.Chunks, Chunk{From: at, To: at + n, Part: rapid.SampledFrom([]string{"back-room", "loading-dock", "mill-annex"}).Draw(t, "part"),
+			Closed: rapid.Bool().Draw(t, "closed"), Keep: rapid.Bool().Draw(t, "keep"), Guaranteed: rapid.Bool().Draw(t, "guaranteed")})
+		at += n
+	}
+	j.Spec.Tasks = at + rapid.IntRange(1, 5).Draw(t, "rest")
+	j.Normalize()
+	return j
+}
+
+// bare forgets of closed chunks what no longer matters.
+func bare(j *Job) *Job {
+	c := j.Clone()
+	for i := range c.Chunks {
+		if ch := &c.Chunks[i]; ch.Closed {
+			ch.Part, ch.Keep, ch.Guaranteed = "", false, false
+		}
+	}
+	c.Normalize()
+	if len(c.Chunks) == 0 {
+		c.Chunks = nil
+	}
+	return c
+}
+
+// A record that the version before could leave, of any number of pieces that fit
+// its limits, can be written under the limits to come, and says the same.
+func TestLargeRecordIsPacked(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		j := drawJob(t)
+		old := Sizes{Now: 16 << 10, Next: 2 << 10}
+		if len(Encode(j)) > old.Now {
+			t.Skip("the version before could not have written it")
+		}
+		if v, ok := old.Encode(j, j); !ok || string(v) != string(Encode(j)) {
+			t.Fatalf("not written plainly (%v) while the version before may read it", ok)
+		}
+		old.Packs = true
+		value, ok := old.Encode(j, j)
+		if !ok || len(value) > old.Next {
+			t.Fatalf("%d bytes of %d for %d chunks", len(value), old.Next, len(j.Chunks))
+		}
+		got, err := Decode(KeyJob(j.ID), value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(bare(got.(*Job)), bare(j)) {
+			t.Fatalf("%+v became %+v", bare(j), bare(got.(*Job)))
+		}
+	})
+}
+
+// A specification as long as the version before took it can still end: names of
+// full length, and as many machine types as may be named.
+func TestLongSpecificationEnds(t *testing.T) {
+	j := &Job{ID: "run-1", Spec: wire.Submission{ID: "run-1", Kind: wire.KindArray, Tasks: 9}}
+	for i := range 32 {
+		j.Spec.Types = append(j.Spec.Types, fmt.Sprintf("%0100d-kind-%02d", 7, i))
+	}
+	z := Sizes{Now: 8 << 10, Next: 2 << 10, Packs: true}
+	if z.Storable(j, []string{"a", "b"}) {
+		t.Error("accepted though it cannot be stored plainly")
+	}
+	was := *j
+	j.End = wire.JobCancelled
+	value, ok := z.Encode(j, &was)
+	if !ok {
+		t.Fatalf("%d bytes", len(value))
+	}
+	if got, err := Decode(KeyJob("run-1"), value); err != nil || !reflect.DeepEqual(got, j) {
+		t.Fatalf("%+v, %v", got, err)
+	}
+}
+
+// Whatever stands under a job's key, reading it is an error at worst.
+func TestUnpackOfAnything(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, err := json.Marshal(rapid.SliceOfN(rapid.OneOf(rapid.StringMatching(`[A-Z0-9a-z]{0,12}`).AsAny(), rapid.Int().AsAny()), 0, 4).Draw(t, "value"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = Decode(KeyJob("run-1"), b) // must not panic
+	})
+}
+
+// The version before reads and rewrites a job's record with types of its own,
+// frozen here. What it loses must be nothing that safety rests on.
+type frozenJob struct {
+	Spec       json.RawMessage `json:"spec"`
+	AcceptedMS int64           `json:"at"`
+	End        string          `json:"end,omitempty"`
+	Chunks     []struct {
+		From       int    `json:"f"`
+		To         int    `json:"t"`
+		Part       string `json:"p"`
+		Closed     bool   `json:"c,omitempty"`
+		Keep       bool   `json:"k,omitempty"`
+		Guaranteed bool   `json:"g,omitempty"`
+	} `json:"ch,omitempty"`
+}
+
+func TestVersionBeforeRewritesRecords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		j := drawJob(t)
+		var f frozenJob
+		if err := json.Unmarshal(Encode(j), &f); err != nil {
+			t.Fatal(err)
+		}
+		b, err := json.Marshal(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := Decode(KeyJob(j.ID), b); err != nil || !reflect.DeepEqual(bare(got.(*Job)), bare(j)) {
+			t.Fatalf("%+v became %+v, %v", j, got, err)
+		}
+		if err := json.Unmarshal(pack(j), &frozenJob{}); err == nil {
+			t.Fatal("the version before would take a packed record for a job without chunks")
+		}
+	})
+}
+
+// What the version before wrote, produced by running it, is read to the last field.
+func TestReadsWhatTheVersionBeforeWrote(t *testing.T) {
+	text, err := os.ReadFile("testdata/production.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var records map[string]json.RawMessage
+	if err := json.Unmarshal(text, &records); err != nil {
+		t.Fatal(err)
+	}
+	kinds := map[string]int{}
+	for key, value := range records {
+		rec, err := Decode(key, value)
+		if err != nil || rec == nil {
+			t.Fatalf("%s: %v", key, err)
+		}
+		var was, is any
+		if err := json.Unmarshal(value, &was); err != nil {
+			t.Fatal(err)
+		}
+		if err := json.Unmarshal(Encode(rec), &is); err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(was, is) {
+			t.Errorf("%s: %v became %v", key, was, is)
+		}
+		kind, _ := KeyKind(key)
+		kinds[kind]++
+	}
+	for _, kind := range []string{"job", "part", "leader", "roster", "node"} {
+		if kinds[kind] == 0 {
+			t.Errorf("no record of kind %s among %v", kind, kinds)
+		}
+	}
+}
