--- a/node/sim_test.go
+++ b/node/sim_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"ravenport/httpwire"
+	"ravenport/state"
 	"ravenport/wire"
 )
 
@@ -24,11 +25,15 @@
 	if sabotage != nil {
 		sabotage(w)
 	}
+	if seed%2 == 0 {
+		w.leave()
+	}
 	for _, n := range w.nodes {
 		n.start()
 	}
 	go w.expireLeases()
 	go w.playGangs()
+	time.AfterFunc(w.between(0, 200*time.Second), func() { w.mu.Lock(); w.smaller = true; w.mu.Unlock() })
 	for i := range 24 {
 		s := wire.Submission{
 			ID: fmt.Sprintf("run-%06d", i), Class: "c", Team: "free", Kind: wire.KindArray, Priority: wire.PriorityNormal,
@@ -242,6 +247,11 @@
 			if w.starts < 20 {
 				t.Errorf("seed %d: only %d tasks started", seed, w.starts)
 			}
+			for key, n := range w.invalid {
+				if n > 2 {
+					t.Errorf("seed %d: %d writes of %s were larger than the limits", seed, n, key)
+				}
+			}
 			for id, j := range w.jobs {
 				if !j.accepted {
 					t.Errorf("seed %d: %s was never accepted", seed, id)
@@ -533,3 +543,33 @@
 	}
 	time.Sleep(2 * time.Minute)
 }
+
+// leave fills the state service with what the version before may leave behind, as
+// large as its limits were: a roster page of machines that are gone since, and an
+// array in many pieces.
+func (w *world) leave() {
+	put := func(key string, v any) {
+		w.revision++
+		w.kv[key] = &entry{value: state.Encode(v), version: w.revision}
+		w.events = append(w.events, wire.Event{Put: key, Value: state.Encode(v), Version: w.revision})
+	}
+	zones := w.nodes[0].set.Params.Zones
+	for i, z := range zones {
+		put(state.KeyPart(z), state.Term{Node: "n-0", Incarnation: 7, Number: uint64(3 + i)})
+	}
+	page := state.Page{}
+	for i := range 180 {
+		page.Add(state.Machine{Name: fmt.Sprintf("m-9%05d", i), Type: "box", Addr: fmt.Sprintf("10.9.0.%d:9000", i), Spot: i%2 == 0})
+	}
+	put(state.KeyRoster(zones[0], 0), page)
+	s := wire.Submission{ID: "run-900000", Class: "c", Team: "free", Kind: wire.KindArray, Priority: wire.PriorityNormal,
+		Tasks: 60, CPUs: 1, MemoryGB: 1, Image: "i-0", ImageGB: 1, Spot: true, EstimateS: 5}
+	rec := state.Job{Spec: s, AcceptedMS: time.Now().UnixMilli()}
+	for i := range s.Tasks {
+		rec.Chunks = append(rec.Chunks, state.Chunk{From: i, To: i + 1, Part: zones[i%len(zones)], Keep: i%3 == 0})
+	}
+	put(state.KeyJob(s.ID), rec)
+	j := &simJob{spec: s, doneTasks: map[int]bool{}}
+	w.jobs[s.ID] = j
+	go w.user(j, 0, 0) // its user asks again and then polls
+}
--- a/node/standin_test.go
+++ b/node/standin_test.go
@@ -65,6 +65,9 @@
 	freshCopies  bool    // late copies of reports pass for new ones
 	mute         string  // nobody gets an answer about this job
 
+	smaller bool           // the limits that settings announce are in force
+	invalid map[string]int // by key: writes that were over them
+
 	calm time.Time // when all troubles were over
 	tame bool      // machines come up, and rentals are answered
 }
@@ -154,7 +157,7 @@
 func newWorld(seed uint64, zones []string, nodes int) *world {
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 7)), kv: map[string]*entry{}, leases: map[uint64]*simLease{}, changed: make(chan struct{}),
-		machines: map[string]*simWorker{}, requests: map[string][]string{}, capacity: map[string]int{}, gangs: map[string]*simGang{}, jobs: map[string]*simJob{}, stop: make(chan struct{}), late: 0.15,
+		machines: map[string]*simWorker{}, requests: map[string][]string{}, capacity: map[string]int{}, gangs: map[string]*simGang{}, invalid: map[string]int{}, jobs: map[string]*simJob{}, stop: make(chan struct{}), late: 0.15,
 	}
 	var b strings.Builder
 	for i := range nodes {
@@ -169,7 +172,7 @@
 		b.WriteString("[outside]\ncloud = \"10.1.0.1:1\"\nstate = \"10.1.0.2:1\"\n[facts]\n")
 		fmt.Fprintf(&b, "size = %d\nzones = [\"%s\"]\n", nodes, strings.Join(zones, "\", \""))
 		b.WriteString("[[facts.teams]]\nname = \"free\"\n[[facts.teams]]\nname = \"tight\"\ncpus = 4.0\ncpus_max = 10.0\n")
-		b.WriteString("[facts.workers]\nreport_s = 3.0\nlease_s = 20.0\ncancel_s = 45.0\ngang_wait_s = 15.0\ngang_peer_s = 4.0\n[facts.state]\nrps = 200.0\nwrite_rps = 100.0\nvalue_kb = 8.0\ntxn_ops = 12\n[facts.cloud]\nrps = 10.0\nlist_lag_s = 5.0\n")
+		b.WriteString("[facts.workers]\nreport_s = 3.0\nlease_s = 20.0\ncancel_s = 45.0\ngang_wait_s = 15.0\ngang_peer_s = 4.0\n[facts.state]\nrps = 200.0\nwrite_rps = 100.0\nvalue_kb = 8.0\ntxn_ops = 12\n[facts.state.next]\nvalue_kb = 1.0\ntxn_ops = 2\n[facts.cloud]\nrps = 10.0\nlist_lag_s = 5.0\n")
 		set, err := settings.Parse([]byte(b.String()))
 		if err != nil {
 			panic(err)
@@ -325,6 +328,16 @@
 			return 0, state.ErrNoLease
 		}
 	}
+	kb, ops := 8, 12
+	if w.smaller {
+		kb, ops = 1, 2
+	}
+	for _, ch := range t.Then {
+		if len(ch.Value) > kb<<10 || len(t.Then) > ops || len(t.If) > 4*ops {
+			w.invalid[ch.Put]++
+			return 0, state.ErrInvalid
+		}
+	}
 	w.revision++
 	for _, ch := range t.Then {
 		if ch.Delete != "" {
