--- a/constants/constants.go
+++ b/constants/constants.go
@@ -416,6 +416,9 @@
 	// GangPatience is how long a gang waits in a part for room that may be coming
 	// before it goes to another part that could start it at once.
 	GangPatience = 3 * time.Second
+	// GangsFaint: with less than that much of the largest gang expected while a
+	// machine would boot, none is expected and no room is kept (share).
+	GangsFaint = 0.02
 	// ShapeMemory is how long the shape of a gang is remembered after the last of
 	// its kind: longer than most classes pause, and not for ever.
 	ShapeMemory = 10 * time.Minute
--- /dev/null
+++ b/leader/gang_test.go
@@ -0,0 +1,125 @@
+package leader
+
+import (
+	"testing"
+	"time"
+
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+func gangJob(tasks int) *state.Job {
+	return &state.Job{ID: "run-1", Spec: wire.Submission{ID: "run-1", Team: "free", Kind: wire.KindGang, Priority: wire.PriorityNormal,
+		Tasks: tasks, CPUs: 2, MemoryGB: 1, Image: "i"}}
+}
+
+// A gang goes to one part as one range: to one that could start it at once,
+// however little is left elsewhere, and with its image if there is one.
+func TestGangGoesWhole(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := facts()
+	job := gangJob(6)
+	shape := ShapeOf(&job.Spec)
+	for name, want := range map[string]string{"room": "b", "image": "c"} {
+		c := New(set, 1, now, nil, nil)
+		c.SetAuthority(now.Add(time.Hour))
+		for _, z := range set.Params.Zones {
+			a := figures(z, 1, 16, 2) // the sums say that it fits everywhere
+			a.Gangs = map[string]GangRoom{shape: {Now: 4}}
+			if z == "b" || z == "c" && name == "image" {
+				a.Gangs[shape] = GangRoom{Now: 6}
+			}
+			if z == "c" && name == "image" {
+				a.Gangs[shape] = GangRoom{Now: 6, Warm: 6}
+			}
+			c.Pushed(now, a)
+		}
+		c.ApplyJob(now, "run-1", job, 5)
+		acts := c.Step(now)
+		if len(acts) != 1 {
+			t.Fatalf("%s: %d assignments", name, len(acts))
+		}
+		rec := written(acts[0])
+		if len(rec.Chunks) != 1 || rec.Chunks[0].Tasks() != 6 || rec.Chunks[0].Part != want || rec.Attempt != 0 {
+			t.Fatalf("%s: %+v, wanted all in %s", name, rec, want)
+		}
+	}
+}
+
+// A gang that may not be in one part is spread under a number that rises with each
+// assignment, and is assigned again only when all of it has come back.
+func TestSpreadGangIsNumbered(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := facts()
+	c := New(set, 1, now, nil, nil)
+	c.SetAuthority(now.Add(time.Hour))
+	job := gangJob(5)
+	job.Spec.Spread = true
+	push := func() {
+		for _, z := range set.Params.Zones {
+			c.Pushed(now, figures(z, 1, 16, 2))
+		}
+	}
+	rev := uint64(5)
+	for attempt := uint64(1); attempt < 4; attempt++ {
+		push()
+		c.ApplyJob(now, "run-1", job, rev)
+		acts := c.Step(now)
+		if len(acts) != 1 {
+			t.Fatalf("%d assignments", len(acts))
+		}
+		rec := written(acts[0])
+		in := map[string]int{}
+		for _, ch := range rec.Chunks {
+			in[ch.Part] += ch.Tasks()
+		}
+		if len(in) < 2 || len(rec.Unassigned()) > 0 || rec.Attempt != attempt {
+			t.Fatalf("%+v, wanted attempt %d over several parts", rec, attempt)
+		}
+		for z, n := range in {
+			if n > 3 {
+				t.Fatalf("%d of 5 tasks in %s", n, z)
+			}
+		}
+		rev++
+		c.Committed(now, "run-1", rev)
+		c.ApplyJob(now, "run-1", rec, rev)
+		half := rec.Clone()
+		half.Chunks = half.Chunks[1:]
+		rev++
+		now = now.Add(time.Minute)
+		push()
+		c.ApplyJob(now, "run-1", half, rev)
+		if acts := c.Step(now); len(acts) > 0 {
+			t.Fatal("assigned again while some of it is in a part")
+		}
+		job = half.Clone()
+		job.Chunks = nil
+		rev++
+		now = now.Add(time.Minute)
+	}
+}
+
+// A gang counts whole towards its team's limit: nothing of it is assigned before
+// all fits, and all of it counts from then on.
+func TestGangIsAdmittedWhole(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := facts()
+	c := New(set, 1, now, nil, nil)
+	c.SetAuthority(now.Add(time.Hour))
+	for _, z := range set.Params.Zones {
+		c.Pushed(now, figures(z, 1, 100, 10))
+	}
+	for i, tasks := range []int{7, 4} { // of 2 CPUs, where the team may have 20
+		j := gangJob(tasks)
+		j.ID, j.Spec.ID, j.Spec.Team = []string{"run-1", "run-2"}[i], []string{"run-1", "run-2"}[i], "t"
+		c.ApplyJob(now, j.ID, j, uint64(5+i))
+	}
+	acts := c.Step(now)
+	if len(acts) != 1 {
+		t.Fatalf("%d gangs of 14 and 8 CPUs were assigned within 20", len(acts))
+	}
+	if rec := written(acts[0]); len(rec.Unassigned()) > 0 {
+		t.Fatalf("%+v: not whole", rec)
+	}
+}
--- a/part/gang.go
+++ b/part/gang.go
@@ -414,8 +414,12 @@
 	}
 	typ, spot, ok := c.pick(now, s)
 	waited := now.Sub(j.gangSince)
-	if back := now.Sub(j.backAt) > constants.KeepWait; back && !shared(j.rec, c.cfg.Part) && (!ok || waited > constants.GangPatience) && c.takesGang(now, s) {
-		slog.Info("gang goes back to the leader", "job", s.ID)
+	back := now.Sub(j.backAt) > constants.KeepWait && !shared(j.rec, c.cfg.Part)
+	// Where it has waited for long and the cloud has no more, no part may hold it
+	// whole: then the leader spreads it, if it may.
+	apart := !ok && !s.OneZone && s.Zone == "" && waited > constants.KeepWait && leader.Overdue(now, j.rec, false)
+	if back && ((!ok || waited > constants.GangPatience) && c.takesGang(now, s) || apart) {
+		slog.Info("gang goes back to the leader", "job", s.ID, "spread", apart)
 		c.sendBackGang(now, j)
 		return
 	}
@@ -550,8 +554,8 @@
 		return 0
 	}
 	within := c.gangs.within(now, time.Duration(c.bootS()*float64(time.Second)))
-	if within < slack {
-		return 0
+	if within < c.gangs.largest.cpus*constants.GangsFaint {
+		return 0 // they have stopped coming
 	}
 	return max(c.gangs.largest.cpus, constants.ReserveFactor*within)
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -71,6 +71,11 @@
 		{`zones = ["a", "b"]`, `zones = ["a", "b/c"]`, "facts.zones"},
 		{`rps = 10.0`, `rps = "many"`, "facts.cloud.rps"},
 		{`cpus = 8.0`, `cpus = -8.0`, "facts.teams"},
+		{`gang_wait_s = 30.0`, ``, "facts.workers.gang_wait_s"},
+		{`gang_peer_s = 8.0`, `gang_peer_s = 0.0`, "facts.workers.gang_peer_s"},
+		{`[facts.cloud]`, "[facts.state.next]\nvalue_kb = 0.0\n[facts.cloud]", "facts.state.next.value_kb"},
+		{`[facts.cloud]`, "[facts.state.next]\ntxn_ops = 0\n[facts.cloud]", "facts.state.next.txn_ops"},
+		{`[facts.cloud]`, "[facts.state.next]\nwrite_rps = -1.0\n[facts.cloud]", "facts.state.next.write_rps"},
 	} {
 		text := strings.Replace(good, c.from, c.to, 1)
 		if text == good {
@@ -140,3 +145,25 @@
 		t.Fatalf("2600 workers do not fit the front's %d sockets", front)
 	}
 }
+
+// The smaller of present and announced limits counts, and what is not announced
+// stays.
+func TestLimitsToCome(t *testing.T) {
+	for _, c := range []struct {
+		next string
+		want StateLimits
+	}{
+		{"", StateLimits{200, 20, 8, 12}},
+		{"[facts.state.next]\n", StateLimits{200, 20, 8, 12}},
+		{"[facts.state.next]\nvalue_kb = 2.0\n", StateLimits{200, 20, 2, 12}},
+		{"[facts.state.next]\nrps = 500.0\nwrite_rps = 15.0\nvalue_kb = 64.0\ntxn_ops = 4\n", StateLimits{200, 15, 8, 4}},
+	} {
+		s, err := Parse([]byte(strings.Replace(good, "[facts.cloud]", c.next+"[facts.cloud]", 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := s.StateLimits(); got != c.want || s.ValueBytes() != int(c.want.ValueKB*1024) {
+			t.Errorf("%q: %+v, wanted %+v", c.next, got, c.want)
+		}
+	}
+}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -18,7 +18,7 @@
 		ID:          "run-" + rapid.StringMatching(`[0-9]{1,9}`).Draw(t, "id"),
 		Class:       name.Draw(t, "class"),
 		Team:        name.Draw(t, "team"),
-		Kind:        rapid.SampledFrom([]string{KindArray, KindService}).Draw(t, "kind"),
+		Kind:        rapid.SampledFrom([]string{KindArray, KindService, KindGang}).Draw(t, "kind"),
 		Priority:    rapid.SampledFrom([]string{PriorityProduction, PriorityHigh, PriorityNormal, PriorityLow}).Draw(t, "priority"),
 		Tasks:       rapid.IntRange(1, MaxTasks).Draw(t, "tasks"),
 		CPUs:        amount.Draw(t, "cpus"),
