--- a/constants/constants.go
+++ b/constants/constants.go
@@ -422,6 +422,8 @@
 	// ShapeMemory is how long the shape of a gang is remembered after the last of
 	// its kind: longer than most classes pause, and not for ever.
 	ShapeMemory = 10 * time.Minute
+	// MaxShapes bounds them: an owner looks at its machines for each (shapes).
+	MaxShapes = 32
 	// FaultPause is how long a machine that failed a task is avoided.
 	FaultPause = 60 * time.Second
 	// JobFaultMachines: a job that failed on that many machines is itself at
--- a/part/gang.go
+++ b/part/gang.go
@@ -78,6 +78,9 @@
 			}
 		}
 		*g = gang{attempt: h.key.attempt, since: c.stepped}
+		if c.stepped.Before(c.claimed) {
+			g.since = c.claimed // found before the first step
+		}
 	}
 	if t.hold == nil {
 		t.hold = h
@@ -165,6 +168,7 @@
 	}
 	places := c.gangPlaces(now, &j.rec.Spec, len(tasks))
 	if places == nil && !c.gangRoom(now, tasks, r) {
+		c.saveForGang(now, tasks, r)
 		return
 	}
 	attempt := j.rec.Attempt
@@ -295,6 +299,33 @@
 	return append(out, pack(others, tasks-here)...)
 }
 
+// saveForGang makes room for a gang where work that can save stands in its way:
+// as much of it is stopped as the gang lacks places.
+func (c *Core) saveForGang(now time.Time, tasks []*task, r *round) {
+	if !r.saving || slices.ContainsFunc(tasks, func(t *task) bool { return now.Before(t.roomAt) }) {
+		return // what was stopped for it is still saving
+	}
+	for missing := len(tasks) - c.slots(now, &tasks[0].job.rec.Spec); missing > 0; {
+		freed := c.askToSave(now, tasks[missing-1], r)
+		if freed == 0 {
+			return
+		}
+		missing -= freed
+	}
+}
+
+// slots is how many tasks of a job there is room for now.
+func (c *Core) slots(now time.Time, s *wire.Submission) int {
+	n := need(s)
+	slots := 0
+	for _, m := range c.fleet {
+		if allowed(s, m.typeName, m.spot) && c.usable(now, m) {
+			slots += c.free(m).holdsOf(n)
+		}
+	}
+	return slots
+}
+
 // pack fills bundles of enough room.
 func pack(bs []bundle, tasks int) []*machine {
 	sort.Slice(bs, func(a, b int) bool {
@@ -446,9 +477,20 @@
 // noteGang remembers what gangs look like, whichever part has them: the leader
 // wants to know whether one of that shape would start here.
 func (c *Core) noteGang(now time.Time, rec *state.Job) {
-	if rec.Spec.IsGang() && rec.End == "" {
-		c.shapes[leader.ShapeOf(&rec.Spec)] = gangShape{rec.Spec, now}
+	if !rec.Spec.IsGang() || rec.End != "" {
+		return
+	}
+	key := leader.ShapeOf(&rec.Spec)
+	if _, known := c.shapes[key]; !known && len(c.shapes) >= constants.MaxShapes {
+		oldest := key
+		for k, sh := range c.shapes {
+			if oldest == key || sh.at.Before(c.shapes[oldest].at) || sh.at.Equal(c.shapes[oldest].at) && k < oldest {
+				oldest = k
+			}
+		}
+		delete(c.shapes, oldest)
 	}
+	c.shapes[key] = gangShape{rec.Spec, now}
 }
 
 type gangShape struct {
--- a/part/place.go
+++ b/part/place.go
@@ -525,9 +525,10 @@
 
 // askToSave makes room for a task where only work that can save stands in its
 // way: that is stopped with time to save, and the task starts once it is gone.
-func (c *Core) askToSave(now time.Time, for_ *task, r *round) {
+// It returns for how many such tasks room will be there.
+func (c *Core) askToSave(now time.Time, for_ *task, r *round) int {
 	if !r.saving || now.Before(for_.roomAt) {
-		return
+		return 0
 	}
 	s := &for_.job.rec.Spec
 	n := need(s)
@@ -556,21 +557,26 @@
 		}
 	}
 	wait := time.Duration(0)
+	var freed resources
 	for _, h := range best {
 		wait = max(wait, h.grace(c)+c.together(h))
 		if t := c.taskOf(h); t.job.gang != nil {
 			if !h.stop {
 				c.stopGang(t.job, "makes room")
+				freed = freed.plus(h.needs.times(len(t.job.tasks)))
 			}
 			continue
 		}
+		freed = freed.plus(h.needs)
 		h.stop = true
 		h.m.stale, h.m.wantCommand = true, true
 		slog.Debug("task saves and makes room", "task", h.key.task, "machine", h.m.name)
 	}
-	if len(best) > 0 {
-		for_.roomAt = now.Add(wait + constants.NoticeMargin)
+	if len(best) == 0 {
+		return 0
 	}
+	for_.roomAt = now.Add(wait + constants.NoticeMargin)
+	return freed.holdsOf(n)
 }
 
 // start decides an attempt of its own.
