--- a/constants/constants.go
+++ b/constants/constants.go
@@ -78,7 +78,7 @@
 	AllowanceWait = 600 * time.Millisecond
 	// UrgentRetry is the least wait before a write that cannot wait is repeated
 	// that was refused for rate alone, and as much is added at random.
-	UrgentRetry = 25 * time.Millisecond
+	UrgentRetry = 40 * time.Millisecond
 	// LaterShare is the part of the write allowance that one controller's
 	// writes that can wait may use (share).
 	LaterShare = 0.5
@@ -242,6 +242,10 @@
 	WorkPerSecond = 100.0
 	// MaxAssignments bounds assignments under way at once (transactions).
 	MaxAssignments = 16
+	// MaxUrgent bounds those of them that do not wait for their share of the
+	// allowance but are repeated until it is there (transactions): as many as are
+	// answered at once without a backlog.
+	MaxUrgent = 4
 )
 
 // Part owner.
--- a/leader/core.go
+++ b/leader/core.go
@@ -137,7 +137,8 @@
 	jobs      map[string]*jobState  // all that are not over
 	waiting   map[string]*jobState  // those with tasks in no chunk
 	use       map[string][2]float64 // by team: CPUs and GPUs of open chunks and of assignments under way
-	flying    int
+	flying    int // assignments under way, but for the urgent
+	urgent    int
 	authority time.Time
 	resume    *Place                // where the last round stopped
 	reserved  map[string][2]float64 // by job: CPUs and GPUs of assignments under way
@@ -324,8 +325,11 @@
 		if held[q[i].rec.Spec.Team] {
 			continue
 		}
-		if c.flying >= constants.MaxAssignments && !q[i].rec.Spec.Whole() {
-			continue // those that come first go first once some have been written
+		// Those that come first go first once some have been written. The urgent
+		// are few at once: each is repeated until it is written, and hundreds at a
+		// cold start took the state service's requests from everything else.
+		if urgent := q[i].rec.Spec.Whole(); urgent && c.urgent >= constants.MaxUrgent || !urgent && c.flying >= constants.MaxAssignments {
+			continue
 		}
 		if cm, ok := c.assign(now, q[i]); ok {
 			out = append(out, cm)
@@ -431,7 +435,11 @@
 			cpus: float64(b.n) * s.CPUs, gpus: float64(b.n) * s.GPUs, mem: float64(b.n) * s.MemoryGB})
 	}
 	j.busy = true
-	c.flying++
+	if s.Whole() {
+		c.urgent++
+	} else {
+		c.flying++
+	}
 	// An earlier assignment without an answer may still be applied instead of
 	// this one, so the larger of the two counts.
 	r := c.reserved[rec.ID]
@@ -522,8 +530,12 @@
 }
 
 // Committed takes in what came of a commit; revision is 0 when it failed.
-func (c *Core) Committed(now time.Time, id string, revision uint64) {
-	c.flying--
+func (c *Core) Committed(now time.Time, id string, urgent bool, revision uint64) {
+	if urgent {
+		c.urgent--
+	} else {
+		c.flying--
+	}
 	for _, p := range c.parts {
 		kept := p.bookings[:0]
 		for _, b := range p.bookings {
--- a/leader/core_test.go
+++ b/leader/core_test.go
@@ -137,16 +137,16 @@
 				switch rapid.IntRange(0, 3).Draw(t, "fate") {
 				case 0, 1:
 					if st.try(cm) {
-						c.Committed(now, cm.ID, st.rev)
+						c.Committed(now, cm.ID, cm.Urgent, st.rev)
 					} else {
-						c.Committed(now, cm.ID, 0)
+						c.Committed(now, cm.ID, cm.Urgent, 0)
 					}
 				case 2: // carried out, the answer lost
 					st.try(cm)
-					c.Committed(now, cm.ID, 0)
+					c.Committed(now, cm.ID, cm.Urgent, 0)
 				case 3: // carried out later, or never
 					late = append(late, cm)
-					c.Committed(now, cm.ID, 0)
+					c.Committed(now, cm.ID, cm.Urgent, 0)
 				}
 			}
 			use := 0.0
@@ -289,7 +289,7 @@
 	if len(acts) != 1 {
 		t.Fatalf("%d assignments", len(acts))
 	}
-	c.Committed(now, "run-1", 0) // the answer was lost, but it was written
+	c.Committed(now, "run-1", false, 0) // the answer was lost, but it was written
 	if cpus, _ := c.teamUse("t", ""); cpus != 10 {
 		t.Fatalf("%g CPUs counted while the write may still come, wanted 10", cpus)
 	}
@@ -320,7 +320,7 @@
 		if len(acts) != 1 {
 			t.Fatalf("%d assignments with %d tasks left", len(acts), left)
 		}
-		c.Committed(now, "run-1", rev+1)
+		c.Committed(now, "run-1", false, rev+1)
 		if job = written(acts[0]); len(acts[0].Txn.Then[0].Value) > set.ValueBytes() {
 			t.Fatalf("a record of %d bytes", len(acts[0].Txn.Then[0].Value))
 		}
@@ -378,7 +378,7 @@
 			j := written(cm)
 			jobs[cm.ID].job, jobs[cm.ID].end = j, now.Add(40*time.Second)
 			put(j)
-			c.Committed(now, cm.ID, rev)
+			c.Committed(now, cm.ID, cm.Urgent, rev)
 		}
 		for _, r := range jobs { // what has run for a while is cancelled and closed
 			if len(r.job.Chunks) > 0 && now.After(r.end) && r.job.End == "" {
--- a/leader/gang_test.go
+++ b/leader/gang_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"ravenport/constants"
 	"ravenport/state"
 	"ravenport/wire"
 )
@@ -82,7 +83,7 @@
 			}
 		}
 		rev++
-		c.Committed(now, "run-1", rev)
+		c.Committed(now, "run-1", true, rev)
 		c.ApplyJob(now, "run-1", rec, rev)
 		half := rec.Clone()
 		half.Chunks = half.Chunks[1:]
@@ -123,3 +124,45 @@
 		t.Fatalf("%+v: not whole", rec)
 	}
 }
+
+// Assignments that are repeated until they are written are few at a time, however
+// many services a cold start brings: hundreds took the state service's requests
+// from leases and from all other writes.
+func TestFewUrgentAssignmentsAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := facts()
+	c := New(set, 1, now, nil, nil)
+	c.SetAuthority(now.Add(time.Hour))
+	for _, z := range set.Params.Zones {
+		c.Pushed(now, figures(z, 1, 1000, 100))
+	}
+	for i := range 300 {
+		j := gangJob(1)
+		j.ID = "run-" + string(rune('a'+i%26)) + string(rune('a'+i/26))
+		j.Spec.ID, j.Spec.Kind, j.Spec.Priority = j.ID, wire.KindService, wire.PriorityProduction
+		if i%2 == 0 {
+			j.Spec.Kind, j.Spec.Priority = wire.KindArray, wire.PriorityNormal
+		}
+		c.ApplyJob(now, j.ID, j, uint64(5+i))
+	}
+	under := map[bool]int{}
+	for round := range 20 {
+		for _, cm := range c.Step(now) {
+			under[cm.Urgent]++
+			if round%2 == 1 {
+				c.Committed(now, cm.ID, cm.Urgent, 0)
+				under[cm.Urgent]--
+			}
+		}
+		now = now.Add(time.Second)
+		for _, z := range set.Params.Zones {
+			c.Pushed(now, figures(z, uint64(1+round), 1000, 100))
+		}
+		if under[true] > constants.MaxUrgent || under[false] > constants.MaxAssignments {
+			t.Fatalf("%v assignments under way", under)
+		}
+	}
+	if under[true] == 0 || under[false] == 0 {
+		t.Fatalf("%v assignments under way: one kind keeps out the other", under)
+	}
+}
--- a/node/actors.go
+++ b/node/actors.go
@@ -26,6 +26,7 @@
 		id       string
 		revision uint64 // 0: not known to have been written
 		invalid  bool   // the state service found fault with it
+		urgent   bool
 	}
 	packs       struct{} // every controller reads packed records
 	commandDone struct {
@@ -150,7 +151,7 @@
 		if m.invalid {
 			a.core.SetPacks()
 		}
-		a.core.Committed(now, m.id, m.revision)
+		a.core.Committed(now, m.id, m.urgent, m.revision)
 	case wake:
 		if m.soon {
 			a.pace.soon = false
@@ -168,7 +169,7 @@
 				store = a.urgent
 			}
 			r := commit(ctx, store, cm.Txn, "assignment of "+cm.ID, cm.Urgent)
-			r.id = cm.ID
+			r.id, r.urgent = cm.ID, cm.Urgent
 			a.self.Tell(r)
 		}()
 	}
--- a/node/overload_test.go
+++ b/node/overload_test.go
@@ -134,9 +134,9 @@
 	}
 	for _, cm := range c.leader.Step(c.now) {
 		if c.valid(cm.Txn) {
-			c.leader.Committed(c.now, cm.ID, c.write(cm.Txn))
+			c.leader.Committed(c.now, cm.ID, cm.Urgent, c.write(cm.Txn))
 		} else {
-			c.leader.Committed(c.now, cm.ID, 0)
+			c.leader.Committed(c.now, cm.ID, cm.Urgent, 0)
 		}
 	}
 	for _, z := range []string{"a", "b"} {
