--- a/leader/core.go
+++ b/leader/core.go
@@ -137,7 +137,7 @@
 	jobs      map[string]*jobState  // all that are not over
 	waiting   map[string]*jobState  // those with tasks in no chunk
 	use       map[string][2]float64 // by team: CPUs and GPUs of open chunks and of assignments under way
-	flying    int // assignments under way, but for the urgent
+	flying    int                   // assignments under way, but for the urgent
 	urgent    int
 	authority time.Time
 	resume    *Place                // where the last round stopped
