--- a/leader/core.go
+++ b/leader/core.go
@@ -417,7 +417,7 @@
 	if s.IsGang() {
 		numberGang(rec)
 	}
-	value, ok := c.sizes.Encode(rec, j.rec)
+	value, ok := c.sizes.Grows(rec, j.rec)
 	if !ok {
 		// A job in too many pieces would outgrow a value of the state service.
 		// A piece that joins its neighbour takes no room: so it is never put
@@ -471,7 +471,7 @@
 				rec.Chunks[i].From -= k
 			}
 			rec.Normalize()
-			if _, ok := c.sizes.Encode(rec, j.rec); ok {
+			if _, ok := c.sizes.Encode(rec, j.rec); ok { // it takes hardly more than before
 				return rec
 			}
 		}
--- a/state/packed.go
+++ b/state/packed.go
@@ -33,7 +33,25 @@
 		packed := pack(j)
 		return packed, len(packed) <= z.Next
 	}
-	return plain, len(plain) <= z.Now && was != nil && len(Encode(was)) > z.Next
+	return plain, len(plain) <= z.Now && was != nil && grown(was) > z.Next
+}
+
+// Grows says whether a record with new pieces can be stored now and to its end.
+func (z Sizes) Grows(j, was *Job) (value json.RawMessage, ok bool) {
+	value, ok = z.Encode(j, was)
+	return value, ok && (z.Packs || grown(j) <= max(z.Next, grown(was)))
+}
+
+// grown is the most that a record takes later without new pieces: all of them
+// closed, and its end told.
+func grown(j *Job) int {
+	n := len(Encode(j)) + len(`,"end":"cancelled"`)
+	for _, ch := range j.Chunks {
+		if !ch.Closed {
+			n += len(`,"c":true`)
+		}
+	}
+	return n
 }
 
 // Storable says whether a job could be stored to its end: with a piece in each of
--- a/state/packed_test.go
+++ b/state/packed_test.go
@@ -72,6 +72,28 @@
 	})
 }
 
+// What the leader may add to a record leaves room for its end while nothing may be
+// packed yet.
+func TestGrownRecordStillEnds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		was := drawJob(t)
+		j := was.Clone()
+		j.Chunks = append(j.Chunks, Chunk{From: j.Spec.Tasks - 1, To: j.Spec.Tasks, Part: "mill-annex", Keep: true})
+		z := Sizes{Now: 16 << 10, Next: rapid.IntRange(300, 8<<10).Draw(t, "next")}
+		if _, ok := z.Grows(j, was); !ok {
+			return
+		}
+		end := j.Clone()
+		end.End = wire.JobCancelled
+		for i := range end.Chunks {
+			end.Chunks[i].Closed = true // not joined, at worst
+		}
+		if v, ok := z.Encode(end, j); !ok {
+			t.Fatalf("%d bytes at the end, %d before, of %d", len(v), len(Encode(j)), z.Next)
+		}
+	})
+}
+
 // A specification as long as the version before took it can still end: names of
 // full length, and as many machine types as may be named.
 func TestLongSpecificationEnds(t *testing.T) {
