--- a/leader/core.go
+++ b/leader/core.go
@@ -359,6 +359,12 @@
 	c.limited = false
 	s := &j.rec.Spec
 	rec := j.rec.Clone()
+	if s.IsGang() && closeRest(rec) {
+		j.busy = true
+		c.urgent++
+		value, _ := c.sizes.Encode(rec, j.rec)
+		return c.commit(rec.ID, j.version, value, true), true
+	}
 	want := 0
 	ranges := rec.Unassigned()
 	for _, r := range ranges {
@@ -445,10 +451,15 @@
 	r := c.reserved[rec.ID]
 	c.reserve(rec.ID, s.Team, [2]float64{max(r[0], float64(given)*s.CPUs), max(r[1], float64(given)*s.GPUs)})
 	slog.Debug("assigning", "job", rec.ID, "plan", fmt.Sprint(plan))
-	return Commit{ID: rec.ID, Urgent: s.Whole(), Txn: wire.Txn{
-		If:   []wire.Condition{{Key: state.KeyLeader, Version: c.termVer}, {Key: state.KeyJob(rec.ID), Version: j.version}},
-		Then: []wire.Change{{Put: state.KeyJob(rec.ID), Value: value}},
-	}}, true
+	return c.commit(rec.ID, j.version, value, s.Whole()), true
+}
+
+// commit is a write of a job's record that holds only while the term stands.
+func (c *Core) commit(id string, version uint64, value []byte, urgent bool) Commit {
+	return Commit{ID: id, Urgent: urgent, Txn: wire.Txn{
+		If:   []wire.Condition{{Key: state.KeyLeader, Version: c.termVer}, {Key: state.KeyJob(id), Version: version}},
+		Then: []wire.Change{{Put: state.KeyJob(id), Value: value}},
+	}}
 }
 
 // join gives a job's first unassigned range, up to n tasks of it, to the part
--- a/leader/gang.go
+++ b/leader/gang.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -162,3 +163,21 @@
 		}
 	}
 }
+
+// closeRest closes what of a gang is in no chunk if another share of it is closed
+// already: that one's owner saw it done, and so all is. A share that lost its
+// machine as the gang completed was given back before anybody knew, and would
+// wait for the rest of the gang for ever.
+func closeRest(rec *state.Job) bool {
+	if !slices.ContainsFunc(rec.Chunks, func(ch state.Chunk) bool { return ch.Closed }) {
+		return false
+	}
+	for _, r := range rec.Unassigned() {
+		rec.Chunks = append(rec.Chunks, state.Chunk{From: r[0], To: r[1], Closed: true})
+	}
+	rec.Normalize()
+	if rec.AllClosed() {
+		rec.End = wire.JobDone
+	}
+	return true
+}
--- a/leader/gang_test.go
+++ b/leader/gang_test.go
@@ -166,3 +166,24 @@
 		t.Fatalf("%v assignments under way: one kind keeps out the other", under)
 	}
 }
+
+// A share that its owner gave back as the gang completed elsewhere is closed: a
+// closed share says that all is done. Found by a generated day on which the gang
+// was done and never told as such.
+func TestRestOfDoneGangIsClosed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := facts()
+	c := New(set, 1, now, nil, nil)
+	c.SetAuthority(now.Add(time.Hour))
+	job := gangJob(4)
+	job.Spec.Spread, job.Attempt = true, 1
+	job.Chunks = []state.Chunk{{From: 0, To: 2, Part: "a", Closed: true}}
+	c.ApplyJob(now, "run-1", job, 5)
+	acts := c.Step(now)
+	if len(acts) != 1 {
+		t.Fatalf("%d writes", len(acts))
+	}
+	if rec := written(acts[0]); rec.End != wire.JobDone || !rec.AllClosed() {
+		t.Fatalf("%+v", rec)
+	}
+}
