--- a/part/report.go
+++ b/part/report.go
@@ -69,6 +69,9 @@
 // direct command unanswered, is in doubt until it shows a token that is sent to
 // it from then on. A late copy of a report cannot: it is older than that token.
 func (c *Core) heard(now time.Time, m *machine) {
+	if c.silent(now, m) {
+		m.unheeded = 0 // it was out of reach: what was asked meanwhile says nothing of its ears
+	}
 	m.heard, m.unanswered = now, 0
 	switch {
 	case m.doubted() && m.token >= m.doubtToken:
--- a/part/silence.go
+++ b/part/silence.go
@@ -112,9 +112,11 @@
 			// Returning it makes what was on it surely gone, long before its
 			// lease ends.
 			why = "silent"
-		case m.up && m.doubted() && m.unheeded >= constants.DeafAsks && (sum.hears && heard*2 > up || up <= 2 && c.siblingsHeard(now)):
+		case m.up && !c.isDark && m.doubted() && m.unheeded >= constants.DeafAsks && (sum.hears && heard*2 > up || up <= 2 && c.siblingsHeard(now)):
 			// It is heard, here or by others, and hears nothing: its lease
-			// runs out whatever it reports. Nobody's hearing of it counts.
+			// runs out whatever it reports. Nobody's hearing of it counts. Of a
+			// part out of reach the first machines that are back are not deaf for
+			// what they were asked before.
 			why = "deaf"
 		case m.up && c.silence(now, m) > c.periods(constants.MutePeriods) && sum.hears && heard*2 > up:
 			// It answers but does not report: its lease ends all the same.
@@ -128,7 +130,7 @@
 			why = "silent since the takeover"
 		}
 		if why != "" {
-			slog.Info("returning machine", "machine", m.name, "why", why, "spot", m.spot)
+			slog.Info("returning machine", "machine", m.name, "why", why, "spot", m.spot, "unlisted", m.vanished(), "known", sum.known, "heard", heard)
 			m.returning = true
 			names = append(names, m.name)
 		}
