--- a/part/gang.go
+++ b/part/gang.go
@@ -261,12 +261,12 @@
 	return nil
 }
 
-// missesByFetch says whether a gang that has to fetch its image misses its
-// class's aim on starting by that alone.
+// missesByFetch says whether a gang that has to fetch its image may well miss its
+// class's aim on starting by that alone: the slowest of its machines counts.
 func (c *Core) missesByFetch(s *wire.Submission) bool {
 	within := c.cfg.Order.StartWithin(s.Class)
 	for _, t := range c.types {
-		if t.FetchGBPerS > 0 && allowed(s, t.Name, false) && within > 0 && s.ImageGB/t.FetchGBPerS < within.Seconds() {
+		if t.FetchGBPerS > 0 && allowed(s, t.Name, false) && within > 0 && s.ImageGB/t.FetchGBPerS*constants.FetchSlow < within.Seconds() {
 			return false
 		}
 	}
