--- a/constants/constants.go
+++ b/constants/constants.go
@@ -421,8 +421,8 @@
 	// before it goes to another part that could start it at once.
 	GangPatience = 3 * time.Second
 	// FetchSlow is how much longer than usual a slow fetch of an image takes
-	// (factor): rates differ by a third.
-	FetchSlow = 1.35
+	// (factor): rates differ by a third, and a gang asks for few fetches.
+	FetchSlow = 1.2
 	// GangsFaint: with less than that much of the largest gang expected while a
 	// machine would boot, none is expected and no room is kept (share).
 	GangsFaint = 0.02
