--- a/part/gang.go
+++ b/part/gang.go
@@ -532,60 +532,83 @@
 func (c *Core) keepForGangs(now time.Time) {
 	c.refresh()
 	c.gangNeed = c.gangReserve(now)
-	waits := 0.0
+	var waits []*job
 	for j := range c.waiting {
-		if g := j.gang; g != nil && !g.done && (g.attempt == 0 || g.failed) && !shared(j.rec, c.cfg.Part) {
-			waits += need(&j.rec.Spec).cpus * float64(len(j.tasks))
+		if g := j.gang; g != nil && !g.done && (g.attempt == 0 || g.failed) {
+			waits = append(waits, j)
 		}
 	}
+	for _, m := range c.fleet {
+		m.forGangs = false
+	}
+	if c.gangNeed == 0 && len(waits) == 0 {
+		return
+	}
+	sort.Slice(waits, func(a, b int) bool {
+		x, y := waits[a].rec, waits[b].rec
+		return x.AcceptedMS < y.AcceptedMS || x.AcceptedMS == y.AcceptedMS && x.ID < y.ID
+	})
 	type cand struct {
 		m    *machine
 		warm int
-		room float64
+		room resources // free, or held by arrays, which end soon
 	}
-	var cs []cand
-	if c.gangNeed+waits > 0 {
-		for _, m := range c.fleet {
-			if m.spot || m.draining || m.keptFor != nil || !c.usable(now, m) {
-				continue
+	var cs []*cand
+	for _, m := range c.fleet {
+		if m.draining || m.keptFor != nil || !c.usable(now, m) {
+			continue
+		}
+		k := &cand{m: m, room: c.free(m)}
+		for _, h := range m.holds {
+			if t := c.taskOf(h); t != nil && !h.exited() && !t.job.rec.Spec.Whole() {
+				k.room = k.room.plus(h.needs)
 			}
-			k := cand{m: m, room: c.free(m).cpus}
-			for _, h := range m.holds {
-				if t := c.taskOf(h); t != nil && !h.exited() && !t.job.rec.Spec.Whole() {
-					k.room += h.needs.cpus
-				}
+		}
+		if k.room.cpus < slack {
+			continue
+		}
+		for _, sh := range c.shapes {
+			if m.images[sh.spec.Image] {
+				k.warm++
 			}
-			if k.room < slack {
-				continue
+		}
+		cs = append(cs, k)
+	}
+	sort.Slice(cs, func(a, b int) bool {
+		x, y := cs[a], cs[b]
+		switch {
+		case x.warm != y.warm:
+			return x.warm > y.warm
+		case x.room.cpus != y.room.cpus:
+			return x.room.cpus > y.room.cpus
+		}
+		return x.m.name < y.m.name
+	})
+	for _, j := range waits {
+		s := &j.rec.Spec
+		n, left := need(s), len(j.tasks)
+		for _, k := range cs {
+			if left == 0 {
+				break
 			}
-			for _, sh := range c.shapes {
-				if m.images[sh.spec.Image] {
-					k.warm++
+			if allowed(s, k.m.typeName, k.m.spot) {
+				if t := min(left, k.room.holdsOf(n)); t > 0 {
+					k.m.forGangs = true
+					k.room = k.room.minus(n.times(t))
+					left -= t
 				}
 			}
-			cs = append(cs, k)
-		}
-		sort.Slice(cs, func(a, b int) bool {
-			x, y := cs[a], cs[b]
-			switch {
-			case x.warm != y.warm:
-				return x.warm > y.warm
-			case x.room != y.room:
-				return x.room > y.room
-			}
-			return x.m.name < y.m.name
-		})
-	}
-	for _, m := range c.fleet {
-		m.forGangs = false
+		}
 	}
-	room := 0.0
+	left := c.gangNeed
 	for _, k := range cs {
-		if room >= c.gangNeed+waits {
+		if left <= slack {
 			break
 		}
-		k.m.forGangs = true
-		room += k.room
+		if !k.m.spot && k.room.cpus > slack {
+			k.m.forGangs = true
+			left -= k.room.cpus
+		}
 	}
 }
 
--- a/part/gang_test.go
+++ b/part/gang_test.go
@@ -20,6 +20,7 @@
 	held  map[string][]wire.TaskStatus // by machine
 	seq   map[string]uint64
 	stops map[string]float64 // by task: the time to save that it was told
+	spot  string             // the machine that is a spot one
 }
 
 func newHands(r *rig, machines ...string) *hands {
@@ -46,7 +47,7 @@
 		}
 		starts = append(starts, h.obey(s.Machine, s.Request.Commands)...)
 		h.seq[s.Machine]++
-		h.CommandResult(h.now, s.Machine, report(s.Machine, 1, h.seq[s.Machine], h.shown(s.Machine), h.held[s.Machine]...))
+		h.CommandResult(h.now, s.Machine, h.says(s.Machine))
 	}
 	return starts
 }
@@ -69,10 +70,17 @@
 	return starts
 }
 
+// says is what a machine reports.
+func (h *hands) says(m string) *wire.Report {
+	r := report(m, 1, h.seq[m], h.shown(m), h.held[m]...)
+	r.Spot = m == h.spot
+	return r
+}
+
 // tell lets a machine report and obey the answer.
 func (h *hands) tell(m string) []wire.Command {
 	h.seq[m]++
-	reply, _ := h.Report(h.now, report(m, 1, h.seq[m], h.shown(m), h.held[m]...))
+	reply, _ := h.Report(h.now, h.says(m))
 	return h.obey(m, reply.Commands)
 }
 
@@ -342,3 +350,46 @@
 		}
 	})
 }
+
+// A cancelled gang ends at once, with no save, also one that is saving already.
+func TestCancelledGangEndsAtOnce(t *testing.T) {
+	h := newHands(newRig(nil), "m-1", "m-2")
+	j := gangOf("run-1", 6, "a")
+	h.submit(j)
+	h.run(time.Second)
+	for m := range h.seq {
+		h.set(m, wire.TaskRunning, "")
+	}
+	h.stopGang(h.jobs["run-1"], "test")
+	h.run(time.Second)
+	if len(h.stops) != 6 || h.stops["run-1/0"] < 3 {
+		t.Fatalf("stops %v, wanted six with time to save", h.stops)
+	}
+	for m := range h.seq {
+		h.set(m, wire.TaskSaving, "")
+	}
+	end := j.Clone()
+	end.End = wire.JobCancelled
+	h.submit(end)
+	h.run(time.Second)
+	for task, grace := range h.stops {
+		if grace != 0 {
+			t.Fatalf("%s has %g s to save in after its job's cancellation", task, grace)
+		}
+	}
+}
+
+// Room is kept on machines that the waiting gang may use: of its type, and spot
+// only where it may be spot.
+func TestRoomIsKeptWhereTheGangMayRun(t *testing.T) {
+	h := newHands(newRig(nil), "m-1", "m-2")
+	h.spot = "m-1"
+	h.run(time.Second)
+	h.submit(array("run-1", 8, "a"))
+	h.run(time.Second)
+	h.submit(gangOf("run-2", 4, "a"))
+	h.run(time.Second)
+	if !h.machines["m-1"].spot || h.machines["m-1"].forGangs || !h.machines["m-2"].forGangs {
+		t.Fatalf("kept: spot %v, ordinary %v; wanted the ordinary one", h.machines["m-1"].forGangs, h.machines["m-2"].forGangs)
+	}
+}
--- a/part/push.go
+++ b/part/push.go
@@ -114,11 +114,12 @@
 	RefusedSpot bool    `json:"spot_refused"` // the cloud had none a moment ago
 	Refused     bool    `json:"ordinary_refused"`
 	Dark        bool    `json:"out_of_reach"` // all its machines together
+	ForGangs    float64 `json:"cpus_kept_for_gangs"`
 }
 
 // Summary counts what the owner knows.
 func (c *Core) Summary(now time.Time) Summary {
-	s := Summary{Rebuilt: c.rebuilt, WaitingCPUs: c.unplaced.cpus, RefusedSpot: now.Before(c.refused[true]), Refused: now.Before(c.refused[false]), Dark: c.isDark}
+	s := Summary{Rebuilt: c.rebuilt, WaitingCPUs: c.unplaced.cpus, RefusedSpot: now.Before(c.refused[true]), Refused: now.Before(c.refused[false]), Dark: c.isDark, ForGangs: c.gangNeed}
 	for _, m := range c.fleet {
 		switch {
 		case m.returning:
--- a/part/report.go
+++ b/part/report.go
@@ -378,7 +378,7 @@
 // together is how much longer an attempt takes to save because a gang's tasks
 // wait for each other.
 func (c *Core) together(h *hold) time.Duration {
-	if j := c.jobs[h.jobID]; j == nil || j.gang == nil || h.instant {
+	if j := c.jobs[h.jobID]; j == nil || j.gang == nil || h.instant || j.rec.End != "" {
 		return 0
 	}
 	return c.cfg.GangPeer
