--- a/part/gang.go
+++ b/part/gang.go
@@ -32,6 +32,8 @@
 func (c *Core) gangRecord(j *job) {
 	if slices.ContainsFunc(j.rec.Chunks, func(ch state.Chunk) bool { return ch.Closed }) && j.rec.End == "" {
 		c.gangDone(j) // another part has seen a task of it done
+	} else if len(j.rec.Unassigned()) > 0 && j.gang.attempt == j.rec.Attempt {
+		c.endAttempt(j, "another share was given back")
 	}
 }
 
@@ -59,8 +61,12 @@
 		case h.cause == wire.CauseDone:
 			t.uncertain = false
 			c.gangDone(j)
-		case h.key.attempt == g.attempt && !(refused(h.cause) && !g.begun):
+		case refused(h.cause) && !g.begun:
+		case h.key.attempt == g.attempt:
 			c.endAttempt(j, h.cause)
+		case h.key.attempt == j.rec.Attempt && g.attempt == 0:
+			// Left by an earlier owner: the leader's number is used up.
+			*g = gang{attempt: h.key.attempt, failed: true}
 		}
 		c.check(j)
 		return
@@ -166,12 +172,15 @@
 	if len(tasks) < len(j.tasks) {
 		return // of an earlier attempt something may be left
 	}
-	places := c.gangPlaces(now, &j.rec.Spec, len(tasks))
+	attempt := uint64(0) // a new one of its own, once there is room
+	if spread {
+		attempt = j.rec.Attempt
+	}
+	places := c.gangPlaces(now, &j.rec.Spec, len(tasks), attempt)
 	if places == nil && !c.gangRoom(now, tasks, r) {
 		c.saveForGang(now, tasks, r)
 		return
 	}
-	attempt := j.rec.Attempt
 	if !spread {
 		c.counter++
 		attempt = c.term<<constants.AttemptBits | c.counter
@@ -227,8 +236,9 @@
 // find one now. It is the best fit by bundles: the machine that is left with the
 // least of those that take all that is left of the gang, else the one that takes
 // the most, so that few machines have to fetch the image. Machines that hold it
-// are enough where all fit on them.
-func (c *Core) gangPlaces(now time.Time, s *wire.Submission, tasks int) []*machine {
+// are enough where all fit on them. One that lists a task of the attempt, refused
+// to an earlier owner, would do nothing on another start.
+func (c *Core) gangPlaces(now time.Time, s *wire.Submission, tasks int, attempt uint64) []*machine {
 	n := need(s)
 	var warm, all []bundle
 	warmRoom, allRoom := 0, 0
@@ -237,7 +247,7 @@
 			continue
 		}
 		k := c.free(m).holdsOf(n)
-		if k == 0 {
+		if k == 0 || slices.ContainsFunc(m.holds, func(h *hold) bool { return h.key.attempt == attempt && h.jobID == s.ID }) {
 			continue
 		}
 		b := bundle{m, k, m.images[s.Image]}
--- a/part/gang_test.go
+++ b/part/gang_test.go
@@ -393,3 +393,41 @@
 		t.Fatalf("kept: spot %v, ordinary %v; wanted the ordinary one", h.machines["m-1"].forGangs, h.machines["m-2"].forGangs)
 	}
 }
+
+// A share of a gang in several parts whose number is used up, as a new owner finds,
+// or of which another share was given back, is stopped and given back whole: under
+// its number nothing would begin any more.
+func TestShareIsGivenBack(t *testing.T) {
+	job := func() *state.Job {
+		j := gangOf("run-1", 4, "a")
+		j.Spec.OneZone, j.Spec.Spread, j.Attempt = false, true, 1
+		j.Chunks = []state.Chunk{{From: 0, To: 2, Part: "a", Keep: true}, {From: 2, To: 4, Part: "b", Keep: true}}
+		return j
+	}
+	given := func(h *hands) bool { return h.jobs["run-1"] == nil }
+
+	h := newHands(newRig(map[string]*state.Job{"run-1": job()}, state.Machine{Name: "m-1", Type: "box", Addr: "m-1:1"}))
+	h.seq["m-1"] = 10
+	h.held["m-1"] = []wire.TaskStatus{{Task: "run-1/0", Attempt: 1, State: wire.TaskExited, Cause: wire.CausePeers}}
+	if s := h.run(5 * time.Second); len(s) > 0 || !given(h) {
+		t.Fatalf("found used up: started %v, given back %v", s, given(h))
+	}
+
+	h = newHands(newRig(nil), "m-1")
+	h.submit(job())
+	if s := h.run(time.Second); len(s) != 2 || s[0].Attempt != 1 {
+		t.Fatalf("started %v, wanted two tasks under the leader's number", s)
+	}
+	h.set("m-1", wire.TaskWaiting, "")
+	part := job()
+	part.Chunks = part.Chunks[:1]
+	h.submit(part)
+	h.run(time.Second)
+	if len(h.stops) != 2 {
+		t.Fatalf("stops %v, wanted both tasks of the share", h.stops)
+	}
+	h.set("m-1", wire.TaskExited, wire.CauseStopped)
+	if s := h.run(5 * time.Second); len(s) > 0 || !given(h) {
+		t.Fatalf("share alone: started %v, given back %v", s, given(h))
+	}
+}
