--- a/state/packed.go
+++ b/state/packed.go
@@ -31,6 +31,13 @@
 		return plain, true
 	case z.Packs:
 		packed := pack(j)
+		if len(packed) > z.Next && j.End != "" {
+			// A job that is over is placed nowhere any more: what says where it
+			// may run can go, so that it can always end.
+			bare := *j
+			bare.Spec.Types, bare.Spec.Image, bare.Spec.Zone = nil, "", ""
+			packed = pack(&bare)
+		}
 		return packed, len(packed) <= z.Next
 	}
 	return plain, len(plain) <= z.Now && was != nil && grown(was) > z.Next
--- a/state/packed_test.go
+++ b/state/packed_test.go
@@ -116,6 +116,31 @@
 	}
 }
 
+// One that no packing makes small enough can still be cancelled, and says what
+// users and team limits need.
+func TestAnySpecificationCanBeCancelled(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		name := rapid.StringMatching(`[a-zA-Z0-9]{128}`)
+		j := &Job{ID: "run-1", End: wire.JobCancelled, Spec: wire.Submission{ID: "run-1", Class: name.Draw(t, "class"), Team: name.Draw(t, "team"),
+			Kind: wire.KindArray, Tasks: 9, CPUs: 3, Image: name.Draw(t, "image"), Types: rapid.SliceOfN(name, 32, 32).Draw(t, "types")}}
+		j.Chunks = []Chunk{{From: 0, To: 4, Part: "a"}, {From: 4, To: 9, Part: "b", Closed: true}}
+		was := *j
+		was.End = ""
+		value, ok := Sizes{Now: 8 << 10, Next: 2 << 10, Packs: true}.Encode(j, &was)
+		if !ok {
+			t.Fatalf("%d bytes", len(value))
+		}
+		rec, err := Decode(KeyJob("run-1"), value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := rec.(*Job)
+		if got.End != j.End || got.Spec.Team != j.Spec.Team || got.Spec.CPUs != 3 || got.Spec.Tasks != 9 || !reflect.DeepEqual(bare(got).Chunks, bare(j).Chunks) {
+			t.Fatalf("%+v", got)
+		}
+	})
+}
+
 // Whatever stands under a job's key, reading it is an error at worst.
 func TestUnpackOfAnything(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
