--- a/leader/gang_test.go
+++ b/leader/gang_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ravenport/constants"
+	"ravenport/settings"
 	"ravenport/state"
 	"ravenport/wire"
 )
@@ -14,6 +15,14 @@
 		Tasks: tasks, CPUs: 2, MemoryGB: 1, Image: "i"}}
 }
 
+// leading is a leader with authority that has heard nothing yet.
+func leading() (time.Time, *settings.Settings, *Core) {
+	now, set := time.Unix(1000, 0), facts()
+	c := New(set, 1, now, nil, nil)
+	c.SetAuthority(now.Add(time.Hour))
+	return now, set, c
+}
+
 // A gang goes to one part as one range: to one that could start it at once,
 // however little is left elsewhere, and with its image if there is one.
 func TestGangGoesWhole(t *testing.T) {
@@ -50,10 +59,7 @@
 // A gang that may not be in one part is spread under a number that rises with each
 // assignment, and is assigned again only when all of it has come back.
 func TestSpreadGangIsNumbered(t *testing.T) {
-	now := time.Unix(1000, 0)
-	set := facts()
-	c := New(set, 1, now, nil, nil)
-	c.SetAuthority(now.Add(time.Hour))
+	now, set, c := leading()
 	job := gangJob(5)
 	job.Spec.Spread = true
 	push := func() {
@@ -104,10 +110,7 @@
 // A gang counts whole towards its team's limit: nothing of it is assigned before
 // all fits, and all of it counts from then on.
 func TestGangIsAdmittedWhole(t *testing.T) {
-	now := time.Unix(1000, 0)
-	set := facts()
-	c := New(set, 1, now, nil, nil)
-	c.SetAuthority(now.Add(time.Hour))
+	now, set, c := leading()
 	for _, z := range set.Params.Zones {
 		c.Pushed(now, figures(z, 1, 100, 10))
 	}
@@ -129,10 +132,7 @@
 // many services a cold start brings: hundreds took the state service's requests
 // from leases and from all other writes.
 func TestFewUrgentAssignmentsAtOnce(t *testing.T) {
-	now := time.Unix(1000, 0)
-	set := facts()
-	c := New(set, 1, now, nil, nil)
-	c.SetAuthority(now.Add(time.Hour))
+	now, set, c := leading()
 	for _, z := range set.Params.Zones {
 		c.Pushed(now, figures(z, 1, 1000, 100))
 	}
@@ -171,10 +171,7 @@
 // closed share says that all is done. Found by a generated day on which the gang
 // was done and never told as such.
 func TestRestOfDoneGangIsClosed(t *testing.T) {
-	now := time.Unix(1000, 0)
-	set := facts()
-	c := New(set, 1, now, nil, nil)
-	c.SetAuthority(now.Add(time.Hour))
+	now, _, c := leading()
 	job := gangJob(4)
 	job.Spec.Spread, job.Attempt = true, 1
 	job.Chunks = []state.Chunk{{From: 0, To: 2, Part: "a", Closed: true}}
