Tests: the gap of two refusals, played with both deployments' times

Scenes run on one harness: each brings its meeting about, fails if it did not, and is shown to break its rule when its guard is taken away (here: that controllers tell each other of their latest cancellation). The checker now counts a cancelled task as on its machine until it exits, is killed or the machine is gone, also while the machine hangs past its lease.

--- /dev/null
+++ b/node/scene_test.go
@@ -0,0 +1,266 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ravenport/frontdoor"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// A scene brings a meeting of troubles about, on a quiet deployment of its own
+// times, and says whether it came: one in which the moment never came proves
+// nothing. The world's checker judges every rule over it. guard, if there is one,
+// takes away what the scene is about, and the rules are then seen broken.
+type scene struct {
+	name  string
+	times times
+	zones []string
+	seeds []uint64
+	play  func(*testing.T, *world)
+	guard func(*world)
+	rule  string // that is broken without the guard
+}
+
+// scenes plays a list of scenes, each with its guard and without.
+func scenes(t *testing.T, list []scene) {
+	t.Helper()
+	quietLogs(t)
+	for _, s := range list {
+		t.Run(s.name, func(t *testing.T) {
+			for _, seed := range s.seeds {
+				synctest.Test(t, func(t *testing.T) { s.run(t, seed, nil) })
+			}
+			if s.guard == nil {
+				return
+			}
+			for _, seed := range s.seeds {
+				var broken []string
+				synctest.Test(t, func(t *testing.T) { broken = s.run(t, seed, s.guard) })
+				if slices.ContainsFunc(broken, func(b string) bool { return strings.HasPrefix(b, s.rule+":") }) {
+					return
+				}
+			}
+			t.Errorf("without its guard %s was never seen broken", s.rule)
+		})
+	}
+}
+
+// run plays a scene once and returns the broken rules; without a guard taken away
+// there must be none.
+func (s scene) run(t *testing.T, seed uint64, unguard func(*world)) []string {
+	w := newWorldOf(seed, s.zones, 3, s.times)
+	w.late, w.tame = 0, true
+	for k := range w.capacity {
+		w.capacity[k] = 6
+	}
+	if unguard != nil {
+		unguard(w)
+	}
+	for _, n := range w.nodes {
+		n.start()
+	}
+	go w.expireLeases()
+	defer w.shut()
+	time.Sleep(5 * time.Second)
+	s.play(t, w)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if unguard == nil && len(w.broken) > 0 {
+		t.Errorf("seed %d: rules broken: %s", seed, strings.Join(w.broken[:min(4, len(w.broken))], "; "))
+	}
+	return slices.Clone(w.broken)
+}
+
+// do changes the world under its lock.
+func (w *world) do(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f()
+}
+
+// newArray adds an array whose tasks run for so long.
+func (w *world) newArray(id string, tasks int, cpus, runS float64) *simJob {
+	j := &simJob{spec: wire.Submission{ID: id, Class: "c", Team: "free", Kind: wire.KindArray, Priority: wire.PriorityNormal,
+		Tasks: tasks, CPUs: cpus, MemoryGB: 1, Image: "i", ImageGB: 1, Spot: true, EstimateS: runS}, doneTasks: map[int]bool{}}
+	w.do(func() { w.jobs[id] = j })
+	return j
+}
+
+// cancelAt cancels a job through one controller and says whether that confirmed it.
+func (w *world) cancelAt(node int, j *simJob) bool {
+	w.do(func() { j.asked = true })
+	r := w.askAt(node, func(q frontdoor.Request) any { return frontdoor.Cancel{Req: q, ID: j.spec.ID} })
+	w.check(j, r, true)
+	var s wire.JobState
+	return r != nil && r.Status == 200 && json.Unmarshal(r.Body, &s) == nil && s.Status == wire.JobCancelled
+}
+
+// holder is which controller holds a term, by its number; -1: none.
+func (w *world) holder(key string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := w.kv[key]
+	if e == nil {
+		return -1
+	}
+	v, err := state.Decode(key, e.value)
+	if err != nil {
+		panic(err)
+	}
+	return slices.IndexFunc(w.nodes, func(n *simNode) bool { return n.set.Node == v.(*state.Term).Node })
+}
+
+// tasksOn counts a job's tasks on machines of a zone; "": of any.
+func (w *world) tasksOn(zone, job string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, m := range w.machines {
+		if zone != "" && m.zone != zone {
+			continue
+		}
+		for _, x := range m.held {
+			if id, _, _ := wire.SplitTask(x.name); id == job && onMachine(x.state) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// until waits for something to come about, and fails the test if it does not.
+func (w *world) until(t *testing.T, what string, limit time.Duration, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); !ok(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("it never came about: %s", what)
+		}
+	}
+}
+
+// lots adds one array for each zone, bound to it, of two tasks that run for so long.
+func (w *world) lots(id int, runS float64) []*simJob {
+	var out []*simJob
+	for i, z := range w.nodes[0].set.Params.Zones {
+		j := w.newArray(fmt.Sprintf("run-%06d", 10*id+i), 2, 2, runS)
+		j.spec.Zone = z
+		go w.user(j, 0, 0)
+		out = append(out, j)
+	}
+	return out
+}
+
+// running waits until all tasks of jobs run.
+func (w *world) allRun(t *testing.T, lots ...[]*simJob) {
+	t.Helper()
+	w.until(t, "all tasks run", 90*time.Second, func() bool {
+		for _, lot := range lots {
+			for _, j := range lot {
+				if w.tasksOn("", j.spec.ID) < j.spec.Tasks {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+// allDone waits until users were told that jobs are done.
+func (w *world) allDone(t *testing.T, limit time.Duration, lot []*simJob) {
+	t.Helper()
+	w.until(t, "what was not cancelled is done", limit, func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return !slices.ContainsFunc(lot, func(j *simJob) bool { return j.told != wire.JobDone })
+	})
+}
+
+// parts lists the zones whose part a controller owns.
+func (w *world) parts(node int) []string {
+	var out []string
+	for _, z := range w.nodes[0].set.Params.Zones {
+		if w.holder(state.KeyPart(z)) == node {
+			out = append(out, z)
+		}
+	}
+	return out
+}
+
+// The state service refuses one controller alone; another one confirms
+// cancellations; then it is away for all for longer than cancel_s, while the
+// machines report to the first one. And once more, straight after, whoever then
+// owns what the first one did.
+func gap(refused, other int) func(*testing.T, *world) {
+	return func(t *testing.T, w *world) {
+		whole := w.times.cancelWithin()
+		healthy := w.lots(0, 3*whole.Seconds())
+		doomed := [][]*simJob{w.lots(1, 5*whole.Seconds()), w.lots(2, 5*whole.Seconds())}
+		w.allRun(t, healthy, doomed[0], doomed[1])
+		time.Sleep(10 * time.Second)
+		for i, lot := range doomed {
+			if i > 0 && len(w.parts(refused)) == 0 {
+				refused = w.holder(state.KeyPart(w.nodes[0].set.Params.Zones[0]))
+				other = (refused + 1) % 3
+			}
+			n, owned := w.nodes[refused], w.parts(refused)
+			if len(owned) == 0 && w.holder(state.KeyLeader) != refused {
+				t.Fatalf("gap %d: %s neither owns nor leads: it is not refused to any purpose", i, n.set.Node)
+			}
+			w.do(func() { n.cutState = true })
+			time.Sleep(w.between(100*time.Millisecond, 1200*time.Millisecond))
+			for _, j := range lot {
+				if !w.cancelAt(other, j) {
+					t.Fatalf("gap %d: %s did not confirm a cancellation", i, w.nodes[other].set.Node)
+				}
+			}
+			confirmed := time.Now()
+			time.Sleep(w.between(50*time.Millisecond, 400*time.Millisecond))
+			for _, z := range owned {
+				if w.holder(state.KeyPart(z)) != refused {
+					t.Fatalf("gap %d: %s lost its part before the outage", i, n.set.Node)
+				}
+			}
+			w.setOutage(true)
+			time.AfterFunc(14*time.Second, func() { w.do(func() { n.cutState = false }) })
+			time.Sleep(whole + 12*time.Second)
+			w.mu.Lock()
+			if len(owned) > 0 && !n.answered.After(confirmed.Add(2*time.Second)) {
+				t.Errorf("gap %d: no machine reported to %s once the cancellation was confirmed", i, n.set.Node)
+			}
+			w.mu.Unlock()
+			w.setOutage(false)
+			time.Sleep(20 * time.Second)
+		}
+		w.allDone(t, 6*whole, healthy)
+	}
+}
+
+// TestGap: the tasks of a cancelled job are gone in time though the controller that
+// the machines report to can hear of it neither from the state service nor by a
+// promise refused. The guard taken away: what the others know of cancellations.
+func TestGap(t *testing.T) {
+	var list []scene
+	for _, d := range []struct {
+		name  string
+		times times
+		zones []string
+	}{{"magnolia", magnoliaTimes, []string{"a", "b", "c"}}, {"umoya", umoyaTimes, []string{"a", "b"}}} {
+		for refused := range 3 {
+			for _, other := range []int{(refused + 1) % 3, (refused + 2) % 3} {
+				s := scene{name: fmt.Sprintf("%s, %d refused, %d confirms", d.name, refused, other), times: d.times, zones: d.zones, seeds: []uint64{1, 2}, play: gap(refused, other)}
+				if refused < len(d.zones) {
+					s.rule, s.guard = "ran_cancelled", func(w *world) { w.untold = true }
+				}
+				list = append(list, s)
+			}
+		}
+	}
+	scenes(t, list)
+}
--- a/node/sim_test.go
+++ b/node/sim_test.go
@@ -495,6 +495,7 @@
 			return
 		case <-time.After(50 * time.Millisecond):
 			w.expire()
+			w.overstayed()
 		}
 	}
 }
@@ -539,6 +540,11 @@
 	if len(w.broken) > 0 {
 		t.Errorf("rules broken: %s", strings.Join(w.broken, "; "))
 	}
+	w.shut()
+}
+
+// shut ends everything that runs in the world.
+func (w *world) shut() {
 	close(w.stop)
 	for _, n := range w.nodes {
 		n.kill()
--- a/node/standin_test.go
+++ b/node/standin_test.go
@@ -62,6 +62,7 @@
 	noTokens     bool    // workers take commands under any token
 	late         float64 // share of direct commands that are held back, and of those that come twice
 	noLease      bool    // workers never give up
+	untold       bool    // controllers do not tell each other of cancellations
 	freshCopies  bool    // late copies of reports pass for new ones
 	mute         string  // nobody gets an answer about this job
 
@@ -70,8 +71,27 @@
 
 	calm time.Time // when all troubles were over
 	tame bool      // machines come up, and rentals are answered
+
+	times   times
+	firstUp time.Duration // machines are up this soon after their rental; 0: after seconds
+}
+
+// times are a deployment's times that the rules depend on, and its limit on a
+// team.
+type times struct {
+	reportS, leaseS, cancelS float64
 }
 
+// The generated days' own times, and those of deployments whose scenes are played.
+var (
+	dayTimes      = times{3, 20, 45}
+	magnoliaTimes = times{5, 26, 56}
+	umoyaTimes    = times{8, 36, 61}
+)
+
+func (t times) lease() time.Duration        { return settings.Seconds(t.leaseS) }
+func (t times) cancelWithin() time.Duration { return settings.Seconds(t.cancelS) }
+
 type entry struct {
 	value   json.RawMessage
 	version uint64
@@ -89,9 +109,10 @@
 	ctl      *Controller
 	cancel   context.CancelFunc
 	cutState bool
-	cutWork  bool // from workers
-	cutPeers bool // from the other controllers
-	cutBeats bool // reports do not reach it, though it reaches the workers
+	cutWork  bool      // from workers
+	cutPeers bool      // from the other controllers
+	cutBeats bool      // reports do not reach it, though it reaches the workers
+	answered time.Time // when a report to it was last answered
 	thaws    time.Time
 }
 
@@ -144,19 +165,25 @@
 func (s standing) Answer(*httpwire.Response) { s.n.stand() }
 
 type simJob struct {
-	spec      wire.Submission
-	accepted  bool
-	told      string // last terminal state told
-	cancelled time.Time
-	asked     bool // cancellation asked for
-	answered  time.Time
-	doneTasks map[int]bool
-	saved     float64 // of a gang: progress at its last checkpoint (s)
+	spec       wire.Submission
+	accepted   bool
+	told       string // last terminal state told
+	cancelled  time.Time
+	overstayed bool // a task of it was seen on a machine past its time
+	asked      bool // cancellation asked for
+	answered   time.Time
+	doneTasks  map[int]bool
+	saved      float64 // of a gang: progress at its last checkpoint (s)
 }
 
 func newWorld(seed uint64, zones []string, nodes int) *world {
+	return newWorldOf(seed, zones, nodes, dayTimes)
+}
+
+func newWorldOf(seed uint64, zones []string, nodes int, t times) *world {
 	w := &world{
-		rng: rand.New(rand.NewPCG(seed, 7)), kv: map[string]*entry{}, leases: map[uint64]*simLease{}, changed: make(chan struct{}),
+		times: t,
+		rng:   rand.New(rand.NewPCG(seed, 7)), kv: map[string]*entry{}, leases: map[uint64]*simLease{}, changed: make(chan struct{}),
 		machines: map[string]*simWorker{}, requests: map[string][]string{}, capacity: map[string]int{}, gangs: map[string]*simGang{}, invalid: map[string]int{}, jobs: map[string]*simJob{}, stop: make(chan struct{}), late: 0.15,
 	}
 	var b strings.Builder
@@ -172,7 +199,8 @@
 		b.WriteString("[outside]\ncloud = \"10.1.0.1:1\"\nstate = \"10.1.0.2:1\"\n[facts]\n")
 		fmt.Fprintf(&b, "size = %d\nzones = [\"%s\"]\n", nodes, strings.Join(zones, "\", \""))
 		b.WriteString("[[facts.teams]]\nname = \"free\"\n[[facts.teams]]\nname = \"tight\"\ncpus = 4.0\ncpus_max = 10.0\n")
-		b.WriteString("[facts.workers]\nreport_s = 3.0\nlease_s = 20.0\ncancel_s = 45.0\ngang_wait_s = 15.0\ngang_peer_s = 4.0\n[facts.state]\nrps = 200.0\nwrite_rps = 100.0\nvalue_kb = 8.0\ntxn_ops = 12\n[facts.state.next]\nvalue_kb = 1.0\ntxn_ops = 2\n[facts.cloud]\nrps = 10.0\nlist_lag_s = 5.0\n")
+		fmt.Fprintf(&b, "[facts.workers]\nreport_s = %.1f\nlease_s = %.1f\ncancel_s = %.1f\n", t.reportS, t.leaseS, t.cancelS)
+		b.WriteString("gang_wait_s = 15.0\ngang_peer_s = 4.0\n[facts.state]\nrps = 200.0\nwrite_rps = 100.0\nvalue_kb = 8.0\ntxn_ops = 12\n[facts.state.next]\nvalue_kb = 1.0\ntxn_ops = 2\n[facts.cloud]\nrps = 10.0\nlist_lag_s = 5.0\n")
 		set, err := settings.Parse([]byte(b.String()))
 		if err != nil {
 			panic(err)
@@ -249,6 +277,9 @@
 	p.from.stand()
 	p.to.stand()
 	r := ctl.PeerStatus(s)
+	if p.from.w.untold {
+		r.Cancels = 0
+	}
 	p.from.stand()
 	return r, nil
 }
@@ -628,7 +659,7 @@
 	m.renewed = time.Now()
 	node := w.rng.IntN(len(w.nodes))
 	w.mu.Unlock()
-	next := time.Now()
+	next, sent := time.Now(), time.Time{}
 	for {
 		time.Sleep(100 * time.Millisecond)
 		w.mu.Lock()
@@ -647,7 +678,7 @@
 		}
 		m.advance()
 		now := time.Now()
-		if m.cut || now.Before(next) && !(m.changed && next.Sub(now) < 2500*time.Millisecond) {
+		if m.cut || now.Before(next) && !(m.changed && now.Sub(sent) >= 500*time.Millisecond) {
 			w.mu.Unlock()
 			continue
 		}
@@ -655,7 +686,8 @@
 		r := m.report()
 		n := w.nodes[node]
 		ctl, shut := n.ctl, n.cutWork || n.cutBeats || w.apart(m.zone, n)
-		next = now.Add(time.Duration(2250+w.rng.IntN(1500)) * time.Millisecond)
+		next = now.Add(settings.Seconds(w.times.reportS * (0.75 + 0.5*w.rng.Float64())))
+		sent = now
 		w.mu.Unlock()
 		if ctl == nil || shut {
 			node = (node + 1) % len(w.nodes)
@@ -698,6 +730,7 @@
 				}
 				m.token = rep.Token
 				m.renewed = now
+				n.answered = now
 				m.taken = r.Seq
 				m.execute(rep.Commands)
 			}
@@ -728,7 +761,7 @@
 // advance lets time pass on the machine. The caller holds the lock.
 func (m *simWorker) advance() {
 	now := time.Now()
-	if !m.w.noLease && now.Sub(m.renewed) > 20*time.Second {
+	if !m.w.noLease && now.Sub(m.renewed) > m.w.times.lease() {
 		slog.Debug("stand-in: lease ends", "machine", m.name, "session", m.session)
 		m.held = map[string]*simTask{}
 		m.session++
@@ -768,12 +801,22 @@
 			j.doneTasks[i] = true
 		}
 	}
-	for _, t := range m.held {
-		job, _, _ := wire.SplitTask(t.name)
-		j := m.w.jobs[job]
-		if onMachine(t.state) && !j.cancelled.IsZero() && now.Sub(j.cancelled) > 45*time.Second {
-			m.w.broke("ran_cancelled", "%s on %s", t.name, m.name)
-			j.cancelled = now
+}
+
+// overstayed sees to it that no task of a cancelled job is on any machine past its
+// time, whether the machine runs, hangs or cannot be reached: a task is there until
+// it exits, is killed or the machine is gone.
+func (w *world) overstayed() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, m := range w.machines {
+		for _, t := range m.held {
+			job, _, _ := wire.SplitTask(t.name)
+			j := w.jobs[job]
+			if onMachine(t.state) && !j.cancelled.IsZero() && !j.overstayed && time.Since(j.cancelled) > w.times.cancelWithin() {
+				j.overstayed = true
+				w.broke("ran_cancelled", "%s on %s (hung %v, cut %v, deaf %v)", t.name, m.name, m.hung, m.cut, m.deaf)
+			}
 		}
 	}
 }
@@ -785,7 +828,7 @@
 	used, inZone := 0.0, 0
 	zones := map[string]bool{}
 	for _, o := range w.machines {
-		if !w.noLease && time.Since(o.renewed) > 20*time.Second {
+		if !w.noLease && time.Since(o.renewed) > w.times.lease() {
 			continue // hangs beyond its lease: what it held is dead, and it will see to that before anything else
 		}
 		for _, x := range o.held {
@@ -815,7 +858,7 @@
 		j.spec.OneZone && len(zones) > 1 || j.spec.Spread && inZone > (j.spec.Tasks+1)/2 {
 		w.broke("wrong_place", "%s on %s", t.name, m.name)
 	}
-	if !j.cancelled.IsZero() && time.Since(j.cancelled) > 45*time.Second {
+	if !j.cancelled.IsZero() && time.Since(j.cancelled) > w.times.cancelWithin() {
 		w.broke("ran_cancelled", "%s started on %s", t.name, m.name)
 	}
 }
@@ -955,10 +998,18 @@
 
 func (a *simAnswer) Answer(r *httpwire.Response) { a.got <- r }
 
-// ask sends one request to a controller and waits as long as users do.
+// ask sends one request to any controller and waits as long as users do.
 func (w *world) ask(msg func(frontdoor.Request) any) *httpwire.Response {
 	w.mu.Lock()
-	ctl := w.nodes[w.rng.IntN(len(w.nodes))].ctl
+	node := w.rng.IntN(len(w.nodes))
+	w.mu.Unlock()
+	return w.askAt(node, msg)
+}
+
+// askAt sends one request to one controller.
+func (w *world) askAt(node int, msg func(frontdoor.Request) any) *httpwire.Response {
+	w.mu.Lock()
+	ctl := w.nodes[node].ctl
 	w.mu.Unlock()
 	time.Sleep(w.between(time.Millisecond, 5*time.Millisecond))
 	if ctl == nil {
