--- a/node/sim_test.go
+++ b/node/sim_test.go
@@ -496,6 +496,7 @@
 		case <-time.After(50 * time.Millisecond):
 			w.expire()
 			w.overstayed()
+			w.idle()
 		}
 	}
 }
--- a/node/standin_test.go
+++ b/node/standin_test.go
@@ -72,8 +72,20 @@
 	calm time.Time // when all troubles were over
 	tame bool      // machines come up, and rentals are answered
 
-	times   times
-	firstUp time.Duration // machines are up this soon after their rental; 0: after seconds
+	times times
+	upIn  time.Duration // machines are up within this after their rental; 0: after seconds
+
+	// What befalls transactions: shares of them.
+	lostAnswers float64       // carried out at once, only the answer is lost
+	lateWrites  float64       // no answer, and carried out seconds later, after newer ones
+	repeats     float64       // carried out once more, later
+	slow        time.Duration // how long the state service takes beside
+
+	lateCopies float64        // share of reports of which a copy comes again, up to well over a lease later
+	keepCopies bool           // all reports are kept, to come again
+	copies     []*wire.Report // those kept
+
+	seen map[string]int // what came about, for scenes to ask after
 }
 
 // times are a deployment's times that the rules depend on, and its limit on a
@@ -173,7 +185,10 @@
 	asked      bool // cancellation asked for
 	answered   time.Time
 	doneTasks  map[int]bool
-	saved      float64 // of a gang: progress at its last checkpoint (s)
+	runs       []float64 // how long each task runs (s), if not as long as estimated
+	starts     int
+	idleSince  time.Time // since when it has waited beside room for it
+	saved      float64   // of a gang: progress at its last checkpoint (s)
 }
 
 func newWorld(seed uint64, zones []string, nodes int) *world {
@@ -185,6 +200,7 @@
 		times: t,
 		rng:   rand.New(rand.NewPCG(seed, 7)), kv: map[string]*entry{}, leases: map[uint64]*simLease{}, changed: make(chan struct{}),
 		machines: map[string]*simWorker{}, requests: map[string][]string{}, capacity: map[string]int{}, gangs: map[string]*simGang{}, invalid: map[string]int{}, jobs: map[string]*simJob{}, stop: make(chan struct{}), late: 0.15,
+		lostAnswers: 0.01, lateWrites: 0.01, repeats: 0.02, lateCopies: 0.03, seen: map[string]int{},
 	}
 	var b strings.Builder
 	for i := range nodes {
@@ -292,7 +308,7 @@
 func (s *simStore) pass(ctx context.Context) error {
 	w := s.n.w
 	s.n.stand() // what it had decided goes out when it moves on, whatever the time
-	time.Sleep(w.between(time.Millisecond, 12*time.Millisecond))
+	time.Sleep(w.between(time.Millisecond, 12*time.Millisecond) + w.slow)
 	if ctx.Err() != nil && !w.chance(0.5) {
 		return fmt.Errorf("%w: %w", state.ErrUnknown, ctx.Err())
 	}
@@ -311,22 +327,26 @@
 	}
 	w := s.n.w
 	switch {
-	case w.chance(0.01): // carried out, the answer lost
+	case w.chance(w.lostAnswers): // carried out, the answer lost
 		w.mu.Lock()
-		w.apply(t)
+		if _, err := w.apply(t); err == nil {
+			w.seen["lost answers"]++
+		}
 		w.mu.Unlock()
 		time.Sleep(time.Second)
 		return 0, state.ErrUnknown
-	case w.chance(0.01): // carried out much later
+	case w.chance(w.lateWrites): // carried out much later
 		go func() {
 			time.Sleep(w.between(time.Second, 20*time.Second))
 			w.mu.Lock()
-			w.apply(t)
+			if _, err := w.apply(t); err != nil {
+				w.seen["late writes that failed"]++
+			}
 			w.mu.Unlock()
 		}()
 		time.Sleep(time.Second)
 		return 0, state.ErrUnknown
-	case w.chance(0.02): // repeated later
+	case w.chance(w.repeats): // repeated later
 		go func() {
 			time.Sleep(w.between(time.Second, 20*time.Second))
 			w.mu.Lock()
@@ -549,6 +569,9 @@
 		w.seq++
 		m := &simWorker{w: w, name: fmt.Sprintf("m-%06d", w.seq), zone: r.Zone, spot: r.Spot, kind: kind, session: 1, held: map[string]*simTask{}, born: time.Now()}
 		m.boots = time.Now().Add(time.Duration(4+w.rng.IntN(10)) * time.Second)
+		if w.upIn > 0 {
+			m.boots = time.Now().Add(time.Duration(w.rng.Int64N(int64(w.upIn))))
+		}
 		if !w.tame && w.rng.Float64() < 0.05 {
 			m.boots = m.boots.Add(time.Hour)
 		}
@@ -616,6 +639,7 @@
 	born, boots time.Time
 	gone        bool
 	hung        bool
+	mute        bool // it reaches no controller, while direct commands reach it
 	cut         bool // nothing reaches it or comes from it
 	deaf        bool // its reports arrive, answers and commands do not reach it
 	session     uint64
@@ -678,7 +702,7 @@
 		}
 		m.advance()
 		now := time.Now()
-		if m.cut || now.Before(next) && !(m.changed && now.Sub(sent) >= 500*time.Millisecond) {
+		if m.cut || m.mute || now.Before(next) && !(m.changed && now.Sub(sent) >= 500*time.Millisecond) {
 			w.mu.Unlock()
 			continue
 		}
@@ -697,9 +721,12 @@
 		a := &simAnswer{got: make(chan *httpwire.Response, 1)}
 		time.Sleep(w.between(time.Millisecond, 5*time.Millisecond))
 		ctl.self.Tell(beat{a, r})
-		if w.chance(0.03) { // a late copy of the report, to any controller
+		if w.keepCopies {
+			w.do(func() { w.copies = append(w.copies, r) })
+		}
+		if w.chance(w.lateCopies) { // a late copy of the report, to any controller
 			go func() {
-				time.Sleep(w.between(time.Second, 60*time.Second))
+				time.Sleep(w.between(time.Second, 3*w.times.lease()))
 				w.mu.Lock()
 				to := w.nodes[w.rng.IntN(len(w.nodes))].ctl
 				if w.freshCopies {
@@ -707,7 +734,7 @@
 				}
 				w.mu.Unlock()
 				if to != nil {
-					to.self.Tell(beat{&simAnswer{got: make(chan *httpwire.Response, 1)}, r})
+					w.copy(to, r)
 				}
 			}()
 		}
@@ -732,7 +759,7 @@
 				m.renewed = now
 				n.answered = now
 				m.taken = r.Seq
-				m.execute(rep.Commands)
+				m.execute(rep.Commands, true)
 			}
 		case resp != nil && resp.Status == 421 && !m.deaf:
 			var red wire.Redirect
@@ -789,7 +816,10 @@
 				continue
 			}
 			if !j.spec.IsService() {
-				t.next = now.Add(time.Duration(j.spec.EstimateS * float64(time.Second)))
+				t.next = now.Add(settings.Seconds(j.spec.EstimateS))
+				if i < len(j.runs) {
+					t.next = now.Add(settings.Seconds(j.runs[i]))
+				}
 				if j.doneTasks[i] {
 					t.next = now
 				}
@@ -803,6 +833,51 @@
 	}
 }
 
+// idle sees to it that, once all troubles are over, no job waits for 90 s while a
+// machine that fits has room and its team is under its limit.
+func (w *world) idle() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.calm.IsZero() {
+		return
+	}
+	here := map[string]int{}
+	used := map[string]float64{}
+	free := map[*simWorker]float64{}
+	for _, m := range w.machines {
+		if time.Now().Before(m.boots) || m.hung || m.cut || m.deaf || m.mute {
+			continue
+		}
+		free[m] = simTypes[0].CPUs
+		for _, x := range m.held {
+			if id, _, _ := wire.SplitTask(x.name); x.state != wire.TaskExited {
+				here[id]++
+				used[w.jobs[id].spec.Team] += w.jobs[id].spec.CPUs
+				free[m] -= w.jobs[id].spec.CPUs
+			}
+		}
+	}
+	for id, j := range w.jobs {
+		s := &j.spec
+		fits := s.Team != "tight" || used["tight"]+s.CPUs <= 10
+		if fits {
+			fits = false
+			for m, f := range free {
+				fits = fits || f >= s.CPUs && (s.Spot || !m.spot) && (s.Zone == "" || s.Zone == m.zone)
+			}
+		}
+		// One that is bound to its other tasks may fit nowhere else for a reason.
+		if !fits || here[id] > 0 || !j.accepted || j.asked || len(j.doneTasks) >= s.Tasks || s.Whole() {
+			j.idleSince = time.Time{}
+		} else if j.idleSince.IsZero() {
+			j.idleSince = time.Now()
+		} else if time.Since(j.idleSince) > 90*time.Second {
+			w.broke("waits", "%s waits beside room", id)
+			j.idleSince = time.Time{}
+		}
+	}
+}
+
 // overstayed sees to it that no task of a cancelled job is on any machine past its
 // time, whether the machine runs, hangs or cannot be reached: a task is there until
 // it exits, is killed or the machine is gone.
@@ -824,6 +899,10 @@
 // started checks the rules on a task that starts. The caller holds the lock.
 func (w *world) started(m *simWorker, t *simTask, j *simJob) {
 	w.starts++
+	j.starts++
+	if !j.cancelled.IsZero() {
+		w.seen["starts after a confirmed cancellation"]++
+	}
 	slog.Debug("stand-in: task starts", "task", t.name, "attempt", t.attempt, "machine", m.name, "session", m.session, "token", m.token)
 	used, inZone := 0.0, 0
 	zones := map[string]bool{}
@@ -864,7 +943,7 @@
 }
 
 // execute carries out commands. The caller holds the lock.
-func (m *simWorker) execute(cmds []wire.Command) {
+func (m *simWorker) execute(cmds []wire.Command, inAnswer bool) {
 	for _, c := range cmds {
 		key := fmt.Sprintf("%s#%d", c.Task, c.Attempt)
 		t := m.held[key]
@@ -873,6 +952,13 @@
 			if t != nil {
 				continue
 			}
+			if id, _, _ := wire.SplitTask(c.Task); inAnswer {
+				// An answer is never carried out late, so whoever gave it decided the
+				// start within its authority and without knowing of the cancellation.
+				if j := m.w.jobs[id]; !j.cancelled.IsZero() && time.Since(j.cancelled) > 4*time.Second {
+					m.w.broke("started_cancelled", "%s on %s", c.Task, m.name)
+				}
+			}
 			t = &simTask{name: c.Task, attempt: c.Attempt, state: wire.TaskFetching}
 			m.held[key] = t
 			m.changed = true
@@ -937,7 +1023,9 @@
 		if w.chance(w.late) { // held back: the sender gives up, the command arrives all the same
 			go func() {
 				time.Sleep(w.between(time.Second, 30*time.Second))
-				c.deliver(addr, req)
+				if c.deliver(addr, req).Executed {
+					w.do(func() { w.seen["commands carried out late"]++ })
+				}
 			}()
 			time.Sleep(2 * time.Second)
 			done(worker.Result{Err: fmt.Errorf("no answer")})
@@ -988,7 +1076,7 @@
 		m.changed = true
 	}
 	m.token = max(m.token, req.Token)
-	m.execute(req.Commands)
+	m.execute(req.Commands, false)
 	return worker.Result{Executed: true, Report: m.report()}
 }
 
@@ -1145,6 +1233,12 @@
 	return m
 }
 
+// copy lets a copy of a report come to a controller.
+func (w *world) copy(to *Controller, r *wire.Report) {
+	w.do(func() { w.seen["copies"]++ })
+	to.self.Tell(beat{&simAnswer{got: make(chan *httpwire.Response, 1)}, r})
+}
+
 // restart is a worker's process that is back at once: it holds nothing of what
 // it held, under a new session. The caller holds the lock.
 func (m *simWorker) restart() {
