A service or gang that scatter forbids to run anywhere is refused

Cause: a service of two tasks bound to a zone, with scatter, was accepted and could never run: half of its tasks may be in a zone, and all run at the same time. Found by TestOddRequests, which sends jobs that lack each required field, and such that can never run, to every controller while controllers end and the state service is slow or away. Arrays are not touched: their tasks may follow one another.

--- a/frontdoor/frontdoor.go
+++ b/frontdoor/frontdoor.go
@@ -501,15 +501,32 @@
 	if s.OneZone && s.Spread && s.Tasks > 1 {
 		return "one_zone and scatter exclude each other"
 	}
+	zones := map[string]bool{} // where a task may run
 	for _, mt := range d.types {
-		if len(s.Types) > 0 && !slices.Contains(s.Types, mt.Name) || s.Zone != "" && !slices.Contains(mt.Zones, s.Zone) {
+		if len(s.Types) > 0 && !slices.Contains(s.Types, mt.Name) {
 			continue
 		}
 		if s.CPUs <= mt.CPUs && s.GPUs <= mt.GPUs && s.MemoryGB <= mt.MemoryGB {
-			return ""
+			in := mt.Zones
+			if len(in) == 0 {
+				in = d.set.Params.Zones // it is not said where
+			}
+			for _, z := range in {
+				if s.Zone == "" || s.Zone == z {
+					zones[z] = true
+				}
+			}
 		}
 	}
-	return "a task fits no allowed machine type"
+	switch {
+	case len(zones) == 0:
+		return "a task fits no allowed machine type"
+	case s.Whole() && s.Spread && s.Tasks > 1 && len(zones) == 1:
+		// Half of its tasks may be in a zone, and all run at the same time. Of an
+		// array the rest may follow.
+		return "all tasks would be in one zone, and scatter forbids it"
+	}
+	return ""
 }
 
 func (d *Door) cancel(ctx context.Context, m Cancel) {
