Front: the look for idle connections runs on the event loop, not beside it

Cause: gnet calls OnTick on a goroutine of its own. It walked the map of connections while the event loop opened and closed some, and Go ends a process for that: "concurrent map iteration and map write".

Now the ticker asks the event loop to look; the loop tells the ticker of itself with the first connection, by message, and owns the map alone.

Ruled out: a lock on the map (the sessions' other fields are the loop's, too).

Test: connections come and go while idle ones are looked for.

--- a/server/server.go
+++ b/server/server.go
@@ -3,6 +3,7 @@
 package server
 
 import (
+	"context"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -59,11 +60,16 @@
 	addr    string
 	maxConn int
 	spare   time.Duration // a connection that idles longer may be closed for another
+	tick    time.Duration // between two looks for idle connections
 	handle  Handler
 	eng     gnet.Engine
 	conns   map[gnet.Conn]*session // owned by the event loop
 	crowded atomic.Bool            // nearly all sockets are in use: answers end their connections
 	ready   chan struct{}
+
+	opened bool                // the event loop has told the ticker of itself
+	toTick chan gnet.EventLoop // it does so once, with the first connection
+	loop   gnet.EventLoop      // owned by the ticker's goroutine
 }
 
 // session is the event loop's record of one connection.
@@ -74,7 +80,8 @@
 
 // New makes a server for addr with at most maxConn open connections.
 func New(addr string, maxConn int, h Handler) *Server {
-	return &Server{addr: addr, maxConn: maxConn, spare: constants.ServerSpare, handle: h, conns: map[gnet.Conn]*session{}, ready: make(chan struct{})}
+	return &Server{addr: addr, maxConn: maxConn, spare: constants.ServerSpare, tick: constants.ServerTick, handle: h,
+		conns: map[gnet.Conn]*session{}, ready: make(chan struct{}), toTick: make(chan gnet.EventLoop, 1)}
 }
 
 // Run serves until the process ends or listening fails.
@@ -100,6 +107,10 @@
 
 // OnOpen implements gnet.EventHandler.
 func (s *Server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	if !s.opened {
+		s.opened = true
+		s.toTick <- c.EventLoop()
+	}
 	if len(s.conns) >= s.maxConn && !s.makeRoom() {
 		return nil, gnet.Close
 	}
@@ -141,10 +152,27 @@
 // count notes whether sockets are running out.
 func (s *Server) count() { s.crowded.Store(len(s.conns) > s.maxConn*constants.ServerCrowded/8+1) }
 
-// OnTick closes connections that idle or trickle too long, so that slow or
-// forgotten clients cannot hold all sockets.
+// OnTick implements gnet.EventHandler. It runs on a goroutine of its own, beside
+// the event loop that owns the connections, so it only asks that loop to look:
+// a look from here, while connections come and go, would end the process.
 func (s *Server) OnTick() (time.Duration, gnet.Action) {
-	now := time.Now()
+	if s.loop == nil {
+		select {
+		case s.loop = <-s.toTick:
+		default:
+			return s.tick, gnet.None // no connection has come yet
+		}
+	}
+	look := func(context.Context) error { s.closeIdle(time.Now()); return nil }
+	if err := s.loop.Execute(context.Background(), gnet.RunnableFunc(look)); err != nil {
+		slog.Debug("looking for idle connections", "err", err)
+	}
+	return s.tick, gnet.None
+}
+
+// closeIdle closes connections that idle or trickle too long, so that slow or
+// forgotten clients cannot hold all sockets. It runs on the event loop.
+func (s *Server) closeIdle(now time.Time) {
 	for c, ses := range s.conns {
 		limit := constants.ServerIdle
 		if c.InboundBuffered() > 0 {
@@ -156,7 +184,6 @@
 			}
 		}
 	}
-	return constants.ServerTick, gnet.None
 }
 
 // OnTraffic implements gnet.EventHandler. Requests of one connection are
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,6 +16,10 @@
 func start(t *testing.T, maxConn int) string { return startSparing(t, maxConn, time.Hour) }
 
 func startSparing(t *testing.T, maxConn int, spare time.Duration) string {
+	return startTicking(t, maxConn, spare, time.Second)
+}
+
+func startTicking(t *testing.T, maxConn int, spare, tick time.Duration) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -25,7 +30,7 @@
 	s := New(addr, maxConn, func(r *Request) {
 		go r.Answer(&httpwire.Response{Status: 200, Body: []byte(r.Method + " " + r.Target)})
 	})
-	s.spare = spare
+	s.spare, s.tick = spare, tick
 	go func() {
 		if err := s.Run(); err != nil {
 			t.Error(err)
@@ -199,3 +204,32 @@
 		t.Fatal("with 18 in use again a connection is ended")
 	}
 }
+
+// The look for idle connections and connections that come and go do not meet: on
+// real processors the process ended by itself when a fleet's workers went from one
+// controller to another within the second.
+func TestLooksForIdleConnectionsWhileOthersComeAndGo(t *testing.T) {
+	addr := startTicking(t, 5000, time.Hour, 100*time.Microsecond)
+	for range 300 {
+		dial(t, addr)
+	}
+	var done sync.WaitGroup
+	for range 4 {
+		done.Go(func() {
+			for range 300 {
+				c, err := net.Dial("tcp4", addr)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				c.Close()
+			}
+		})
+	}
+	done.Wait()
+	c, in := dial(t, addr)
+	if _, err := c.Write([]byte("GET /still HTTP/1.1\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	expect(t, in, "200", "GET /still")
+}
