An owner asks ten times a second, not fifty, whether its part is cut off

Cause: the question looks at the whole fleet and was asked in every step: about a third of a settled second's steps (benchmark, profile). Now it is asked every SlowStep, like all other looks at the whole fleet; what it brings about waits for seconds of silence, so 100 ms more do no harm.

--- a/node/actors.go
+++ b/node/actors.go
@@ -198,6 +198,7 @@
 	pace     pace
 	pushAt   time.Time
 	countAt  time.Time
+	censusAt time.Time // when it was last asked whether the part is cut off
 	listAt   time.Time
 	listing  bool
 	listed   int  // machines on the last list
@@ -324,8 +325,11 @@
 		}
 		a.control.Tell(st)
 	}
-	if silent, seen := a.core.CutOff(now); silent {
-		a.control.Tell(cutOff{a.part, seen})
+	if now.Sub(a.censusAt) >= constants.SlowStep { // it looks at the whole fleet
+		a.censusAt = now
+		if silent, seen := a.core.CutOff(now); silent {
+			a.control.Tell(cutOff{a.part, seen})
+		}
 	}
 	every := constants.CloudListEvery
 	if !a.core.Dark() { // the list tells whether its machines are cut off or gone
