Done tasks that wait for their chunk raise a machine's token once, not ever again

Cause: an owner sends a machine a higher token when four exited attempts cannot be forgotten under the present one. It counted those, too, that no token holds back any more and that only wait for their chunk to be closed: so every answer carried a new token, until the record was written (seconds, and longer under the state service's allowance). A new token is a change that a worker reports at once, once in half a lease.

Now only attempts count whose forgetting the token does hold back. When the token is first raised has not changed, nor has what may be forgotten.

Test: ten reports of a machine with four such tasks raised the token ten times before, and raise it once now.

--- a/part/report.go
+++ b/part/report.go
@@ -37,13 +37,29 @@
 	if c.usable(now, m) && !c.fill(now, m) || m.forGangs && c.freed {
 		c.dirty = true
 	}
-	if (m.lost || c.sumsOf(m).exited >= constants.ExitedRaise) && m.token == c.token(m) {
+	if (m.lost || c.heldBack(m) >= constants.ExitedRaise) && m.token == c.token(m) {
 		m.epoch++ // once the machine shows the new token they can be forgotten
 	}
 	reply = wire.ReportReply{Token: c.token(m), Commands: c.orders(now, m, true)}
 	return reply, true
 }
 
+// heldBack is how many exited attempts the machine's token keeps from being
+// forgotten. Those that it does not, but that wait for their chunk to be closed,
+// would have every answer carry a higher token, which a machine reports at once.
+func (c *Core) heldBack(m *machine) int {
+	if c.sumsOf(m).exited < constants.ExitedRaise {
+		return 0
+	}
+	n := 0
+	for _, h := range m.holds {
+		if h.exited() && h.direct && h.directed >= m.token {
+			n++
+		}
+	}
+	return n
+}
+
 // outranked stops the owner for good once a machine has seen a later term.
 func (c *Core) outranked(r *wire.Report) {
 	if r.Token>>constants.EpochBits <= c.term {
--- a/part/scale_test.go
+++ b/part/scale_test.go
@@ -531,3 +531,34 @@
 		t.Fatalf("%g allocations in a round of 200 jobs", n)
 	}
 }
+
+// A machine whose done tasks wait for their chunk to be closed is sent a higher
+// token once, not with every answer: each new one makes it report at once.
+func TestDoneTasksRaiseTheTokenOnce(t *testing.T) {
+	r := newRig(nil)
+	r.up("m-0")
+	r.submit(array("run-1", 40, "a"))
+	r.wait(20 * time.Millisecond) // four are started, by a direct command
+	m := r.machines["m-0"]
+	seq, was, raised := uint64(2), m.epoch, uint64(0)
+	for range 10 {
+		r.now = r.now.Add(500 * time.Millisecond)
+		seq++
+		rep := report("m-0", 1, seq, r.shown("m-0"))
+		for _, h := range m.holds {
+			if h.direct {
+				rep.Tasks = append(rep.Tasks, wire.TaskStatus{Task: h.key.task, Attempt: h.key.attempt, State: wire.TaskExited, Cause: wire.CauseDone})
+			}
+		}
+		if len(rep.Tasks) != constants.ExitedRaise {
+			t.Fatalf("%d tasks sent by a direct command", len(rep.Tasks))
+		}
+		if _, ok := r.Report(r.now, rep); !ok {
+			t.Fatal("refused")
+		}
+		raised = m.epoch - was
+	}
+	if raised != 1 {
+		t.Fatalf("the token was raised %d times", raised)
+	}
+}
