--- a/httpwire/parser_test.go
+++ b/httpwire/parser_test.go
@@ -121,3 +121,20 @@
 		}
 	}
 }
+
+// A report's request is read, and its answer written, with few allocations.
+func TestRequestsTakeFewAllocations(t *testing.T) {
+	body := bytes.Repeat([]byte("x"), 600)
+	buf := AppendRequest(nil, "POST", "/agent/beat", "10.0.0.1:80", body)
+	out := make([]byte, 0, 1024)
+	n := testing.AllocsPerRun(100, func() {
+		m, used, err := ParseRequest(buf, Limits{Header: 8192, Body: 65536})
+		if err != nil || used != len(buf) || len(m.Body) != len(body) {
+			t.Fatal(used, err)
+		}
+		out = AppendResponse(out[:0], &Response{Status: 200, Body: body})
+	})
+	if n > 3 {
+		t.Fatalf("%g allocations", n)
+	}
+}
--- a/part/scale_test.go
+++ b/part/scale_test.go
@@ -562,3 +562,25 @@
 		t.Fatalf("the token was raised %d times", raised)
 	}
 }
+
+// A report that changes nothing allocates nothing: an owner of a lean deployment
+// takes in a hundred of them a second.
+func TestQuietReportAllocatesNothing(t *testing.T) {
+	r := settled(50)
+	rep := report("m-00000", 1, 1000, r.shown("m-00000"))
+	for _, h := range r.machines["m-00000"].holds {
+		rep.Tasks = append(rep.Tasks, wire.TaskStatus{Task: h.key.task, Attempt: h.key.attempt, State: wire.TaskRunning})
+	}
+	if len(rep.Tasks) == 0 {
+		t.Fatal("nothing runs")
+	}
+	n := testing.AllocsPerRun(100, func() {
+		rep.Seq++
+		if _, ok := r.Report(r.now, rep); !ok {
+			t.Fatal("refused")
+		}
+	})
+	if n > 0 {
+		t.Fatalf("%g allocations", n)
+	}
+}
