The leader ranks only jobs of which an assignment may be under way

Cause: as many assignments as may be are under way for seconds after a cold start and in a burst.

What is assigned is the same.

Test: such a step allocates next to nothing, however many wait.

--- a/leader/core.go
+++ b/leader/core.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -306,12 +307,20 @@
 	}
 	q := make([]*jobState, 0, len(c.waiting))
 	for _, j := range c.waiting {
-		if !j.busy && !now.Before(j.notAt) {
+		if !j.busy && !now.Before(j.notAt) && c.mayFly(j) {
 			q = append(q, j)
 			j.place = c.order.Place(now, j.rec, c.guaranteed(&j.rec.Spec) > 0, len(j.rec.Chunks) > 0)
 		}
 	}
-	sort.Slice(q, func(a, b int) bool { return q[a].place.Before(q[b].place) })
+	slices.SortFunc(q, func(a, b *jobState) int {
+		switch {
+		case a == b:
+			return 0
+		case a.place.Before(b.place):
+			return -1
+		}
+		return 1
+	})
 	began := time.Now()
 	start := 0
 	if c.resume != nil {
@@ -325,10 +334,7 @@
 		if held[q[i].rec.Spec.Team] {
 			continue
 		}
-		// Those that come first go first once some have been written. The urgent
-		// are few at once: each is repeated until it is written, and hundreds at a
-		// cold start took the state service's requests from everything else.
-		if urgent := q[i].rec.Spec.Whole(); urgent && c.urgent >= constants.MaxUrgent || !urgent && c.flying >= constants.MaxAssignments {
+		if !c.mayFly(q[i]) {
 			continue
 		}
 		if cm, ok := c.assign(now, q[i]); ok {
@@ -345,6 +351,17 @@
 	return out
 }
 
+// mayFly says whether one more assignment of a job's kind may be under way: those
+// that come first go first once some have been written. The urgent are few at once:
+// each is repeated until it is written, and hundreds at a cold start took the state
+// service's requests from everything else.
+func (c *Core) mayFly(j *jobState) bool {
+	if j.rec.Spec.Whole() {
+		return c.urgent < constants.MaxUrgent
+	}
+	return c.flying < constants.MaxAssignments
+}
+
 // collects says whether a job that its team's limit keeps waiting holds back
 // the team's others, so that room comes together for it: a large service is
 // admitted whole, and small ones would take every bit that falls free. It does
--- /dev/null
+++ b/leader/scale_test.go
@@ -0,0 +1,58 @@
+package leader
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// backlog is a leader with many jobs in no part, of which all that may be under way
+// is under way: so it is for a while after a cold start and in a burst.
+func backlog(jobs int) (*Core, time.Time) {
+	now := time.Unix(1000, 0)
+	recs, versions := map[string]*state.Job{}, map[string]uint64{}
+	for i := range jobs {
+		s := wire.Submission{ID: fmt.Sprintf("run-%04d", i), Class: "c", Team: "free", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: 80, CPUs: 4, MemoryGB: 12, EstimateS: float64(10 + i%20), Spot: true}
+		if i%3 == 0 {
+			s.Kind, s.Priority, s.Tasks, s.Spread, s.Spot = wire.KindService, wire.PriorityProduction, 8, true, false
+		}
+		recs[s.ID], versions[s.ID] = &state.Job{ID: s.ID, Spec: s, AcceptedMS: now.UnixMilli() - int64(i)*100}, uint64(10+i)
+	}
+	c := New(facts(), 5, now, recs, versions)
+	c.SetAuthority(now.Add(time.Hour))
+	for _, p := range []string{"a", "b", "c"} {
+		c.Pushed(now, figures(p, 1, 6400, 400))
+	}
+	c.Step(now)
+	return c, now
+}
+
+func BenchmarkBacklogStep(b *testing.B) {
+	c, now := backlog(600)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(10 * time.Millisecond)
+		c.Step(now)
+	}
+}
+
+// While all that may be under way is under way, a step costs no more than a look at
+// what waits: it allocates nothing for a job.
+func TestBacklogStepAllocatesLittle(t *testing.T) {
+	c, now := backlog(600)
+	if c.urgent == 0 || c.flying == 0 {
+		t.Fatal("nothing is under way")
+	}
+	n := testing.AllocsPerRun(50, func() {
+		now = now.Add(10 * time.Millisecond)
+		if len(c.Step(now)) > 0 {
+			t.Fatal("something more was assigned")
+		}
+	})
+	if n > 3 {
+		t.Fatalf("%g allocations", n)
+	}
+}
