--- a/node/scene_test.go
+++ b/node/scene_test.go
@@ -64,6 +64,7 @@
 func (s scene) run(t *testing.T, seed uint64, unguard func(*world)) []string {
 	w := newWorldOf(seed, s.zones, 3, s.times)
 	w.late, w.tame = 0, true
+	w.lostAnswers, w.lateWrites, w.repeats = 0, 0, 0 // but where a scene is about them
 	for k := range w.capacity {
 		w.capacity[k] = 6
 	}
