Done tasks of a team at its limit are closed without waiting for their chunk

Cause: while a chunk is open, all its tasks count within their team's limit. One that runs on held back the team's other jobs, beside room, until it ended. Ruled out: the owners (their tasks did not wait), the cloud (machines had room).

The leader tells owners, with what it foretells, which teams' limits keep jobs waiting; their done tasks are closed by themselves, at most once in CloseWait a job, while the record stays within half of what a value may be.

--- a/leader/core.go
+++ b/leader/core.go
@@ -145,7 +145,8 @@
 	resume    *Place                // where the last round stopped
 	reserved  map[string][2]float64 // by job: CPUs and GPUs of assignments under way
 	began     time.Time
-	limited   bool // the last job was kept waiting by its team's limit
+	limited   bool                 // the last job was kept waiting by its team's limit
+	heldAt    map[string]time.Time // by team: when its limit last kept a job waiting
 }
 
 // Commit is a changed record to be written.
@@ -158,7 +159,7 @@
 
 // New makes the core at the moment when the feed showed the claim.
 func New(set *settings.Settings, termVersion uint64, now time.Time, jobs map[string]*state.Job, versions map[string]uint64) *Core {
-	c := &Core{set: set, sizes: set.Sizes(), order: NewOrder(set.Params.Objectives), termVer: termVersion, began: now, parts: map[string]*partState{}, jobs: map[string]*jobState{}, waiting: map[string]*jobState{}, use: map[string][2]float64{}, reserved: map[string][2]float64{}}
+	c := &Core{set: set, sizes: set.Sizes(), order: NewOrder(set.Params.Objectives), termVer: termVersion, began: now, parts: map[string]*partState{}, jobs: map[string]*jobState{}, waiting: map[string]*jobState{}, use: map[string][2]float64{}, reserved: map[string][2]float64{}, heldAt: map[string]time.Time{}}
 	for _, z := range set.Params.Zones {
 		c.parts[z] = &partState{}
 	}
@@ -339,8 +340,11 @@
 		}
 		if cm, ok := c.assign(now, q[i]); ok {
 			out = append(out, cm)
-		} else if c.limited && c.collects(now, q[i].rec) {
-			held[q[i].rec.Spec.Team] = true
+		} else if c.limited {
+			c.heldAt[q[i].rec.Spec.Team] = now
+			if c.collects(now, q[i].rec) {
+				held[q[i].rec.Spec.Team] = true
+			}
 		}
 		if i+1 < len(q) && time.Since(began) > constants.LeaderBudget {
 			p := q[i].place
@@ -513,6 +517,9 @@
 	Revision uint64  `json:"rev"`  // chunks written later are part of it
 	Spot     float64 `json:"spot"` // CPUs that may go to spot machines
 	Ordinary float64 `json:"ord"`  // CPUs that may not
+	// Held names teams whose limit keeps jobs waiting: what of theirs is done is
+	// recorded without waiting for the rest of its chunk.
+	Held []string `json:"held,omitempty"`
 }
 
 // Forecast tells each part its share of what is in no chunk yet, so that it can
@@ -546,13 +553,21 @@
 			ordinary += cpus
 		}
 	}
-	if spot+ordinary == 0 && len(by) == 0 {
+	var held []string
+	for team, at := range c.heldAt {
+		if now.Sub(at) < constants.ForecastLife {
+			held = append(held, team)
+		} else {
+			delete(c.heldAt, team)
+		}
+	}
+	if spot+ordinary == 0 && len(by) == 0 && len(held) == 0 {
 		return nil
 	}
 	out := map[string]Forecast{}
 	parts := float64(len(c.parts))
 	for z := range c.parts {
-		out[z] = Forecast{Revision: revision, Spot: spot/parts + by[z][0], Ordinary: ordinary/parts + by[z][1]}
+		out[z] = Forecast{Revision: revision, Spot: spot/parts + by[z][0], Ordinary: ordinary/parts + by[z][1], Held: held}
 	}
 	return out
 }
--- a/part/chunks.go
+++ b/part/chunks.go
@@ -30,6 +30,7 @@
 // of the record for each would cost more than all else.
 func (c *Core) closeJob(now time.Time, id string, j *job) {
 	over, open, leaving := false, false, false
+	held, some := c.held(now, j), false // some: of an open chunk
 	for i := range j.rec.Chunks {
 		ch := &j.rec.Chunks[i]
 		if ch.Part != c.cfg.Part || ch.Closed {
@@ -39,6 +40,9 @@
 			over = true
 		} else {
 			open = true
+			for k := ch.From; held && !some && k < ch.To; k++ {
+				some = c.taskOver(j, k)
+			}
 		}
 	}
 	if j.rec.End == "" {
@@ -46,10 +50,10 @@
 			leaving = leaving || t.leaving
 		}
 	}
-	if !over && !leaving {
+	if !over && !leaving && !some {
 		return
 	}
-	if over && open && !leaving && j.rec.End == "" {
+	if (over || some) && open && !leaving && j.rec.End == "" {
 		if j.closeAt.IsZero() {
 			j.closeAt = now.Add(constants.CloseWait)
 		}
@@ -66,6 +70,9 @@
 			ch.Closed = true
 		}
 	}
+	if some && !c.closeDone(j, rec) && !over && !leaving {
+		return
+	}
 	closed := rec
 	if leaving {
 		closed = rec.Clone()
@@ -121,6 +128,38 @@
 	return true
 }
 
+// taskOver says whether a task is done and on no machine.
+func (c *Core) taskOver(j *job, k int) bool {
+	t := j.tasks[k]
+	return t != nil && t.done && !c.somewhere(j.rec.ID, k)
+}
+
+// closeDone closes the done tasks of open chunks here by themselves, unless the
+// record would take too much room in so many pieces: then it returns false. While a chunk is open, all its
+// tasks count within their team's limit: one that runs on would hold back others.
+func (c *Core) closeDone(j *job, rec *state.Job) bool {
+	whole := rec.Chunks
+	var split []state.Chunk
+	for _, ch := range whole {
+		if ch.Part != c.cfg.Part || ch.Closed {
+			split = append(split, ch)
+			continue
+		}
+		for k := ch.From; k < ch.To; k++ {
+			piece := ch
+			piece.From, piece.To, piece.Closed = k, k+1, c.taskOver(j, k)
+			split = append(split, piece)
+		}
+	}
+	rec.Chunks = split
+	rec.Normalize()
+	if len(state.Encode(rec)) > c.cfg.Sizes.Next/2 {
+		rec.Chunks = whole
+		return false
+	}
+	return true
+}
+
 // cutOut takes one task out of its chunk.
 func cutOut(rec *state.Job, index int) {
 	for i := range rec.Chunks {
--- a/part/core.go
+++ b/part/core.go
@@ -79,6 +79,7 @@
 	pushDirty    bool
 	lastPlace    time.Time
 	lastRent     time.Time
+	heldAt       time.Time // when jobs of teams at their limit were last looked at for done tasks
 	overdueAt    time.Time // when tasks were last sent back for having waited too long
 	rentedAt     time.Time // when the cloud was last asked for machines
 	returnedAt   time.Time // when idle machines were last returned
--- a/part/rent.go
+++ b/part/rent.go
@@ -212,6 +212,20 @@
 		}
 	}
 	c.since = kept
+	if len(f.Held) > 0 && now.Sub(c.heldAt) >= constants.CloseWait {
+		c.heldAt = now
+		for _, j := range c.jobs {
+			if c.held(now, j) {
+				c.check(j)
+			}
+		}
+	}
+}
+
+// held says whether the done tasks of a job keep others of its team waiting for
+// their limit, as the leader has it.
+func (c *Core) held(now time.Time, j *job) bool {
+	return j.gang == nil && j.rec.End == "" && now.Sub(c.forecastAt) <= constants.ForecastLife && slices.Contains(c.forecast.Held, j.rec.Spec.Team)
 }
 
 // foreseen is how much work (CPUs) is still to come of what the leader foretold,
