--- a/node/meetings_test.go
+++ b/node/meetings_test.go
@@ -277,6 +277,15 @@
 	}
 }
 
+// hang lets machines hang, or go on.
+func (w *world) hang(ms []*simWorker, hung bool) {
+	w.do(func() {
+		for _, m := range ms {
+			m.hung = hung
+		}
+	})
+}
+
 // hangs is a scene in which machines hang and, at that moment, jobs on them are
 // cancelled; something more befalls the deployment then.
 func hangs(more func(*testing.T, *world, []*simWorker)) func(*testing.T, *world) {
@@ -286,11 +295,7 @@
 		for _, j := range b.long[:2] {
 			hung = append(hung, w.on(j.spec.ID)...)
 		}
-		w.do(func() {
-			for _, m := range hung {
-				m.hung = true
-			}
-		})
+		w.hang(hung, true)
 		for _, j := range b.long[:2] {
 			w.cancelSoon(t, j, 20*time.Second)
 		}
@@ -367,19 +372,11 @@
 				b := w.work(t, 100)
 				held := w.begun(b.tight)
 				hung := w.on(held[0].spec.ID)
-				w.do(func() {
-					for _, m := range hung {
-						m.hung = true
-					}
-				})
+				w.hang(hung, true)
 				w.cancelSoon(t, held[0], 20*time.Second)
 				w.newTerm(t, state.KeyLeader, func() { leader(w).restart(3 * time.Second) })
 				time.Sleep(w.times.lease() / 3)
-				w.do(func() {
-					for _, m := range hung {
-						m.hung = false
-					}
-				})
+				w.hang(hung, false)
 				w.settle(t, 8*time.Minute, b.finishes)
 			}},
 		{name: "a leader cut from state service and controllers, not from workers and users",
--- a/part/scale_test.go
+++ b/part/scale_test.go
@@ -273,12 +273,11 @@
 	}
 }
 
-// BenchmarkCrowdedRound is a whole round with everything full and thousands of
-// tasks waiting.
-func BenchmarkCrowdedRound(b *testing.B) {
+// crowded is an owner whose machines are full, with thousands of tasks waiting.
+func crowded(machines int) *rig {
 	r := newRig(nil)
 	r.budget = time.Hour
-	r.fleet(1000)
+	r.fleet(machines)
 	for i := range 200 {
 		j := array(fmt.Sprintf("run-%d", i), 50, "a")
 		j.Spec.CPUs = 2 + float64(i%7)/8
@@ -287,6 +286,13 @@
 	for range 50 {
 		r.wait(20 * time.Millisecond)
 	}
+	return r
+}
+
+// BenchmarkCrowdedRound is a whole round with everything full and thousands of
+// tasks waiting.
+func BenchmarkCrowdedRound(b *testing.B) {
+	r := crowded(1000)
 	b.ReportAllocs()
 	for b.Loop() {
 		r.dirty = true
@@ -511,17 +517,7 @@
 // A round in which everything is full, with hundreds of jobs waiting, allocates by
 // the job and not by the task or the machine.
 func TestCrowdedRoundAllocatesLittle(t *testing.T) {
-	r := newRig(nil)
-	r.budget = time.Hour
-	r.fleet(400)
-	for i := range 200 {
-		j := array(fmt.Sprintf("run-%d", i), 50, "a")
-		j.Spec.CPUs = 2 + float64(i%7)/8
-		r.submit(j)
-	}
-	for range 50 {
-		r.wait(20 * time.Millisecond)
-	}
+	r := crowded(400)
 	n := testing.AllocsPerRun(50, func() {
 		r.dirty = true
 		r.wait(20 * time.Millisecond)
