--- /dev/null
+++ b/internal/loopback/loopback_test.go
@@ -0,0 +1,331 @@
+// Package loopback measures three real controllers on this machine's loopback
+// interface: what processor time and memory they take for a fleet of workers, by
+// kind of work. State service, cloud, workers and users are stand-ins. It holds
+// benchmarks alone, which the tests do not run:
+//
+//	go test ./internal/loopback -run '^$' -bench . -benchtime 1x -timeout 20m
+package loopback
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ravenport/httpwire"
+	"ravenport/server"
+	"ravenport/wire"
+)
+
+// deployment is what is measured.
+type deployment struct {
+	zones    []string
+	machines int
+	cpu      float64 // share of a core, as the settings say; it is not enforced here
+	memoryMB float64
+	period   time.Duration // between two reports of a machine
+	leaseS   float64
+	cancelS  float64
+	writeRPS float64
+	arrays   int           // jobs at the start
+	tasks    int           // of each
+	every    time.Duration // between two more of them
+	runs     time.Duration // how long each task runs
+	services int           // jobs at the start
+	replicas int           // of each
+}
+
+// The sizes of fleets for which the smallest controllers are meant.
+var (
+	manyReports  = deployment{[]string{"a", "b", "c"}, 1200, 0.09, 147, 5 * time.Second, 26, 56, 20, 50, 80, 1200 * time.Millisecond, 20 * time.Second, 200, 6}
+	manyMachines = deployment{[]string{"a", "b"}, 1900, 0.072, 212, 8 * time.Second, 36, 61, 80, 107, 25, 1200 * time.Millisecond, 60 * time.Second, 400, 7}
+)
+
+// Addresses of the stand-ins and controllers.
+const (
+	storeAddr    = "127.0.0.1:23790"
+	cloudAddr    = "127.0.0.1:23791"
+	frontAddress = "127.0.0.1:2380%d"
+	peerAddress  = "127.0.0.1:2381%d"
+)
+
+// fleet is the world around the controllers.
+type fleet struct {
+	deployment
+	controllers []*controller
+	store       *store
+	cloud       *cloud
+
+	reports, answered, commands, starts, polls atomic.Int64
+
+	mu      sync.Mutex
+	runTime map[string]time.Duration // by job; absent: it runs until stopped
+	clients map[string]*httpwire.Client
+	jobSeq  int
+}
+
+// controller is one real process.
+type controller struct {
+	name, front, settings string
+	process               *exec.Cmd
+	spent                 time.Duration // by its earlier processes
+}
+
+func (f *fleet) index(name string) int {
+	for i, c := range f.controllers {
+		if c.name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// client is a machine's connection to a controller.
+func (f *fleet) client(m *machine, node int) *httpwire.Client {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	key := m.name + "/" + strconv.Itoa(node)
+	if f.clients[key] == nil {
+		f.clients[key] = httpwire.NewClient(f.controllers[node].front, 1, time.Second, httpwire.Limits{Header: 8 << 10, Body: 1 << 20})
+	}
+	return f.clients[key]
+}
+
+func (f *fleet) runsFor(task string) time.Duration {
+	job, _, _ := wire.SplitTask(task)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Duration(float64(f.runTime[job]) * (0.5 + rand.Float64()))
+}
+
+// newFleet builds the program and starts everything.
+func newFleet(b *testing.B, d deployment) *fleet {
+	f := &fleet{deployment: d, store: newStore(), runTime: map[string]time.Duration{}, clients: map[string]*httpwire.Client{}}
+	f.cloud = newCloud(d.zones, d.machines, func(m *machine) { go m.run(f) })
+	for addr, handle := range map[string]server.Handler{storeAddr: f.store.handle, cloudAddr: f.cloud.handle} {
+		s := server.New(addr, 10000, handle)
+		go s.Run()
+		<-s.Ready()
+	}
+	go func() {
+		for range time.Tick(50 * time.Millisecond) {
+			f.store.expire()
+		}
+	}()
+	dir := b.TempDir()
+	program := filepath.Join(dir, "ravenport")
+	if out, err := exec.Command("go", "build", "-o", program, "ravenport/cmd/ravenport").CombinedOutput(); err != nil {
+		b.Fatalf("building: %v\n%s", err, out)
+	}
+	const nodes = 3
+	for i := range nodes {
+		c := &controller{name: fmt.Sprintf("n-%d", i), front: fmt.Sprintf(frontAddress, i), settings: filepath.Join(dir, fmt.Sprintf("n-%d.toml", i))}
+		if err := os.WriteFile(c.settings, []byte(f.settings(i, nodes)), 0o600); err != nil {
+			b.Fatal(err)
+		}
+		f.controllers = append(f.controllers, c)
+		c.start(b, program)
+	}
+	b.Cleanup(func() {
+		for _, c := range f.controllers {
+			c.kill()
+		}
+		f.cloud.giveBack(f.cloud.names)
+	})
+	return f
+}
+
+func (f *fleet) settings(node, nodes int) string {
+	var s strings.Builder
+	zone := func(i int) string { return f.zones[i%len(f.zones)] }
+	fmt.Fprintf(&s, "node = \"n-%d\"\ndomain = %q\nbind = %q\nback = %q\n", node, zone(node), fmt.Sprintf(frontAddress, node), fmt.Sprintf(peerAddress, node))
+	for i := range nodes {
+		if i != node {
+			fmt.Fprintf(&s, "[[siblings]]\nnode = \"n-%d\"\ndomain = %q\npeer_addr = %q\n", i, zone(i), fmt.Sprintf(peerAddress, i))
+		}
+	}
+	fmt.Fprintf(&s, "[outside]\ncloud = %q\nstate = %q\n[facts]\nsize = %d\nzones = [\"%s\"]\nclock_off_ms = 25.0\n", cloudAddr, storeAddr, nodes, strings.Join(f.zones, "\", \""))
+	fmt.Fprintf(&s, "[[facts.teams]]\nname = \"team\"\n[facts.workers]\nreport_s = %.1f\nlease_s = %.1f\ncancel_s = %.1f\n", f.period.Seconds(), f.leaseS, f.cancelS)
+	fmt.Fprintf(&s, "gang_wait_s = 30.0\ngang_peer_s = 8.0\n[facts.state]\nrps = 200.0\nwrite_rps = %.1f\nvalue_kb = 8.0\ntxn_ops = 12\n", f.writeRPS)
+	fmt.Fprintf(&s, "[facts.cloud]\nrps = 10.0\nlist_lag_s = 5.0\n[facts.machine_limits]\ncpu = %g\nmemory_mb = %g\nmax_connections = 3000\n", f.cpu, f.memoryMB)
+	return s.String()
+}
+
+func (c *controller) start(b *testing.B, program string) {
+	c.process = exec.Command(program, "--config", c.settings)
+	c.process.Env = append(os.Environ(), "LOG_LEVEL=error")
+	c.process.Stderr = os.Stderr
+	if err := c.process.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Logf("%s is process %d", c.name, c.process.Process.Pid)
+}
+
+// kill ends the process, as a crash would.
+func (c *controller) kill() {
+	if c.process == nil {
+		return
+	}
+	if err := c.process.Process.Kill(); err == nil {
+		_ = c.process.Wait() // it reports the kill
+		c.spent += c.process.ProcessState.UserTime() + c.process.ProcessState.SystemTime()
+	}
+	c.process = nil
+}
+
+// clockTick is the unit of processor time in /proc.
+const clockTick = 10 * time.Millisecond
+
+// usage is the processor time taken so far and the memory resident now.
+func (c *controller) usage() (time.Duration, float64) {
+	if c.process == nil {
+		return c.spent, 0
+	}
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", c.process.Process.Pid))
+	if err != nil {
+		return c.spent, 0
+	}
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	user, _ := strconv.ParseInt(fields[11], 10, 64)
+	system, _ := strconv.ParseInt(fields[12], 10, 64)
+	pages, _ := strconv.ParseFloat(fields[21], 64)
+	return c.spent + time.Duration(user+system)*clockTick, pages * float64(os.Getpagesize()) / (1 << 20)
+}
+
+// ask makes a user's request at any controller until one answers with 2xx.
+func (f *fleet) ask(method, path string, body []byte) {
+	for {
+		c := f.controllers[rand.IntN(len(f.controllers))]
+		cl := httpwire.NewClient(c.front, 1, time.Second, httpwire.Limits{Header: 8 << 10, Body: 1 << 20})
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		msg, err := cl.Do(ctx, method, path, body)
+		cancel()
+		cl.Close()
+		if err == nil && msg.Status < 300 {
+			return
+		}
+		if err == nil && msg.Status < 500 {
+			panic(fmt.Sprintf("%s %s: status %d: %s", method, path, msg.Status, msg.Body))
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// submit submits a job and polls it every five seconds from then on.
+func (f *fleet) submit(service bool) {
+	f.mu.Lock()
+	f.jobSeq++
+	s := wire.Submission{ID: fmt.Sprintf("run-%06d", f.jobSeq), Class: "arrays", Team: "team", Kind: wire.KindArray, Priority: wire.PriorityNormal,
+		Tasks: f.tasks, CPUs: 4, MemoryGB: 12, Image: fmt.Sprintf("img-%d", f.jobSeq%12), ImageGB: 0.7, Spot: true, EstimateS: f.runs.Seconds()}
+	if service {
+		s.Class, s.Kind, s.Priority, s.Spot, s.EstimateS = "services", wire.KindService, wire.PriorityProduction, false, 0
+		s.Tasks, s.CPUs, s.MemoryGB, s.Spread = f.replicas, 2, 4.6, true
+	} else {
+		f.runTime[s.ID] = f.runs
+	}
+	f.mu.Unlock()
+	body := submission(s)
+	go func() {
+		f.ask("POST", wire.PathJobs, body)
+		for end := time.Now().Add(time.Minute); time.Now().Before(end); {
+			time.Sleep(5 * time.Second)
+			f.ask("GET", wire.PathJobs+"/"+s.ID, nil)
+			f.polls.Add(1)
+		}
+	}()
+}
+
+// submission is the body of a submission, in which no flag may be missing.
+func submission(s wire.Submission) []byte {
+	body, err := json.Marshal(struct {
+		wire.Submission
+		OneZone bool `json:"one_zone"`
+		Spread  bool `json:"scatter"`
+		Spot    bool `json:"loaners"`
+	}{s, s.OneZone, s.Spread, s.Spot})
+	if err != nil {
+		panic(err) // a type of wire
+	}
+	return body
+}
+
+// phase lets time pass and reports the processor time of all controllers in it,
+// in all and for each report.
+func (f *fleet) phase(b *testing.B, name string, d time.Duration) {
+	before := f.spent()
+	reports, commands, starts := f.reports.Load(), f.commands.Load(), f.starts.Load()
+	time.Sleep(d)
+	spent := f.spent() - before
+	n := f.reports.Load() - reports
+	b.ReportMetric(float64(spent.Microseconds())/float64(max(n, 1)), name+"-us/report")
+	b.ReportMetric(spent.Seconds()/d.Seconds()/float64(len(f.controllers)), name+"-cores")
+	memory := 0.0
+	for _, c := range f.controllers {
+		_, mb := c.usage()
+		memory = max(memory, mb)
+	}
+	b.Logf("%-8s %6.0f ms a second in all, %5.0f reports, %4.0f commands, %4.0f starts a second; %d machines; %.0f MB at most", name, 1000*spent.Seconds()/d.Seconds(),
+		float64(n)/d.Seconds(), float64(f.commands.Load()-commands)/d.Seconds(), float64(f.starts.Load()-starts)/d.Seconds(), f.cloud.running(), memory)
+}
+
+func (f *fleet) spent() time.Duration {
+	sum := time.Duration(0)
+	for _, c := range f.controllers {
+		used, _ := c.usage()
+		sum += used
+	}
+	return sum
+}
+
+// measure plays a cold start, steady hours, a controller's end and its return.
+func measure(b *testing.B, d deployment) {
+	f := newFleet(b, d)
+	time.Sleep(3 * time.Second)
+	for range d.services {
+		f.submit(true)
+	}
+	for range d.arrays {
+		f.submit(false)
+	}
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(d.every):
+				f.submit(false)
+			}
+		}
+	}()
+	f.phase(b, "start", 25*time.Second)
+	f.phase(b, "steady", 30*time.Second)
+	f.controllers[0].kill()
+	f.phase(b, "ended", 10*time.Second)
+	f.controllers[0].start(b, filepath.Join(filepath.Dir(f.controllers[0].settings), "ravenport"))
+	f.phase(b, "back", 10*time.Second)
+}
+
+// BenchmarkManyReports has machines that report often and tasks that end soon.
+func BenchmarkManyReports(b *testing.B) {
+	for range b.N {
+		measure(b, manyReports)
+	}
+}
+
+// BenchmarkManyMachines has more machines and longer tasks.
+func BenchmarkManyMachines(b *testing.B) {
+	for range b.N {
+		measure(b, manyMachines)
+	}
+}
--- /dev/null
+++ b/internal/loopback/machine_test.go
@@ -0,0 +1,263 @@
+package loopback
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ravenport/httpwire"
+	"ravenport/wire"
+)
+
+// answerTimeout is after which time without an answer a worker turns to the next
+// controller, and leastGap the least time between two of its reports.
+const (
+	answerTimeout = 4 * time.Second
+	leastGap      = 500 * time.Millisecond
+)
+
+// machine stands in for a worker with its machine.
+type machine struct {
+	name, addr, zone string
+	spot             bool
+	born             time.Time
+	stop             chan struct{}
+	ended            atomic.Bool
+
+	mu      sync.Mutex
+	seq     uint64
+	token   uint64
+	tasks   []*task // in the order of their starts
+	changed chan struct{}
+}
+
+// task is one attempt on a machine.
+type task struct {
+	wire.TaskStatus
+	next time.Time // when its state changes by itself; zero: it does not
+	runs time.Duration
+}
+
+func newMachine(name, addr, zone string, spot bool) *machine {
+	return &machine{name: name, addr: addr, zone: zone, spot: spot, born: time.Now(), stop: make(chan struct{}), changed: make(chan struct{}, 1)}
+}
+
+func (m *machine) end() {
+	if !m.ended.Swap(true) {
+		close(m.stop)
+	}
+}
+
+// listen answers direct commands until the machine ends.
+func (m *machine) listen(f *fleet) error {
+	l, err := net.Listen("tcp4", m.addr)
+	if err != nil {
+		return err
+	}
+	go func() {
+		<-m.stop
+		l.Close()
+	}()
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go m.serve(f, conn)
+		}
+	}()
+	return nil
+}
+
+func (m *machine) serve(f *fleet, conn net.Conn) {
+	defer conn.Close()
+	limits := httpwire.Limits{Header: 8 << 10, Body: 64 << 10}
+	var buf []byte
+	chunk := make([]byte, 8<<10)
+	for {
+		n, err := conn.Read(chunk)
+		if err != nil || m.ended.Load() {
+			return
+		}
+		buf = append(buf, chunk[:n]...)
+		msg, used, err := httpwire.ParseRequest(buf, limits)
+		if err != nil {
+			return
+		}
+		if used == 0 {
+			continue
+		}
+		buf = buf[used:]
+		if _, err := conn.Write(httpwire.AppendResponse(nil, m.command(f, msg.Body))); err != nil {
+			return
+		}
+	}
+}
+
+// command carries out a direct command.
+func (m *machine) command(f *fleet, body []byte) *httpwire.Response {
+	var req wire.CommandRequest
+	if err := json.Unmarshal(body, &req); err != nil {
+		return &httpwire.Response{Status: 400}
+	}
+	f.commands.Add(1)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	status := 409
+	if req.Token >= m.token && req.Session == 1 {
+		status = 200
+		m.token = req.Token
+		m.execute(f, req.Commands)
+	}
+	return &httpwire.Response{Status: status, Body: m.report()}
+}
+
+// report writes the next report. The caller holds the lock.
+func (m *machine) report() []byte {
+	m.advance()
+	m.seq++
+	r := wire.Report{Machine: m.name, Addr: m.addr, Type: machineType.Name, Zone: m.zone, Spot: m.spot, Session: 1, Seq: m.seq, Token: m.token, Tasks: []wire.TaskStatus{}}
+	for _, t := range m.tasks {
+		r.Tasks = append(r.Tasks, t.TaskStatus)
+	}
+	body, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // a type of wire
+	}
+	return body
+}
+
+// advance lets time pass, and says whether it changed anything.
+func (m *machine) advance() bool {
+	changed := false
+	for _, t := range m.tasks {
+		if t.next.IsZero() || time.Now().Before(t.next) {
+			continue
+		}
+		changed = true
+		switch {
+		case t.State == wire.TaskFetching && t.runs > 0:
+			t.State, t.next = wire.TaskRunning, time.Now().Add(t.runs)
+		case t.State == wire.TaskFetching:
+			t.State, t.next = wire.TaskRunning, time.Time{}
+		default:
+			t.State, t.Cause, t.next = wire.TaskExited, wire.CauseDone, time.Time{}
+		}
+	}
+	return changed
+}
+
+// execute carries out commands in order. The caller holds the lock.
+func (m *machine) execute(f *fleet, commands []wire.Command) {
+	for _, c := range commands {
+		at := -1
+		for i, t := range m.tasks {
+			if t.Task == c.Task && t.Attempt == c.Attempt {
+				at = i
+			}
+		}
+		switch {
+		case c.Op == wire.OpStart && at < 0:
+			f.starts.Add(1)
+			t := &task{next: time.Now().Add(200 * time.Millisecond), runs: f.runsFor(c.Task)}
+			t.Task, t.Attempt, t.State = c.Task, c.Attempt, wire.TaskFetching
+			m.tasks = append(m.tasks, t)
+			m.notice()
+		case c.Op == wire.OpStop && at >= 0 && m.tasks[at].State != wire.TaskExited:
+			m.tasks[at].State, m.tasks[at].Cause, m.tasks[at].next = wire.TaskExited, wire.CauseStopped, time.Time{}
+			m.notice()
+		case c.Op == wire.OpForget && at >= 0:
+			m.tasks = append(m.tasks[:at], m.tasks[at+1:]...)
+		}
+	}
+}
+
+// notice has the next report made soon.
+func (m *machine) notice() {
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
+}
+
+// run is a worker's life: it reports to one controller at a time.
+func (m *machine) run(f *fleet) {
+	if err := m.listen(f); err != nil {
+		panic(fmt.Sprintf("listening on %s: %v", m.addr, err))
+	}
+	node := rand.IntN(len(f.controllers))
+	look := time.NewTicker(50 * time.Millisecond)
+	defer look.Stop()
+	var next, sent time.Time
+	changed := true
+	for {
+		select {
+		case <-m.stop:
+			return
+		case <-m.changed:
+			changed = true
+		case <-look.C:
+		}
+		m.mu.Lock()
+		changed = m.advance() || changed
+		m.mu.Unlock()
+		if now := time.Now(); now.Before(next) && !(changed && now.Sub(sent) >= leastGap) {
+			continue
+		}
+		changed = false
+		sent = time.Now()
+		next = sent.Add(time.Duration(float64(f.period) * (0.75 + rand.Float64()/2)))
+		var soon bool
+		if node, soon = m.tell(f, node); soon {
+			next = time.Now()
+		} else if node < 0 {
+			return
+		}
+	}
+}
+
+// tell makes one report. It returns the controller for the next one, and whether
+// that is due at once.
+func (m *machine) tell(f *fleet, node int) (int, bool) {
+	m.mu.Lock()
+	body := m.report()
+	m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancel()
+	msg, err := f.client(m, node).Do(ctx, "POST", wire.PathReport, body)
+	f.reports.Add(1)
+	switch {
+	case err == nil && msg.Status == 200:
+		var reply wire.ReportReply
+		if err := json.Unmarshal(msg.Body, &reply); err != nil {
+			panic(fmt.Sprintf("unreadable answer to a report: %v", err))
+		}
+		f.answered.Add(1)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if reply.Token < m.token {
+			return node, false
+		}
+		if reply.Token > m.token {
+			m.notice()
+		}
+		m.token = reply.Token
+		m.execute(f, reply.Commands)
+		return node, false
+	case err == nil && msg.Status == 421:
+		var redirect wire.Redirect
+		if err := json.Unmarshal(msg.Body, &redirect); err == nil {
+			if to := f.index(redirect.ReportTo); to >= 0 && to != node {
+				return to, true
+			}
+		}
+	}
+	time.Sleep(time.Second)
+	return (node + 1) % len(f.controllers), true
+}
