An owner's steps look at machines that wait for a command, not at the whole fleet

Cause, found by sampling a lone controller of three on loopback with 1900 machines (user code): the owners' steps were 24% of it, of which the look for machines to be told something 8.6%, which went over the fleet 50 times a second; emptying machines 5.7%, which looked at the whole part for each task that might move; the look whom it hears, 6%, ten times a second in two places.

Change: machines that wait for a direct command stand in a queue; the fleet is looked at for questions and repeats ten times a second; whom it hears four times a second; emptying looks only at machines with room. Direct commands have a file of their own.

Ruled out on the way (trials): two goroutines at once instead of one, and a network poller that is polled by force, change nothing: while a lone controller takes over, calls of the state service take up to 2 s because the process is behind as a whole.

--- a/constants/constants.go
+++ b/constants/constants.go
@@ -262,9 +262,12 @@
 	// StoodStill is a gap between two steps after which the process counts as
 	// having stood still: its own timer wakes an owner every PartTick.
 	StoodStill = 1500 * time.Millisecond
-	// SlowStep is how often an owner looks at its whole fleet for leases,
-	// silence, notices and machines to do without.
+	// SlowStep is how often an owner looks at its whole fleet for leases, notices
+	// and machines to be asked.
 	SlowStep = 100 * time.Millisecond
+	// CensusEvery is how often it looks whom of its fleet it hears, whether the part
+	// is cut off and which machines to return: silences count in seconds.
+	CensusEvery = 250 * time.Millisecond
 	// PlaceEvery is how often everything is placed anew without a cause.
 	PlaceEvery = time.Second
 	// RentGap is the least time between two looks at what to rent.
--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -286,7 +286,8 @@
 	return sum
 }
 
-// measure plays a cold start, steady hours, a controller's end and its return.
+// measure plays a cold start, steady hours, the end of all controllers but one, and
+// their return.
 func measure(b *testing.B, d deployment) {
 	f := newFleet(b, d)
 	time.Sleep(3 * time.Second)
@@ -310,9 +311,15 @@
 	}()
 	f.phase(b, "start", 25*time.Second)
 	f.phase(b, "steady", 30*time.Second)
-	f.controllers[0].kill()
-	f.phase(b, "ended", 10*time.Second)
-	f.controllers[0].start(b, filepath.Join(filepath.Dir(f.controllers[0].settings), "ravenport"))
+	others := f.controllers[1:]
+	for _, c := range others {
+		c.kill()
+	}
+	f.phase(b, "takeover", 10*time.Second)
+	f.phase(b, "alone", 20*time.Second)
+	for _, c := range others {
+		c.start(b, filepath.Join(filepath.Dir(c.settings), "ravenport"))
+	}
 	f.phase(b, "back", 10*time.Second)
 }
 
--- a/node/actors.go
+++ b/node/actors.go
@@ -325,7 +325,7 @@
 		}
 		a.control.Tell(st)
 	}
-	if now.Sub(a.censusAt) >= constants.SlowStep { // it looks at the whole fleet
+	if now.Sub(a.censusAt) >= constants.CensusEvery { // it looks at the whole fleet
 		a.censusAt = now
 		if silent, seen := a.core.CutOff(now); silent {
 			a.control.Tell(cutOff{a.part, seen})
--- a/part/core.go
+++ b/part/core.go
@@ -46,12 +46,16 @@
 	machines  map[string]*machine
 	fleet     []*machine // the same, in a fixed order
 	byTask    map[taskKey][]*hold
-	counter   uint64
-	look      uint64 // counts looks at reports
-	freed     bool   // the last look found that something had ended
-	rebuilt   bool
-	deposed   bool
-	isDark    bool // its machines are out of reach all together
+
+	commandQueue []*machine // machines that wait for a direct command
+	inFlight     int        // direct commands under way
+
+	counter uint64
+	look    uint64 // counts looks at reports
+	freed   bool   // the last look found that something had ended
+	rebuilt bool
+	deposed bool
+	isDark  bool // its machines are out of reach all together
 
 	rested  time.Time // silences are counted from here at the earliest
 	stepped time.Time // when the last step was made
@@ -84,6 +88,7 @@
 	rentedAt     time.Time // when the cloud was last asked for machines
 	returnedAt   time.Time // when idle machines were last returned
 	lastSlow     time.Time
+	censusAt     time.Time // when it was last looked which machines are to be returned
 	lastMove     time.Time
 	prod         arrivals // of production work
 	gangs        arrivals // of gangs, each as a whole
@@ -233,6 +238,8 @@
 
 func (c *Core) removeMachine(m *machine) {
 	delete(c.machines, m.name)
+	c.landed(m)
+	m.wantCommand = false // its place in the queue goes with the next step
 	for i, o := range c.fleet {
 		if o == m {
 			c.fleet = append(c.fleet[:i], c.fleet[i+1:]...)
@@ -310,7 +317,7 @@
 	for i, t := range j.tasks {
 		if !keep[i] {
 			if t.hold != nil {
-				t.hold.m.wantCommand = true // to be stopped
+				c.requestCommand(t.hold.m) // to be stopped
 			}
 			t.hold = nil
 			delete(j.tasks, i)
@@ -337,7 +344,8 @@
 func (c *Core) stopAll(j *job) {
 	for _, t := range j.tasks {
 		if t.hold != nil && !t.hold.exited() {
-			t.hold.m.stale, t.hold.m.wantCommand = true, true
+			t.hold.m.stale = true
+			c.requestCommand(t.hold.m)
 		}
 	}
 }
@@ -493,10 +501,13 @@
 			c.letGo(now)
 			c.leaveNoticed(now)
 			c.consolidate(now)
+		}
+		if now.Sub(c.censusAt) >= constants.CensusEvery {
+			c.censusAt = now
 			c.giveBack(now)
 		}
 		c.closeChunks(now)
-		c.direct(now)
+		c.direct(now, slow)
 	}
 	out := c.actions
 	c.actions = nil
--- /dev/null
+++ b/part/direct.go
@@ -0,0 +1,138 @@
+package part
+
+import (
+	"time"
+
+	"ravenport/constants"
+	"ravenport/wire"
+)
+
+// requestCommand has the next step send a machine what it should do, unless an
+// answer to a report carries it before.
+func (c *Core) requestCommand(m *machine) {
+	m.wantCommand = true
+	if !m.commandQueued {
+		m.commandQueued = true
+		c.commandQueue = append(c.commandQueue, m)
+	}
+}
+
+// direct sends waiting commands straight to the machines. Which machines wait for
+// one is kept in a queue; only a slow step looks at all of them, for starts without
+// effect and for machines to be asked what is on them. Guards against a part whose
+// every step costs as much as it has machines.
+func (c *Core) direct(now time.Time, slow bool) {
+	queue := c.commandQueue
+	c.commandQueue = c.commandQueue[:0]
+	for _, m := range queue {
+		if m.wantCommand && c.reachable(now, m) && !c.unclear(now, m) && c.roomForCall() {
+			c.sendOrders(now, m)
+		}
+		if m.commandQueued = m.wantCommand; m.wantCommand {
+			c.commandQueue = append(c.commandQueue, m)
+		}
+	}
+	if slow {
+		c.ask(now)
+	}
+}
+
+// ask looks at the whole fleet for commands that were sent without effect and for
+// questions, of which a few go out at a time so that a wave of silent machines
+// holds nobody up.
+func (c *Core) ask(now time.Time) {
+	asked := 0
+	for _, m := range c.fleet {
+		if !c.reachable(now, m) {
+			continue
+		}
+		question := c.unclear(now, m)
+		if !question && !c.overdue(now, m) {
+			continue
+		}
+		if !c.roomForCall() {
+			return
+		}
+		if !question {
+			c.sendOrders(now, m)
+		} else if asked < constants.AsksAStep {
+			asked++
+			c.call(now, m, []wire.Command{})
+		}
+	}
+}
+
+// reachable says whether a machine may be called now.
+func (c *Core) reachable(now time.Time, m *machine) bool {
+	return !m.inFlight && !m.returning && m.addr != "" && !now.Before(m.nextDirect)
+}
+
+// roomForCall says whether one more direct command may be under way.
+func (c *Core) roomForCall() bool {
+	most := c.cfg.Calls
+	if c.isDark {
+		most = min(most, constants.DarkCalls)
+	}
+	return c.inFlight < most
+}
+
+// unclear says whether a machine must be asked what is on it before it can be told
+// anything: it is questionable, or wanted while its session is not known yet.
+func (c *Core) unclear(now time.Time, m *machine) bool {
+	return m.session == 0 && m.wantCommand || c.questionable(now, m)
+}
+
+// sendOrders sends a machine what it should do, if there is anything.
+func (c *Core) sendOrders(now time.Time, m *machine) {
+	if commands := c.orders(now, m, false); len(commands) > 0 {
+		c.call(now, m, commands)
+	}
+}
+
+// call makes a direct command.
+func (c *Core) call(now time.Time, m *machine, commands []wire.Command) {
+	m.inFlight = true
+	c.inFlight++
+	m.nextDirect = now.Add(constants.RepeatCommand / 4)
+	req := wire.CommandRequest{Token: c.token(m), Session: max(m.session, 1), Commands: commands}
+	c.actions = append(c.actions, SendCommands{Machine: m.name, Addr: m.addr, Request: req})
+}
+
+// landed notes that a direct command to a machine is no longer under way.
+func (c *Core) landed(m *machine) {
+	if m.inFlight {
+		m.inFlight = false
+		c.inFlight--
+	}
+}
+
+// questionable says whether a machine is asked directly: an inherited one for
+// what is on it, once it had the time to report by itself, one that missed its
+// report whether it still is there, one whose lease ended unheard whether it is
+// back, and one in doubt whether it hears.
+func (c *Core) questionable(now time.Time, m *machine) bool {
+	switch {
+	case m.inherited && !m.verified(c.term):
+		return len(c.fleet) <= constants.AsksAStep || now.Sub(c.claimed) > constants.TakeoverAsk
+	case m.lapsed:
+		return true
+	case !m.up:
+		return false
+	case m.doubted():
+		return true
+	}
+	return c.overdueReport(now, m)
+}
+
+// overdue says whether a machine has a decided start without effect.
+func (c *Core) overdue(now time.Time, m *machine) bool {
+	if c.sumsOf(m).sent == 0 {
+		return false // as nearly always: this is asked of every machine in every step
+	}
+	for _, h := range m.holds {
+		if h.state == stateSent && now.Sub(h.sentAt) > constants.RepeatCommand && c.wanted(h) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/part/direct_test.go
@@ -0,0 +1,142 @@
+package part
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ravenport/constants"
+)
+
+// A start that was decided goes out with the very next step, also between two looks
+// at the whole fleet.
+func TestStartGoesOutAtOnce(t *testing.T) {
+	r := newRig(nil)
+	for i := range 3 {
+		r.up(fmt.Sprintf("m-%d", i))
+	}
+	r.wait(constants.SlowStep) // a look at the fleet; the next one is that far away
+	job := array("run-1", 2, "a")
+	job.AcceptedMS = r.now.UnixMilli()
+	r.submit(job)
+	acts := r.wait(constants.PartGap)
+	n := 0
+	for i := range 3 {
+		n += len(started(acts, fmt.Sprintf("m-%d", i)))
+	}
+	if n != 2 {
+		t.Fatalf("%d of 2 starts went out with the step that decided them", n)
+	}
+}
+
+// Whatever is answered, lost or returned meanwhile, the direct commands under way
+// are counted right, never exceed what is allowed, and nothing that a machine should
+// be told is forgotten: its place in the queue or the next look brings it.
+func TestCallsUnderWayAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const machines = 12
+		r := newRig(nil)
+		for i := range machines {
+			r.up(fmt.Sprintf("m-%d", i))
+		}
+		r.cfg.Calls = rapid.IntRange(1, 4).Draw(t, "calls")
+		open := map[string]bool{}
+		take := func(acts []Action) {
+			for _, a := range acts {
+				s, ok := a.(SendCommands)
+				if !ok {
+					continue
+				}
+				if open[s.Machine] {
+					t.Fatalf("a second command to %s while one is under way", s.Machine)
+				}
+				open[s.Machine] = true
+			}
+			if len(open) > r.cfg.Calls {
+				t.Fatalf("%d commands under way, %d allowed", len(open), r.cfg.Calls)
+			}
+			if r.inFlight != len(open) {
+				t.Fatalf("%d commands under way, counted as %d", len(open), r.inFlight)
+			}
+		}
+		for i := range rapid.IntRange(5, 60).Draw(t, "moves") {
+			name := fmt.Sprintf("m-%d", rapid.IntRange(0, machines-1).Draw(t, "machine"))
+			switch rapid.IntRange(0, 4).Draw(t, "move") {
+			case 0:
+				r.submit(array(fmt.Sprintf("run-%d", i), rapid.IntRange(1, 6).Draw(t, "tasks"), "a"))
+			case 1:
+				if open[name] {
+					delete(open, name)
+					r.CommandResult(r.now, name, nil)
+				}
+			case 2: // its return is confirmed while a command may be under way
+				if r.machines[name] != nil {
+					r.Returned(r.now, []string{name})
+					r.removeMachine(r.machines[name])
+					delete(open, name)
+				}
+			case 3: // what a returned machine was sent is answered late
+				if r.machines[name] == nil {
+					r.CommandResult(r.now, name, nil)
+				}
+			}
+			take(r.wait(constants.PartGap))
+		}
+		for name := range open {
+			r.CommandResult(r.now, name, nil)
+		}
+		clear(open)
+		for range 4 * machines { // every machine in turn, within the bound
+			take(r.wait(constants.RepeatCommand))
+			for name := range open {
+				r.CommandResult(r.now, name, nil)
+			}
+			clear(open)
+		}
+		for _, m := range r.machines {
+			for _, h := range m.holds {
+				if h.state == stateSent && r.wanted(h) && !h.direct && m.verified(r.term) && !m.doubted() && !m.returning {
+					t.Fatalf("%s was never sent the start of %s", m.name, h.key.task)
+				}
+			}
+		}
+	})
+}
+
+// A machine whose session is not known is asked before it is told anything.
+func TestUnknownSessionIsAskedFirst(t *testing.T) {
+	r := newRig(nil)
+	m := r.machine("m-new")
+	m.addr, m.rentedAt = "m-new:1", r.now
+	r.requestCommand(m)
+	for _, a := range r.wait(constants.SlowStep) {
+		if s, ok := a.(SendCommands); ok {
+			if s.Machine != "m-new" || len(s.Request.Commands) != 0 {
+				t.Fatalf("sent %+v", s)
+			}
+			return
+		}
+	}
+	t.Fatal("it was not asked")
+}
+
+// Only as many are asked at a time as a wave of silent machines may cost.
+func TestQuestionsGoOutAFewAtATime(t *testing.T) {
+	r := newRig(nil)
+	const machines = 3 * constants.AsksAStep
+	r.fleet(machines)
+	r.Step(r.now)
+	asked := 0
+	for end := r.now.Add(2 * r.cfg.Report); asked == 0 && r.now.Before(end); {
+		for _, a := range r.wait(time.Second) {
+			if s, ok := a.(SendCommands); ok && len(s.Request.Commands) == 0 {
+				asked++
+			}
+		}
+	}
+	if asked != constants.AsksAStep {
+		t.Fatalf("%d machines asked in one step of %d silent ones", asked, machines)
+	}
+}
--- a/part/empty.go
+++ b/part/empty.go
@@ -48,7 +48,8 @@
 				continue
 			}
 			h.stop = true
-			m.stale, m.wantCommand = true, true
+			m.stale = true
+			c.requestCommand(m)
 			moves++
 		}
 	}
@@ -93,6 +94,7 @@
 		return ms[a].name > ms[b].name
 	})
 	keep := c.reserve(now) + c.prod.largest.cpus + c.gangNeed
+	others := c.withRoom(now)
 	looked := 0
 	for _, m := range ms {
 		// Without it the part must keep its room ready, and have room for what
@@ -105,7 +107,7 @@
 			m.spareSince = time.Time{}
 			continue
 		}
-		if looked++; looked > 4*most || !c.spare(now, m) {
+		if looked++; looked > 4*most || !c.spare(m, others) {
 			if m.draining {
 				m.draining = false
 				draining--
@@ -129,9 +131,25 @@
 	}
 }
 
-// spare says whether all that is on a machine would fit on the part's others,
+// withRoom lists the machines that could take something, as few of a busy part can.
+// Guards against a look at the whole part for each task that might move: with
+// hundreds of machines that stood in the way of everything else for 10 ms.
+func (c *Core) withRoom(now time.Time) []*machine {
+	var list []*machine
+	for _, m := range c.fleet {
+		if !c.usable(now, m) {
+			continue
+		}
+		if free := c.free(m); free.cpus > slack && free.mem > slack {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// spare says whether all that is on a machine would fit on others with room,
 // services on ordinary ones that hold their image.
-func (c *Core) spare(now time.Time, m *machine) bool {
+func (c *Core) spare(m *machine, others []*machine) bool {
 	taken := map[*machine]resources{}
 	for _, h := range m.holds {
 		t := c.taskOf(h)
@@ -141,8 +159,8 @@
 		s := &t.job.rec.Spec
 		var to *machine
 		var left float64
-		for _, o := range c.fleet {
-			if o == m || o.draining || s.IsService() && !o.images[s.Image] || !allowed(s, o.typeName, o.spot) || !c.usable(now, o) {
+		for _, o := range others {
+			if o == m || o.draining || s.IsService() && !o.images[s.Image] || !allowed(s, o.typeName, o.spot) {
 				continue
 			}
 			free := c.free(o).minus(taken[o])
@@ -168,7 +186,8 @@
 		}
 		if to := c.bestFit(now, &t.job.rec.Spec, nil); to != nil && !to.draining && to.images[t.job.rec.Spec.Image] {
 			h.stop = true
-			m.stale, m.wantCommand = true, true
+			m.stale = true
+			c.requestCommand(m)
 			slog.Debug("moving service", "task", h.key.task, "from", m.name, "to", to.name)
 			return true
 		}
--- a/part/gang.go
+++ b/part/gang.go
@@ -78,7 +78,7 @@
 		// Left by an earlier owner; the highest number is the last.
 		for _, o := range j.tasks {
 			if o.hold != nil && o.hold.key.attempt != h.key.attempt {
-				o.hold.m.wantCommand = true
+				c.requestCommand(o.hold.m)
 				o.hold.m.stale = true
 				o.hold = nil
 			}
@@ -129,7 +129,8 @@
 // stopNow stops an attempt with no time to save.
 func (c *Core) stopNow(h *hold) {
 	h.stop, h.instant = true, true
-	h.m.stale, h.m.wantCommand = true, true
+	h.m.stale = true
+	c.requestCommand(h.m)
 }
 
 // stopGang stops a gang whole, with time to save: all its tasks are told at once.
@@ -138,7 +139,8 @@
 	for _, t := range j.tasks {
 		if h := t.hold; h != nil && !h.exited() {
 			h.stop = true
-			h.m.stale, h.m.wantCommand = true, true
+			h.m.stale = true
+			c.requestCommand(h.m)
 		}
 	}
 }
--- a/part/model.go
+++ b/part/model.go
@@ -126,21 +126,22 @@
 	keptFor      *job // its room is kept for a task of it
 	keptUntil    time.Time
 
-	inFlight     bool // a direct command waits for its answer
-	nextDirect   time.Time
-	wantCommand  bool
-	strayAt      time.Time // when it last reported to another controller
-	unanswered   int       // direct commands since it was last heard of
-	doubtAt      time.Time // since when it is asked to show that answers reach it; zero: no doubt
-	doubtToken   uint64    // the token that it must show
-	lost         bool      // holds an unwanted attempt that a late command could still bring
-	warned       bool      // impossible fields were logged
-	unheeded     int       // direct commands without an answer since the doubt arose
-	answersSince int       // answers since it last showed the token they carry
-	answeredAt   uint64    // the number of its last report that was answered, with those of direct commands right after it
-	beatAt       uint64    // the number of its last own report
-	beatIn       uint64    // the session of that
-	missed       bool      // its last report shows that it made others elsewhere
+	inFlight      bool // a direct command waits for its answer
+	nextDirect    time.Time
+	wantCommand   bool      // it should be sent what it should do
+	commandQueued bool      // it stands in the queue for that
+	strayAt       time.Time // when it last reported to another controller
+	unanswered    int       // direct commands since it was last heard of
+	doubtAt       time.Time // since when it is asked to show that answers reach it; zero: no doubt
+	doubtToken    uint64    // the token that it must show
+	lost          bool      // holds an unwanted attempt that a late command could still bring
+	warned        bool      // impossible fields were logged
+	unheeded      int       // direct commands without an answer since the doubt arose
+	answersSince  int       // answers since it last showed the token they carry
+	answeredAt    uint64    // the number of its last report that was answered, with those of direct commands right after it
+	beatAt        uint64    // the number of its last own report
+	beatIn        uint64    // the session of that
+	missed        bool      // its last report shows that it made others elsewhere
 }
 
 // sums are what a machine's attempts add up to.
--- a/part/place.go
+++ b/part/place.go
@@ -563,7 +563,8 @@
 		}
 		freed = freed.plus(h.needs)
 		h.stop = true
-		h.m.stale, h.m.wantCommand = true, true
+		h.m.stale = true
+		c.requestCommand(h.m)
 		slog.Debug("task saves and makes room", "task", h.key.task, "machine", h.m.name)
 	}
 	if len(best) == 0 {
@@ -588,7 +589,7 @@
 	c.fillHold(h, t.job)
 	c.addHold(h)
 	m.idleSince = time.Time{}
-	m.wantCommand = true
+	c.requestCommand(m)
 	t.hold = h
 	c.touch(t.job)
 	c.pushDirty = true
--- a/part/report.go
+++ b/part/report.go
@@ -307,7 +307,7 @@
 	if m == nil {
 		return
 	}
-	m.inFlight = false
+	c.landed(m)
 	if r == nil {
 		m.unanswered++
 		m.unheeded++
@@ -414,76 +414,3 @@
 	t := c.taskOf(h)
 	return t == nil || t.job.rec.Spec.IsService()
 }
-
-// direct sends waiting commands straight to the machines: orders first, then
-// questions, of which a few go out in a step so that a wave of silent machines
-// holds nobody up.
-func (c *Core) direct(now time.Time) {
-	asks := 0
-	flying := 0
-	for _, m := range c.fleet {
-		if m.inFlight {
-			flying++
-		}
-	}
-	most := c.cfg.Calls
-	if c.isDark {
-		most = min(most, constants.DarkCalls)
-	}
-	for _, m := range c.fleet {
-		if m.inFlight || m.returning || m.addr == "" || now.Before(m.nextDirect) {
-			continue
-		}
-		probe := c.questionable(now, m)
-		if !probe && !m.wantCommand && !c.overdue(now, m) {
-			continue
-		}
-		if flying >= most {
-			return
-		}
-		req := wire.CommandRequest{Token: c.token(m), Session: max(m.session, 1), Commands: []wire.Command{}}
-		if !probe && m.session > 0 {
-			req.Commands = c.orders(now, m, false)
-			if len(req.Commands) == 0 {
-				continue
-			}
-		} else if asks++; asks > constants.AsksAStep {
-			continue
-		}
-		m.inFlight = true
-		flying++
-		m.nextDirect = now.Add(constants.RepeatCommand / 4)
-		c.actions = append(c.actions, SendCommands{Machine: m.name, Addr: m.addr, Request: req})
-	}
-}
-
-// questionable says whether a machine is asked directly: an inherited one for
-// what is on it, once it had the time to report by itself, one that missed its
-// report whether it still is there, one whose lease ended unheard whether it is
-// back, and one in doubt whether it hears.
-func (c *Core) questionable(now time.Time, m *machine) bool {
-	switch {
-	case m.inherited && !m.verified(c.term):
-		return len(c.fleet) <= constants.AsksAStep || now.Sub(c.claimed) > constants.TakeoverAsk
-	case m.lapsed:
-		return true
-	case !m.up:
-		return false
-	case m.doubted():
-		return true
-	}
-	return c.overdueReport(now, m)
-}
-
-// overdue says whether a machine has a decided start without effect.
-func (c *Core) overdue(now time.Time, m *machine) bool {
-	if c.sumsOf(m).sent == 0 {
-		return false // as nearly always: this is asked of every machine in every step
-	}
-	for _, h := range m.holds {
-		if h.state == stateSent && now.Sub(h.sentAt) > constants.RepeatCommand && c.wanted(h) {
-			return true
-		}
-	}
-	return false
-}
