Submissions of a controller that alone is refused by the state service are relayed

Change: whoever is kept from the state service has a controller that reaches it write the submission's record, over gRPC.

Ruled out: being taken for unhealthy sooner. Two failed probes and the wait for the proof that others reach the service take 3 s at best, and every removal costs more.

--- a/frontdoor/frontdoor.go
+++ b/frontdoor/frontdoor.go
@@ -82,6 +82,7 @@
 		s    wire.Submission
 		req  Request
 		err  error
+		shut bool // this controller's own way to the state service is
 		came time.Time
 	}
 	finished struct{}
@@ -126,6 +127,7 @@
 	control *actor.Ref // is told of cancellations
 	sizes   state.Sizes
 	down    time.Time // until then the state service counts as away
+	relays  relaying
 }
 
 // New makes a front door that is spoken to through self and tells control of
@@ -162,6 +164,8 @@
 		d.metrics(m.Req)
 	case Packs:
 		d.sizes.Packs = true
+	case Relays:
+		d.relays.to, d.relays.at = m.To, time.Now()
 	case Tick:
 		d.tick(ctx, time.Time(m))
 	}
@@ -176,7 +180,7 @@
 		d.jobs[j.ID] = summary(j)
 	}
 	d.rev = up.Revision
-	d.down = time.Time{}
+	d.down, d.relays.shut = time.Time{}, false
 	kept := d.waiting[:0]
 	for _, p := range d.waiting {
 		if p.revision <= d.rev {
@@ -421,12 +425,14 @@
 		Refuse(m.Req, 429, "overloaded")
 		return
 	}
-	if time.Now().Before(d.down) {
+	came := time.Now()
+	relays := d.relays.known(came)
+	if came.Before(d.down) && len(relays) == 0 {
 		Refuse(m.Req, 503, "state service away")
 		return
 	}
 	d.busy++
-	came := time.Now()
+	shut := d.relays.shut
 	rec := state.Job{Spec: s, AcceptedMS: time.Now().UnixMilli()}
 	txn := wire.Txn{
 		If:   []wire.Condition{{Key: state.KeyJob(s.ID), Version: 0}},
@@ -435,13 +441,14 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, constants.AnswerLimit)
 		defer cancel()
-		_, err := d.commit(ctx, txn)
-		d.self.Tell(created{s, m.Req, err, came})
+		shut, err := d.accept(ctx, txn, shut, relays)
+		d.self.Tell(created{s, m.Req, err, shut, came})
 	}()
 }
 
 func (d *Door) created(ctx context.Context, m created) {
 	d.busy--
+	d.relays.shut = d.relays.shut || m.shut
 	took := time.Since(m.came).Milliseconds()
 	var conflict *state.Conflict
 	switch {
--- /dev/null
+++ b/frontdoor/relay.go
@@ -0,0 +1,60 @@
+package frontdoor
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"ravenport/constants"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// Relay writes for a front door whose own way to the state service is shut. It is
+// another controller.
+type Relay interface {
+	Commit(ctx context.Context, t wire.Txn) (uint64, error)
+}
+
+// Relays names the controllers that reach the state service, as far as is known.
+type Relays struct{ To []Relay }
+
+// relaying is what the front door knows of its own way to the state service and of
+// the ways round.
+type relaying struct {
+	to   []Relay
+	at   time.Time // when they were named
+	shut bool      // the last call of this controller's own had no answer or was refused
+}
+
+// known lists the relays, if they were named lately.
+func (r *relaying) known(now time.Time) []Relay {
+	if now.Sub(r.at) > constants.StateSilence {
+		return nil
+	}
+	return r.to
+}
+
+// away says that an error means that the state service cannot be reached, not that
+// it decided on the call.
+func away(err error) bool {
+	return errors.Is(err, state.ErrUnknown) || errors.Is(err, state.ErrRefused) && !errors.Is(err, state.ErrLimited)
+}
+
+// accept writes a submission's record: by itself unless its own way is known to be
+// shut, then through the relays, one after the other. It runs beside the actor.
+// Guards against a controller that alone is refused by the state service and would
+// turn users away for as long as the load balancer takes it for healthy.
+func (d *Door) accept(ctx context.Context, txn wire.Txn, shut bool, relays []Relay) (nowShut bool, err error) {
+	if !shut || len(relays) == 0 {
+		if _, err = d.commit(ctx, txn); !away(err) {
+			return false, err
+		}
+	}
+	for _, r := range relays {
+		if _, err = r.Commit(ctx, txn); !away(err) {
+			break
+		}
+	}
+	return true, err
+}
--- /dev/null
+++ b/frontdoor/relay_test.go
@@ -0,0 +1,130 @@
+package frontdoor
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ravenport/actor"
+	"ravenport/constants"
+	"ravenport/httpwire"
+	"ravenport/settings"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// way is a way to the state service that gives one answer and counts what it is asked.
+type way struct {
+	slowStore
+	err    error
+	writes int
+}
+
+func (w *way) Commit(context.Context, wire.Txn) (uint64, error) {
+	w.writes++
+	return 5, w.err
+}
+
+func submission(id string) []byte {
+	body, err := json.Marshal(map[string]any{"uid": id, "lane": "c", "crew": "team", "shape": "sweep", "rank": "standard", "pieces": 1, "cpus": 1.0, "cards": 0.0,
+		"mem_gb": 1.0, "kit": "i", "pull_gb": 1.0, "one_zone": false, "scatter": false, "loaners": false, "guess_s": 1.0, "mark_every_s": 0.0, "stow_s": 0.0})
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
+
+// A submission is written through another controller where only this one is kept
+// from the state service, and refused at once where nobody reaches it.
+func TestRelayedSubmission(t *testing.T) {
+	limited := fmt.Errorf("%w: %w", state.ErrRefused, state.ErrLimited)
+	for _, c := range []struct {
+		name       string
+		own        error
+		relays     []error
+		status     int
+		ownWrites  int // of two submissions
+		relayAsked []int
+	}{
+		{"own way open", nil, []error{nil}, 201, 2, []int{0}},
+		{"own way shut", state.ErrRefused, []error{nil, nil}, 201, 1, []int{2, 0}},
+		{"no answer to this one", state.ErrUnknown, []error{nil}, 201, 1, []int{2}},
+		{"the first relay is away, too", state.ErrRefused, []error{state.ErrUnknown, nil}, 201, 1, []int{2, 2}},
+		{"nobody reaches it", state.ErrRefused, []error{state.ErrRefused, state.ErrRefused}, 503, 1, []int{2, 2}},
+		{"no relay is known", state.ErrRefused, nil, 503, 1, nil}, // the second is refused unasked
+		{"only too many", limited, []error{nil}, 503, 2, []int{0}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				set := &settings.Settings{}
+				set.Params.Teams = []settings.Team{{Name: "team"}}
+				set.Params.Zones = []string{"a"}
+				own := &way{err: c.own}
+				self := actor.NewRef()
+				d := New(set, own, self, actor.NewRef())
+				d.sizes = state.Sizes{Now: 8192, Next: 8192}
+				var relays []*way
+				var to []Relay
+				for _, err := range c.relays {
+					w := &way{err: err}
+					relays, to = append(relays, w), append(to, w)
+				}
+				self.Tell(Types{{Name: "box", CPUs: 8, MemoryGB: 32, Zones: []string{"a"}}})
+				self.Tell(Relays{To: to})
+				go self.Run(ctx, d)
+				for i := range 2 {
+					var got *httpwire.Response
+					began := time.Now()
+					self.Tell(Submit{Req: answer{func(r *httpwire.Response) { got = r }}, Body: submission(fmt.Sprintf("run-00000%d", i))})
+					for got == nil && time.Since(began) < time.Minute {
+						time.Sleep(time.Millisecond)
+						synctest.Wait()
+					}
+					if got == nil || got.Status != c.status {
+						t.Fatalf("submission %d: answered %+v, wanted %d", i, got, c.status)
+					}
+					if c.status != 201 && got.RetryAfterS == 0 {
+						t.Error("refused without saying when to come back")
+					}
+					if took := time.Since(began); took > constants.AllowanceWait+constants.AnswerLimit/2 {
+						t.Errorf("answered after %s", took)
+					}
+				}
+				if c.own == limited {
+					c.ownWrites = own.writes // it is tried again for a moment, by itself alone
+				}
+				if own.writes != c.ownWrites {
+					t.Errorf("%d writes of its own, wanted %d", own.writes, c.ownWrites)
+				}
+				for i, w := range relays {
+					if w.writes != c.relayAsked[i] {
+						t.Errorf("relay %d was asked %d times, wanted %d", i, w.writes, c.relayAsked[i])
+					}
+				}
+			})
+		})
+	}
+}
+
+// The own way is taken again once the feed has brought something, and relays that
+// nobody has named for a while are not asked.
+func TestOwnWayIsTakenAgain(t *testing.T) {
+	r := relaying{to: []Relay{&way{}}, at: time.Unix(100, 0), shut: true}
+	if got := r.known(time.Unix(100, 0).Add(constants.StateSilence)); len(got) != 1 {
+		t.Error("a relay that was just named is not known")
+	}
+	if got := r.known(time.Unix(101, 0).Add(constants.StateSilence)); len(got) != 0 {
+		t.Error("a relay named long ago is known still")
+	}
+	d := New(&settings.Settings{}, slowStore{}, actor.NewRef(), actor.NewRef())
+	d.relays = r
+	d.update(state.Update{Revision: 1})
+	if d.relays.shut {
+		t.Error("after an update of the feed the own way counts as shut")
+	}
+}
--- a/node/control.go
+++ b/node/control.go
@@ -759,9 +759,22 @@
 	}
 }
 
+// tellRelays tells the front door which controllers reach the state service, should
+// this one be kept from it.
+func (c *control) tellRelays(now time.Time) {
+	var to []frontdoor.Relay
+	for name, view := range c.peersState {
+		if p := c.io.Peers[name]; p != nil && view.stateOK && now.Sub(view.at) < constants.StateSilence {
+			to = append(to, p)
+		}
+	}
+	c.door.Tell(frontdoor.Relays{To: to})
+}
+
 func (c *control) peerStatus(now time.Time, s peer.Status) {
 	c.foretell(s.Forecast)
 	c.peersState[s.Node] = peerView{s.StateOK, now}
+	c.tellRelays(now)
 	for _, a := range s.Aggregates {
 		if o := c.owners[a.Part]; o != nil && a.Term > o.term {
 			// This one is cut off from the state service and has been replaced:
--- a/node/node.go
+++ b/node/node.go
@@ -51,6 +51,7 @@
 
 // Peer is another controller.
 type Peer interface {
+	frontdoor.Relay
 	Push(ctx context.Context, s peer.Status) (peer.Reply, error)
 }
 
@@ -68,12 +69,13 @@
 // Controller is one controller without its servers.
 type Controller struct {
 	node       string
+	store      Store
 	self, door *actor.Ref
 }
 
 // Start starts a controller's actors; they run until ctx ends.
 func Start(ctx context.Context, set *settings.Settings, out Outside) *Controller {
-	n := &Controller{node: set.Node, self: actor.NewRef(), door: actor.NewRef()}
+	n := &Controller{node: set.Node, store: out.State, self: actor.NewRef(), door: actor.NewRef()}
 	c := newControl(set, out, n.self, n.door)
 	go n.door.Run(ctx, frontdoor.New(set, out.State, n.door, n.self))
 	go n.self.Run(ctx, c)
@@ -104,6 +106,17 @@
 	}
 }
 
+// PeerCommit writes a submission for another controller that is kept from the state
+// service.
+func (n *Controller) PeerCommit(ctx context.Context, t wire.Txn) peer.CommitReply {
+	if !state.CreatesJob(t) {
+		return peer.CommitReply{Outcome: peer.OutcomeInvalid}
+	}
+	ctx, cancel := context.WithTimeout(ctx, constants.AnswerLimit)
+	defer cancel()
+	return peer.ReplyOf(n.store.Commit(ctx, t))
+}
+
 // Run runs a controller with its servers until ctx ends or one of them fails.
 func Run(ctx context.Context, set *settings.Settings) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -129,7 +142,7 @@
 	n := Start(ctx, set, out)
 	failed := make(chan error, 2)
 	go func() {
-		failed <- peer.Serve(ctx, set.PeerAddr, n.PeerStatus)
+		failed <- peer.Serve(ctx, set.PeerAddr, peer.Handlers{Status: n.PeerStatus, Commit: n.PeerCommit})
 	}()
 	front, _ := set.Sockets()
 	srv := server.New(set.Listen, front, n.route)
--- a/node/push_test.go
+++ b/node/push_test.go
@@ -9,6 +9,8 @@
 
 	"ravenport/actor"
 	"ravenport/peer"
+	"ravenport/state"
+	"ravenport/wire"
 )
 
 // countingPeer counts what it is told.
@@ -19,6 +21,8 @@
 	return peer.Reply{}, nil
 }
 
+func (p *countingPeer) Commit(context.Context, wire.Txn) (uint64, error) { return 0, state.ErrRefused }
+
 // A part whose figures change all the time keeps nobody from being told: an
 // owner that workers cannot reach would not learn that others hear them.
 func TestBusyPartStillTellsEverybody(t *testing.T) {
--- /dev/null
+++ b/node/relay_test.go
@@ -0,0 +1,82 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ravenport/frontdoor"
+	"ravenport/peer"
+	"ravenport/wire"
+)
+
+// Another controller writes what creates one job and nothing else, whoever asks.
+func TestOnlySubmissionsAreRelayed(t *testing.T) {
+	quietLogs(t)
+	synctest.Test(t, func(t *testing.T) {
+		w := quietWorld(3)
+		ctl := w.nodes[0].up()
+		job := wire.Change{Put: "rv/job/run-000001", Value: []byte(`{}`)}
+		for name, txn := range map[string]wire.Txn{
+			"nothing":        {},
+			"no condition":   {Then: []wire.Change{job}},
+			"another key":    {If: []wire.Condition{{Key: "rv/job/run-000002"}}, Then: []wire.Change{job}},
+			"a change":       {If: []wire.Condition{{Key: job.Put, Version: 4}}, Then: []wire.Change{job}},
+			"a term":         {If: []wire.Condition{{Key: "rv/part/a"}}, Then: []wire.Change{{Put: "rv/part/a", Value: []byte(`{}`)}}},
+			"two changes":    {If: []wire.Condition{{Key: job.Put}}, Then: []wire.Change{job, {Delete: "rv/part/a"}}},
+			"under a lease":  {If: []wire.Condition{{Key: job.Put}}, Then: []wire.Change{{Put: job.Put, Value: job.Value, Lease: 1}}},
+			"a deletion too": {If: []wire.Condition{{Key: job.Put}}, Then: []wire.Change{{Put: job.Put, Value: job.Value, Delete: "rv/part/a"}}},
+		} {
+			before := w.revision
+			if r := ctl.PeerCommit(t.Context(), txn); r.Outcome != peer.OutcomeInvalid {
+				t.Errorf("%s: %s", name, r.Outcome)
+			}
+			if w.revision != before {
+				t.Errorf("%s was written", name)
+			}
+		}
+		w.end(t)
+	})
+}
+
+// A controller that the state service refuses, alone, accepts what its users submit:
+// others write it. None of it is forgotten, and all of it runs.
+func TestRefusedControllerStillAccepts(t *testing.T) {
+	quietLogs(t)
+	synctest.Test(t, func(t *testing.T) {
+		w := quietWorld(4)
+		w.lostAnswers, w.lateWrites, w.repeats = 0, 0, 0 // those are for the generated days
+		w.do(func() { w.nodes[1].cutState = true })
+		time.Sleep(500 * time.Millisecond)
+		var jobs []*simJob
+		for i := range 8 {
+			j := w.newArray(fmt.Sprintf("run-%06d", 600+i), 1, 1, 2)
+			body, err := json.Marshal(fields(j.spec))
+			if err != nil {
+				t.Fatal(err)
+			}
+			began := time.Now()
+			r := w.askAt(1, func(req frontdoor.Request) any { return frontdoor.Submit{Req: req, Body: body} })
+			if r == nil || r.Status != 201 {
+				t.Fatalf("submission %d: %+v", i, r)
+			}
+			if took := time.Since(began); took > time.Second {
+				t.Errorf("submission %d was accepted after %s", i, took)
+			}
+			w.do(func() { j.accepted = true })
+			jobs = append(jobs, j)
+			time.Sleep(300 * time.Millisecond)
+		}
+		if n := w.seen["relayed written"]; n != len(jobs) {
+			t.Errorf("%d of %d were relayed: the scene shows nothing", n, len(jobs))
+		}
+		for _, j := range jobs {
+			go w.user(j, 0, 0) // asks again at any controller, and polls
+		}
+		w.allDone(t, 2*time.Minute, jobs)
+		w.do(func() { w.nodes[1].cutState = false })
+		w.end(t)
+	})
+}
--- a/node/standin_test.go
+++ b/node/standin_test.go
@@ -310,6 +310,23 @@
 	return r, nil
 }
 
+// Commit has the other controller write, over the same link.
+func (p simPeer) Commit(ctx context.Context, t wire.Txn) (uint64, error) {
+	time.Sleep(p.from.w.between(time.Millisecond, 4*time.Millisecond))
+	ctl := p.to.up()
+	p.from.w.mu.Lock()
+	cut := p.from.cutPeers || p.to.cutPeers || p.from.w.apart(p.from.set.Zone, p.to)
+	p.from.w.mu.Unlock()
+	if ctl == nil || ctx.Err() != nil || cut {
+		return 0, fmt.Errorf("%w: unreachable", state.ErrUnknown)
+	}
+	p.from.stand()
+	r := ctl.PeerCommit(ctx, t)
+	p.from.stand()
+	p.from.w.do(func() { p.from.w.seen["relayed "+string(r.Outcome)]++ })
+	return r.Result()
+}
+
 // --- state service
 
 type simStore struct{ n *simNode }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -1,5 +1,6 @@
 // Package peer carries messages between controllers over gRPC. Nothing
-// depends on them: they only make faster what the records bring anyway.
+// depends on them: they only make faster what the records bring anyway, or have
+// a controller write what another one cannot.
 package peer
 
 import (
@@ -66,8 +67,11 @@
 	Revision uint64 `json:"rev"`
 }
 
-// Handler takes in a status; it must not block.
-type Handler func(Status) Reply
+// Handlers take in what other controllers send.
+type Handlers struct {
+	Status func(Status) Reply // must not block
+	Commit CommitHandler
+}
 
 const method = "/ravenport.Peer/Push"
 
@@ -92,14 +96,14 @@
 			if err := dec(&s); err != nil {
 				return nil, err
 			}
-			r := srv.(Handler)(s)
+			r := srv.(Handlers).Status(s)
 			return &r, nil
 		},
-	}},
+	}, commitDesc},
 }
 
 // Serve listens on addr until ctx ends.
-func Serve(ctx context.Context, addr string, h Handler) error {
+func Serve(ctx context.Context, addr string, h Handlers) error {
 	l, err := net.Listen("tcp4", addr)
 	if err != nil {
 		return fmt.Errorf("peer: %w", err)
--- /dev/null
+++ b/peer/relay.go
@@ -0,0 +1,102 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// Outcome is what came of a transaction that another controller carried out.
+type Outcome string
+
+// Outcomes of a relayed transaction.
+const (
+	OutcomeWritten  Outcome = "written"
+	OutcomeConflict Outcome = "conflict"
+	OutcomeInvalid  Outcome = "invalid"
+	OutcomeLimited  Outcome = "limited" // refused for the allowance alone
+	OutcomeRefused  Outcome = "refused" // surely not carried out
+	OutcomeUnknown  Outcome = "unknown" // it may have been, or may be yet
+)
+
+// CommitReply answers a relayed transaction.
+type CommitReply struct {
+	Outcome  Outcome  `json:"outcome"`
+	Revision uint64   `json:"rev,omitempty"`
+	Failed   []string `json:"failed,omitempty"` // keys whose conditions did not hold
+}
+
+// CommitHandler carries out a transaction for another controller. It is called on a
+// goroutine of its own and may block until ctx ends.
+type CommitHandler func(ctx context.Context, t wire.Txn) CommitReply
+
+const commitMethod = "/ravenport.Peer/Commit"
+
+// ReplyOf puts what a call of the state service returned into a reply.
+func ReplyOf(revision uint64, err error) CommitReply {
+	var conflict *state.Conflict
+	switch {
+	case err == nil:
+		return CommitReply{Outcome: OutcomeWritten, Revision: revision}
+	case errors.As(err, &conflict):
+		return CommitReply{Outcome: OutcomeConflict, Failed: conflict.Failed}
+	case errors.Is(err, state.ErrInvalid):
+		return CommitReply{Outcome: OutcomeInvalid}
+	case errors.Is(err, state.ErrLimited):
+		return CommitReply{Outcome: OutcomeLimited}
+	case errors.Is(err, state.ErrRefused):
+		return CommitReply{Outcome: OutcomeRefused}
+	}
+	return CommitReply{Outcome: OutcomeUnknown}
+}
+
+// Result is what the state service's own client would have returned.
+func (r CommitReply) Result() (revision uint64, err error) {
+	switch r.Outcome {
+	case OutcomeWritten:
+		return r.Revision, nil
+	case OutcomeConflict:
+		return 0, &state.Conflict{Failed: r.Failed}
+	case OutcomeInvalid:
+		return 0, fmt.Errorf("%w: relayed", state.ErrInvalid)
+	case OutcomeLimited:
+		return 0, fmt.Errorf("%w: %w: relayed", state.ErrRefused, state.ErrLimited)
+	case OutcomeRefused:
+		return 0, fmt.Errorf("%w: relayed", state.ErrRefused)
+	}
+	return 0, fmt.Errorf("%w: relayed", state.ErrUnknown)
+}
+
+// Commit has the other controller carry out a transaction. One of the version before
+// does not know how, and refuses.
+func (c *Client) Commit(ctx context.Context, t wire.Txn) (uint64, error) {
+	var r CommitReply
+	err := c.conn.Invoke(ctx, commitMethod, &t, &r)
+	switch {
+	case err == nil:
+		return r.Result()
+	case status.Code(err) == codes.Unimplemented:
+		return 0, fmt.Errorf("%w: relay: %w", state.ErrRefused, err)
+	}
+	return 0, fmt.Errorf("%w: relay: %w", state.ErrUnknown, err)
+}
+
+// commitDesc is the method's description for gRPC.
+var commitDesc = grpc.MethodDesc{
+	MethodName: "Commit",
+	Handler: func(srv any, ctx context.Context, dec func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+		var t wire.Txn
+		if err := dec(&t); err != nil {
+			return nil, err
+		}
+		r := srv.(Handlers).Commit(ctx, t)
+		return &r, nil
+	},
+}
--- a/state/records.go
+++ b/state/records.go
@@ -270,3 +270,14 @@
 	kind, rest, _ = strings.Cut(strings.TrimPrefix(key, Prefix), "/")
 	return kind, rest
 }
+
+// CreatesJob says that a transaction creates one job's record and does nothing else:
+// carried out twice, or late, it changes nothing that exists.
+func CreatesJob(t wire.Txn) bool {
+	if len(t.If) != 1 || len(t.Then) != 1 {
+		return false
+	}
+	key, change := t.If[0], t.Then[0]
+	return key.Version == 0 && change.Put == key.Key && change.Delete == "" && change.Lease == 0 &&
+		strings.HasPrefix(key.Key, KeyJob(""))
+}
