Control, the front door and the stand-ins in files of one job each; one order of places

Moves only: control's lease, roles and talk with other controllers, the front door's polls, submissions and cancellations, and the stand-ins of the tests stand in files of their own; every line of the old files is in one of the new ones.

--- /dev/null
+++ b/frontdoor/cancellations.go
@@ -0,0 +1,93 @@
+package frontdoor
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+
+	"ravenport/constants"
+	"ravenport/httpwire"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// note tells control of a cancellation before any user hears of it. It runs beside
+// the actor.
+func (d *Door) note(rec *state.Job, revision uint64) {
+	if rec.End == wire.JobCancelled {
+		d.control.Tell(Cancelled{rec.ID, revision})
+	}
+}
+
+func (d *Door) cancel(ctx context.Context, m Cancel) {
+	if k, ok := d.jobs[m.ID]; ok && k.end != "" {
+		m.Req.Answer(&httpwire.Response{Status: 200, Body: body(wire.Accepted{ID: m.ID, Status: k.end})})
+		return
+	}
+	if d.busy >= constants.MaxWaiting {
+		Refuse(m.Req, 429, "overloaded")
+		return
+	}
+	d.busy++
+	sizes := d.sizes
+	go func() {
+		defer d.self.Tell(finished{})
+		ctx, cancel := context.WithTimeout(ctx, constants.AnswerLimit)
+		defer cancel()
+		end, err := d.end(ctx, m.ID, sizes)
+		switch {
+		case err != nil:
+			Refuse(m.Req, 503, "state service away")
+		case end == "":
+			m.Req.Answer(&httpwire.Response{Status: 404, Body: body(wire.Problem{Error: "no such job"})})
+		default:
+			m.Req.Answer(&httpwire.Response{Status: 200, Body: body(wire.Accepted{ID: m.ID, Status: end})})
+		}
+	}()
+}
+
+// end cancels a job that is not over and returns how it ended; empty if there
+// is no such job. It runs beside the actor.
+func (d *Door) end(ctx context.Context, id string, sizes state.Sizes) (string, error) {
+	for {
+		rec, version, err := d.fetch(ctx, id)
+		if err != nil {
+			return "", err
+		}
+		if rec == nil {
+			return "", nil
+		}
+		if rec.End != "" {
+			d.note(rec, version)
+			return rec.End, nil
+		}
+		was := *rec
+		rec.End = wire.JobCancelled
+		value, ok := sizes.Encode(rec, &was)
+		if !ok {
+			slog.Error("job's record does not fit", "job", id, "bytes", len(value))
+			return "", state.ErrRefused
+		}
+		txn := wire.Txn{
+			If:   []wire.Condition{{Key: state.KeyJob(id), Version: version}},
+			Then: []wire.Change{{Put: state.KeyJob(id), Value: value}},
+		}
+		revision, err := d.commit(ctx, txn)
+		var conflict *state.Conflict
+		switch {
+		case err == nil:
+			d.note(rec, revision)
+			return rec.End, nil
+		case errors.Is(err, state.ErrInvalid) && !sizes.Packs:
+			sizes.Packs = true // the smaller limits have come, so all have this version
+		case errors.As(err, &conflict), errors.Is(err, state.ErrUnknown):
+			// Another change came first, or it is not known whether this one
+			// was made: the key itself tells.
+			if ctx.Err() != nil {
+				return "", err
+			}
+		default:
+			return "", err
+		}
+	}
+}
--- /dev/null
+++ b/frontdoor/polls.go
@@ -0,0 +1,189 @@
+package frontdoor
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"io"
+	"time"
+
+	"ravenport/constants"
+	"ravenport/httpwire"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// poll is a question about a job that waits for a read.
+type poll struct {
+	req      Request
+	id       string
+	came     time.Time
+	revision uint64
+	// missing decides what is answered if the job does not exist.
+	missing func()
+	direct  bool
+}
+
+// ask answers a poll: at once if the job is over, else after a read.
+func (d *Door) ask(ctx context.Context, p *poll) {
+	if k, ok := d.jobs[p.id]; ok && k.end != "" {
+		d.tell(p, k)
+		return
+	}
+	if !d.admits(p.id) {
+		Refuse(p.req, 503, "overloaded")
+		return
+	}
+	if time.Now().Before(d.down) {
+		Refuse(p.req, 503, "state service away")
+		return
+	}
+	d.busy++
+	p.came = time.Now()
+	d.next = append(d.next, p)
+	d.read(ctx)
+}
+
+// admits says whether a poll may wait. Half of the room is anyone's, the other
+// half is for a part of all jobs, another one every few seconds: whatever order
+// they come in, no job's polls lose every time.
+func (d *Door) admits(id string) bool {
+	if d.busy < constants.MaxWaiting/2 {
+		return true
+	}
+	h := fnv.New32a()
+	io.WriteString(h, id)
+	turn := time.Now().Unix() / int64(constants.TurnLength.Seconds()) % constants.Turns
+	return d.busy < constants.MaxWaiting && int64(h.Sum32()%constants.Turns) == turn
+}
+
+// read reads the current revision for all polls that wait for a read.
+func (d *Door) read(ctx context.Context) {
+	if d.reading || len(d.next) == 0 {
+		return
+	}
+	d.reading = true
+	if wait := d.readAt.Add(d.gap).Sub(time.Now()); wait > 0 {
+		// The polls that come until then share one read.
+		time.AfterFunc(wait, func() { d.self.Tell(readNow{}) })
+		return
+	}
+	d.readAt = time.Now()
+	polls := d.next
+	d.next = nil
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, constants.AnswerLimit)
+		defer cancel()
+		rev, err := d.store.Revision(ctx)
+		d.self.Tell(readDone{polls, rev, err})
+	}()
+}
+
+func (d *Door) readDone(ctx context.Context, m readDone) {
+	d.reading = false
+	limited := errors.Is(m.err, state.ErrLimited)
+	if m.err != nil && !limited {
+		d.down = time.Now().Add(constants.DownFor)
+	}
+	for _, p := range m.polls {
+		switch {
+		case limited && time.Since(p.came) < constants.AnswerLimit/2:
+			d.next = append(d.next, p) // another read, with those that came since
+		case m.err != nil:
+			d.busy--
+			Refuse(p.req, 503, "state service away")
+		case m.revision <= d.rev:
+			d.answer(p)
+		default:
+			p.revision = m.revision
+			d.waiting = append(d.waiting, p)
+		}
+	}
+	d.read(ctx)
+}
+
+// answer tells a poll what the feed knows, which is new enough for it.
+func (d *Door) answer(p *poll) {
+	d.busy--
+	d.stats.poll.record(time.Since(p.came).Milliseconds())
+	k, ok := d.jobs[p.id]
+	if ok {
+		d.tell(p, k)
+		return
+	}
+	d.absent(p)
+}
+
+func (d *Door) absent(p *poll) {
+	if p.missing != nil {
+		p.missing()
+		return
+	}
+	p.req.Answer(&httpwire.Response{Status: 404, Body: body(wire.Problem{Error: "no such job"})})
+}
+
+func (d *Door) tell(p *poll, k known) {
+	s := wire.JobState{ID: p.id, Status: k.end, Done: k.closed}
+	if k.end == "" {
+		s.Status = wire.JobQueued
+		for _, part := range d.counts {
+			s.Running += part[p.id][0]
+			s.Done += part[p.id][1]
+		}
+		s.Done = min(s.Done, k.tasks)
+		s.Running = min(s.Running, k.tasks-s.Done)
+		if s.Running > 0 {
+			s.Status = wire.JobRunning
+		}
+	}
+	p.req.Answer(&httpwire.Response{Status: 200, Body: body(s)})
+}
+
+// tick reads keys themselves for polls that the feed keeps waiting.
+func (d *Door) tick(ctx context.Context, now time.Time) {
+	kept := d.waiting[:0]
+	for _, p := range d.waiting {
+		if now.Sub(p.came) < constants.BarrierWait {
+			kept = append(kept, p)
+			continue
+		}
+		go d.direct(ctx, p)
+	}
+	clear(d.waiting[len(kept):])
+	d.waiting = kept
+}
+
+// direct answers a poll from the key itself. It runs beside the actor and
+// touches none of its state.
+func (d *Door) direct(ctx context.Context, p *poll) {
+	defer d.self.Tell(finished{})
+	ctx, cancel := context.WithTimeout(ctx, constants.AnswerLimit)
+	defer cancel()
+	rec, version, err := d.fetch(ctx, p.id)
+	switch {
+	case err != nil:
+		Refuse(p.req, 503, "state service away")
+	case rec == nil:
+		d.absent(p)
+	default:
+		d.note(rec, version)
+		k := summary(rec)
+		s := wire.JobState{ID: p.id, Status: k.end, Done: k.closed}
+		if k.end == "" {
+			s.Status = wire.JobQueued
+		}
+		p.req.Answer(&httpwire.Response{Status: 200, Body: body(s)})
+	}
+}
+
+func (d *Door) fetch(ctx context.Context, id string) (*state.Job, uint64, error) {
+	kv, found, err := d.store.Get(ctx, state.KeyJob(id))
+	if err != nil || !found {
+		return nil, 0, err
+	}
+	v, err := state.Decode(state.KeyJob(id), kv.Value)
+	if err != nil {
+		return nil, 0, err
+	}
+	return v.(*state.Job), kv.Version, nil
+}
--- a/leader/core.go
+++ b/leader/core.go
@@ -313,15 +313,7 @@
 			j.place = c.order.Place(now, j.rec, c.guaranteed(&j.rec.Spec) > 0, len(j.rec.Chunks) > 0)
 		}
 	}
-	slices.SortFunc(q, func(a, b *jobState) int {
-		switch {
-		case a == b:
-			return 0
-		case a.place.Before(b.place):
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(q, func(a, b *jobState) int { return a.place.Compare(b.place) })
 	began := time.Now()
 	start := 0
 	if c.resume != nil {
--- a/leader/order.go
+++ b/leader/order.go
@@ -1,7 +1,9 @@
 package leader
 
 import (
+	"cmp"
 	"sort"
+	"strings"
 	"time"
 
 	"ravenport/constants"
@@ -117,23 +119,26 @@
 	return p
 }
 
-// Before says whether a place comes before another.
-func (p Place) Before(q Place) bool {
+// Compare orders places: the one that comes first is less.
+func (p Place) Compare(q Place) int {
 	switch {
 	case p.priority != q.priority:
-		return p.priority < q.priority
+		return cmp.Compare(p.priority, q.priority)
 	case p.overdue != q.overdue:
-		return p.overdue < q.overdue
+		return cmp.Compare(p.overdue, q.overdue)
 	case p.borrowed != q.borrowed:
-		return p.borrowed < q.borrowed
+		return cmp.Compare(p.borrowed, q.borrowed)
 	case p.single != q.single:
-		return p.single < q.single
+		return cmp.Compare(p.single, q.single)
 	case p.band != q.band:
-		return p.band < q.band
+		return cmp.Compare(p.band, q.band)
 	case p.score != q.score:
-		return p.score < q.score
+		return cmp.Compare(p.score, q.score)
 	case p.accepted != q.accepted:
-		return p.accepted < q.accepted
+		return cmp.Compare(p.accepted, q.accepted)
 	}
-	return p.id < q.id
+	return strings.Compare(p.id, q.id)
 }
+
+// Before says whether a place comes before another.
+func (p Place) Before(q Place) bool { return p.Compare(q) < 0 }
--- a/node/cancellations.go
+++ b/node/cancellations.go
@@ -1,13 +1,12 @@
 package node
 
 import (
+	"cmp"
 	"slices"
 
 	"ravenport/constants"
 	"ravenport/frontdoor"
 	"ravenport/peer"
-	"ravenport/state"
-	"ravenport/wire"
 )
 
 // cancellations are those that this process knows of, from its feed, from what its
@@ -55,12 +54,7 @@
 			out = append(out, peer.Cancellation{Job: job, Revision: at})
 		}
 	}
-	slices.SortFunc(out, func(a, b peer.Cancellation) int {
-		if a.Revision < b.Revision {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b peer.Cancellation) int { return cmp.Compare(a.Revision, b.Revision) })
 	return out
 }
 
@@ -77,10 +71,3 @@
 		o.ref.Tell(frontdoor.Cancelled{ID: x.Job, Revision: x.Revision})
 	}
 }
-
-// noteRecord notes a cancellation that the feed brought.
-func (c *control) noteRecord(j *state.Job, version uint64) {
-	if j.End == wire.JobCancelled {
-		c.cancels.note(j.ID, version)
-	}
-}
--- /dev/null
+++ b/node/lease.go
@@ -0,0 +1,132 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"ravenport/constants"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// freshen notes up to when the feed is known to hold every change.
+func (c *control) freshen(now time.Time) {
+	kept := c.reads[:0]
+	for _, r := range c.reads {
+		if r.revision > c.revision {
+			kept = append(kept, r)
+		} else if r.sent.After(c.fresh) {
+			c.fresh = r.sent
+		}
+	}
+	c.reads = kept
+	c.spreadAuthority(now)
+}
+
+// until is when this controller's authority ends: its lease, and its
+// knowledge of cancellations, both counted from before they were asked for.
+func (c *control) until() time.Time {
+	if c.lease == 0 || c.leaseSent.IsZero() || c.fresh.IsZero() {
+		return time.Time{}
+	}
+	t := c.leaseSent
+	if c.fresh.Before(t) {
+		t = c.fresh
+	}
+	return t.Add(c.authority)
+}
+
+func (c *control) settled(now time.Time) bool { return c.synced && now.Before(c.until()) }
+
+func (c *control) spreadAuthority(now time.Time) {
+	for _, o := range c.owners {
+		o.ref.Tell(authority(c.ownersUntil()))
+	}
+	if c.leaderRef != nil {
+		c.leaderRef.ref.Tell(authority(c.until()))
+	}
+}
+
+// keepLease renews the lease, or gets one and puts this controller's key.
+func (c *control) keepLease(ctx context.Context, now time.Time) {
+	if c.leaseBusy || now.Before(c.nextLease) || !c.synced {
+		return
+	}
+	c.leaseBusy = true
+	life := c.set.Operator.LeaseLife
+	c.nextLease = now.Add(life / constants.RenewalsPerLife)
+	sent := now
+	if c.lease == 0 {
+		inc := rand.Uint64()>>1 | 1
+		_, version := c.member.NodeKey(c.set.Node)
+		go func() {
+			lease, err := c.io.State.Grant(ctx, life)
+			if err == nil {
+				// Conditional, so that a late copy from an earlier process can
+				// never replace this one's.
+				key := state.KeyNode(c.set.Node)
+				_, err = c.io.First.Commit(ctx, wire.Txn{
+					If:   []wire.Condition{{Key: key, Version: version}},
+					Then: []wire.Change{{Put: key, Value: state.Encode(state.Node{Incarnation: inc, Packs: true}), Lease: lease}},
+				})
+			}
+			c.self.Tell(leased{lease, inc, sent, err})
+		}()
+		return
+	}
+	lease := c.lease
+	go func() {
+		err := c.io.State.Renew(ctx, lease)
+		c.self.Tell(renewed{lease, sent, err})
+		if err == nil {
+			at := time.Now()
+			rev, err := c.io.State.Revision(ctx)
+			c.self.Tell(revisionRead{rev, at, err})
+		}
+	}()
+}
+
+func (c *control) leased(now time.Time, m leased) {
+	c.leaseBusy = false
+	if m.err != nil {
+		slog.Info("no lease yet", "err", m.err)
+		c.nextLease = now.Add(constants.RetryMin + rand.N(constants.RetryMin))
+		return
+	}
+	c.heardAt = now
+	c.lease, c.incarnation, c.leaseSent = m.lease, m.incarnation, m.sent
+	c.nextLease = now
+	slog.Info("lease obtained", "lease", m.lease)
+	c.spreadAuthority(now)
+}
+
+func (c *control) renewed(now time.Time, m renewed) {
+	c.leaseBusy = false
+	switch {
+	case m.err == nil:
+		c.heardAt = now
+		if m.lease == c.lease && m.sent.After(c.leaseSent) {
+			c.leaseSent = m.sent
+		}
+		c.spreadAuthority(now)
+	case errors.Is(m.err, state.ErrNoLease):
+		// Others may hold this controller's terms by now. It begins anew.
+		slog.Warn("lease ended", "lease", m.lease)
+		c.lease, c.incarnation = 0, 0
+		c.leaseSent = time.Time{}
+		for part := range c.owners {
+			c.stopOwner(part)
+		}
+		if c.leaderRef != nil {
+			c.leaderRef.cancel()
+			c.leaderRef = nil
+		}
+		c.nextLease = now
+	default:
+		slog.Info("renewal failed", "err", m.err)
+		c.nextLease = now.Add(constants.RetryMin + rand.N(constants.RetryMin))
+	}
+}
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"ravenport/constants"
+	"ravenport/frontdoor"
+	"ravenport/leader"
+	"ravenport/peer"
+	"ravenport/state"
+)
+
+type peerView struct {
+	stateOK bool
+	at      time.Time
+}
+
+func (c *control) stateOK(now time.Time) bool { return now.Sub(c.heardAt) < constants.StateSilence }
+
+// push tells the other controllers this one's aggregates: the leader soon after
+// a change, everybody at an interval of its own. A busy part's changes must not
+// put that off: from it owners know that they are cut off, and users' counts.
+func (c *control) push(ctx context.Context, now time.Time) {
+	ask := c.asks(now)
+	due := now.Sub(c.pushAllAt) > constants.PushEvery || len(ask) > 0 && now.Sub(c.pushAllAt) > constants.PromiseEvery
+	if !due && !(c.pushNow && now.Sub(c.pushAt) >= constants.PushGap) {
+		return
+	}
+	c.pushAt, c.pushNow = now, false
+	if due {
+		c.pushAllAt = now
+	}
+	s := peer.Status{Node: c.set.Node, StateOK: c.stateOK(now), Revision: c.revision, Ask: ask, Counts: map[string]map[string][2]int{}}
+	for part, st := range c.status {
+		s.Aggregates = append(s.Aggregates, st.aggregate)
+		if due {
+			s.Counts[part] = st.counts
+		}
+	}
+	for name, x := range c.strays {
+		if now.Sub(x.at) > time.Duration(constants.StrayPeriods*float64(c.set.Report())) {
+			delete(c.strays, name)
+			continue
+		}
+		s.Strays = append(s.Strays, x.Stray)
+	}
+	lead, _ := c.member.Holder(state.KeyLeader)
+	if c.leaderRef != nil {
+		s.Forecast = c.forecast
+	}
+	for name, p := range c.io.Peers {
+		if c.pushing[name] || !due && name != lead && len(s.Forecast) == 0 {
+			continue
+		}
+		c.pushing[name] = true
+		go func() {
+			r, err := p.Push(ctx, s)
+			c.self.Tell(peerReply{name, now, len(s.Ask) > 0, r, err})
+		}()
+	}
+}
+
+// foretell hands owners here what the leader will assign to them.
+func (c *control) foretell(f map[string]leader.Forecast) {
+	for part, x := range f {
+		if o := c.owners[part]; o != nil {
+			o.ref.Tell(x)
+		}
+	}
+}
+
+// tellRelays tells the front door which controllers reach the state service, should
+// this one be kept from it.
+func (c *control) tellRelays(now time.Time) {
+	var to []frontdoor.Relay
+	for name, view := range c.peersState {
+		if p := c.io.Peers[name]; p != nil && view.stateOK && now.Sub(view.at) < constants.StateSilence {
+			to = append(to, p)
+		}
+	}
+	c.door.Tell(frontdoor.Relays{To: to})
+}
+
+func (c *control) peerStatus(now time.Time, s peer.Status) {
+	c.foretell(s.Forecast)
+	c.peersState[s.Node] = peerView{s.StateOK, now}
+	c.tellRelays(now)
+	for _, a := range s.Aggregates {
+		if o := c.owners[a.Part]; o != nil && a.Term > o.term {
+			// This one is cut off from the state service and has been replaced:
+			// its machines must not be kept from the next owner by its tending.
+			slog.Info("a sibling owns the part under a later term", "part", a.Part, "term", o.term, "to", s.Node)
+			c.yielded[state.KeyPart(a.Part)] = o.term
+			c.successor[a.Part] = s.Node
+			c.stopOwner(a.Part)
+		}
+		if c.leaderRef != nil {
+			c.leaderRef.ref.Tell(a)
+		}
+	}
+	// Whether every other live controller has been heard from lately: if so, a
+	// machine that none of them has seen does not just miss its owner.
+	all := true
+	for _, p := range c.set.Peers {
+		if c.member.Alive(p.Node) && now.Sub(c.peersState[p.Node].at) > constants.PushEvery*2 {
+			all = false
+		}
+	}
+	for _, o := range c.owners {
+		o.ref.Tell(s.Aggregates)
+		o.ref.Tell(strays{s.Strays, all})
+	}
+	for part, jobs := range s.Counts {
+		if c.owners[part] == nil {
+			c.door.Tell(frontdoor.Counts{Part: part, Jobs: jobs})
+		}
+	}
+}
--- /dev/null
+++ b/node/standin_cloud_test.go
@@ -0,0 +1,104 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"time"
+
+	"ravenport/cloud"
+	"ravenport/wire"
+)
+
+type simCloud struct{ n *simNode }
+
+var simTypes = []wire.MachineType{{Name: "box", CPUs: 8, MemoryGB: 32, CacheGB: 50, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 8}}
+
+func (c *simCloud) Types(ctx context.Context) ([]wire.MachineType, error) {
+	time.Sleep(50 * time.Millisecond)
+	t := simTypes[0]
+	t.Zones = c.n.set.Params.Zones
+	return []wire.MachineType{t}, nil
+}
+
+func (c *simCloud) Rent(ctx context.Context, r wire.RentRequest) ([]string, error) {
+	w := c.n.w
+	c.n.stand()
+	time.Sleep(100 * time.Millisecond)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cloudOut || w.cutZone == c.n.set.Zone {
+		return nil, cloud.ErrTrouble
+	}
+	if names, ok := w.requests[r.Request]; ok {
+		return names, nil
+	}
+	kind := r.Zone + "/ordinary"
+	if r.Spot {
+		kind = r.Zone + "/spot"
+	}
+	var names []string
+	for range min(r.Count, w.capacity[kind]) {
+		w.capacity[kind]--
+		w.seq++
+		m := &simWorker{w: w, name: fmt.Sprintf("m-%06d", w.seq), zone: r.Zone, spot: r.Spot, kind: kind, session: 1, held: map[string]*simTask{}, born: time.Now()}
+		m.boots = time.Now().Add(time.Duration(4+w.rng.IntN(10)) * time.Second)
+		if w.upIn > 0 {
+			m.boots = time.Now().Add(time.Duration(w.rng.Int64N(int64(w.upIn))))
+		}
+		if !w.tame && w.rng.Float64() < 0.05 {
+			m.boots = m.boots.Add(time.Hour)
+		}
+		w.machines[m.name] = m
+		names = append(names, m.name)
+		go m.run()
+	}
+	if len(names) == 0 {
+		return nil, cloud.ErrNoCapacity
+	}
+	w.requests[r.Request] = names
+	if !w.tame && w.rng.Float64() < 0.05 {
+		return nil, cloud.ErrTrouble // carried out, the answer lost
+	}
+	return names, nil
+}
+
+func (c *simCloud) Return(ctx context.Context, names []string) error {
+	c.n.stand()
+	time.Sleep(100 * time.Millisecond)
+	c.n.w.mu.Lock()
+	defer c.n.w.mu.Unlock()
+	if c.n.w.cloudOut || c.n.w.noReturn || c.n.w.cutZone == c.n.set.Zone {
+		return cloud.ErrTrouble
+	}
+	for _, n := range names {
+		c.n.w.remove(n)
+	}
+	return nil
+}
+
+// remove takes a machine away. The caller holds the lock.
+func (w *world) remove(name string) {
+	if m := w.machines[name]; m != nil {
+		m.gone = true
+		w.capacity[m.kind]++
+		delete(w.machines, name)
+	}
+}
+
+func (c *simCloud) List(ctx context.Context) ([]wire.CloudMachine, error) {
+	w := c.n.w
+	w.mu.Lock()
+	var out []wire.CloudMachine
+	for _, m := range w.machines {
+		s := wire.MachineRunning
+		if time.Now().Before(m.boots) {
+			s = wire.MachineBooting
+		}
+		out = append(out, wire.CloudMachine{Name: m.name, Addr: m.name, Type: "box", Zone: m.zone, Spot: m.spot, State: s, AgeS: time.Since(m.born).Seconds()})
+	}
+	w.mu.Unlock()
+	time.Sleep(5 * time.Second) // the list lags
+	sort.Slice(out, func(a, b int) bool { return out[a].Name < out[b].Name })
+	return out, nil
+}
--- /dev/null
+++ b/node/standin_store_test.go
@@ -0,0 +1,257 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+type entry struct {
+	value   json.RawMessage
+	version uint64
+	lease   uint64
+}
+
+type simLease struct {
+	life time.Duration
+	ends time.Time
+}
+
+type simStore struct{ n *simNode }
+
+// pass is the way to the state service: it takes time, and may be shut.
+func (s *simStore) pass(ctx context.Context) error {
+	w := s.n.w
+	s.n.stand() // what it had decided goes out when it moves on, whatever the time
+	time.Sleep(w.between(time.Millisecond, 12*time.Millisecond) + w.slow)
+	if ctx.Err() != nil && !w.chance(0.5) {
+		return fmt.Errorf("%w: %w", state.ErrUnknown, ctx.Err())
+	}
+	w.mu.Lock()
+	shut := w.outage || s.n.cutState || w.cutZone == s.n.set.Zone
+	w.mu.Unlock()
+	if shut {
+		return state.ErrRefused
+	}
+	return nil
+}
+
+func (s *simStore) Commit(ctx context.Context, t wire.Txn) (uint64, error) {
+	if err := s.pass(ctx); err != nil {
+		return 0, err
+	}
+	w := s.n.w
+	switch {
+	case w.chance(w.lostAnswers): // carried out, the answer lost
+		w.mu.Lock()
+		if _, err := w.apply(t); err == nil {
+			w.seen["lost answers"]++
+		}
+		w.mu.Unlock()
+		time.Sleep(time.Second)
+		return 0, state.ErrUnknown
+	case w.chance(w.lateWrites): // carried out much later
+		go func() {
+			time.Sleep(w.between(time.Second, 20*time.Second))
+			w.mu.Lock()
+			w.seen["late writes"]++
+			if _, err := w.apply(t); err != nil {
+				w.seen["late writes that failed"]++
+			}
+			w.mu.Unlock()
+		}()
+		time.Sleep(time.Second)
+		return 0, state.ErrUnknown
+	case w.chance(w.repeats): // repeated later
+		go func() {
+			time.Sleep(w.between(time.Second, 20*time.Second))
+			w.mu.Lock()
+			w.apply(t)
+			w.mu.Unlock()
+		}()
+	}
+	w.mu.Lock()
+	rev, err := w.apply(t)
+	w.mu.Unlock()
+	s.n.stand()
+	return rev, err
+}
+
+// apply carries out a transaction. The caller holds the lock.
+func (w *world) apply(t wire.Txn) (uint64, error) {
+	if !w.noConditions {
+		for _, c := range t.If {
+			v := uint64(0)
+			if e := w.kv[c.Key]; e != nil {
+				v = e.version
+			}
+			if v != c.Version {
+				return 0, &state.Conflict{Failed: []string{c.Key}}
+			}
+		}
+	}
+	for _, ch := range t.Then {
+		if ch.Lease != 0 && w.leases[ch.Lease] == nil {
+			return 0, state.ErrNoLease
+		}
+	}
+	kb, ops := 8, 12
+	if w.smaller {
+		kb, ops = 1, 2
+	}
+	for _, ch := range t.Then {
+		if len(ch.Value) > kb<<10 || len(t.Then) > ops || len(t.If) > 4*ops {
+			w.invalid[ch.Put]++
+			return 0, state.ErrInvalid
+		}
+	}
+	w.revision++
+	for _, ch := range t.Then {
+		if ch.Delete != "" {
+			delete(w.kv, ch.Delete)
+			w.events = append(w.events, wire.Event{Delete: ch.Delete, Version: w.revision})
+			continue
+		}
+		w.kv[ch.Put] = &entry{ch.Value, w.revision, ch.Lease}
+		w.events = append(w.events, wire.Event{Put: ch.Put, Value: ch.Value, Version: w.revision})
+	}
+	close(w.changed)
+	w.changed = make(chan struct{})
+	return w.revision, nil
+}
+
+func (s *simStore) Get(ctx context.Context, key string) (wire.KeyValue, bool, error) {
+	if err := s.pass(ctx); err != nil {
+		return wire.KeyValue{}, false, err
+	}
+	s.n.w.mu.Lock()
+	defer s.n.w.mu.Unlock()
+	e := s.n.w.kv[key]
+	if e == nil {
+		return wire.KeyValue{}, false, nil
+	}
+	return wire.KeyValue{Key: key, Value: e.value, Version: e.version, Lease: e.lease}, true, nil
+}
+
+func (s *simStore) Revision(ctx context.Context) (uint64, error) {
+	if err := s.pass(ctx); err != nil {
+		return 0, err
+	}
+	s.n.w.mu.Lock()
+	defer s.n.w.mu.Unlock()
+	return s.n.w.revision, nil
+}
+
+func (s *simStore) List(ctx context.Context, prefix string) ([]wire.KeyValue, uint64, error) {
+	if err := s.pass(ctx); err != nil {
+		return nil, 0, err
+	}
+	w := s.n.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []wire.KeyValue
+	for k, e := range w.kv {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, wire.KeyValue{Key: k, Value: e.value, Version: e.version})
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Key < out[b].Key })
+	return out, w.revision, nil
+}
+
+func (s *simStore) Watch(ctx context.Context, prefix string, from uint64, wait time.Duration) (*wire.Events, error) {
+	if err := s.pass(ctx); err != nil {
+		return nil, err
+	}
+	w := s.n.w
+	end := time.After(wait)
+	for {
+		w.mu.Lock()
+		out := &wire.Events{Revision: w.revision}
+		i := sort.Search(len(w.events), func(i int) bool { return w.events[i].Version > from })
+		out.Events = append(out.Events, w.events[i:]...)
+		changed, shut := w.changed, s.n.cutState
+		w.mu.Unlock()
+		if len(out.Events) > 0 && !shut {
+			return out, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, state.ErrRefused
+		case <-end:
+			if shut {
+				return nil, state.ErrRefused
+			}
+			return out, nil
+		case <-changed:
+		}
+	}
+}
+
+func (s *simStore) Grant(ctx context.Context, life time.Duration) (uint64, error) {
+	if err := s.pass(ctx); err != nil {
+		return 0, err
+	}
+	w := s.n.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaseSeq++
+	w.leases[w.leaseSeq] = &simLease{life, time.Now().Add(life)}
+	return w.leaseSeq, nil
+}
+
+func (s *simStore) Renew(ctx context.Context, id uint64) error {
+	if err := s.pass(ctx); err != nil {
+		return err
+	}
+	w := s.n.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	l := w.leases[id]
+	if l == nil {
+		return state.ErrNoLease
+	}
+	l.ends = time.Now().Add(l.life)
+	return nil
+}
+
+// expire ends leases whose time is up, never during an outage.
+func (w *world) expire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.outage {
+		return
+	}
+	for id, l := range w.leases {
+		if time.Now().Before(l.ends) {
+			continue
+		}
+		delete(w.leases, id)
+		var t wire.Txn
+		for k, e := range w.kv {
+			if e.lease == id {
+				t.Then = append(t.Then, wire.Change{Delete: k})
+			}
+		}
+		if len(t.Then) > 0 {
+			if _, err := w.apply(t); err != nil {
+				panic(err)
+			}
+		}
+	}
+}
+
+func (w *world) setOutage(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.outage = on
+	for _, l := range w.leases {
+		l.ends = time.Now().Add(l.life)
+	}
+}
--- /dev/null
+++ b/node/standin_user_test.go
@@ -0,0 +1,208 @@
+package node
+
+import (
+	"encoding/json"
+	"time"
+
+	"ravenport/frontdoor"
+	"ravenport/httpwire"
+	"ravenport/wire"
+)
+
+type simJob struct {
+	spec       wire.Submission
+	accepted   bool
+	told       string // last terminal state told
+	cancelled  time.Time
+	overstayed bool // a task of it was seen on a machine past its time
+	asked      bool // cancellation asked for
+	answered   time.Time
+	doneTasks  map[int]bool
+	runs       []float64 // how long each task runs (s), if not as long as estimated
+	starts     int
+	idleSince  time.Time // since when it has waited beside room for it
+	saved      float64   // of a gang: progress at its last checkpoint (s)
+}
+
+type simAnswer struct{ got chan *httpwire.Response }
+
+func (a *simAnswer) Answer(r *httpwire.Response) { a.got <- r }
+
+// ask sends one request to any controller and waits as long as users do.
+func (w *world) ask(msg func(frontdoor.Request) any) *httpwire.Response {
+	w.mu.Lock()
+	node := w.rng.IntN(len(w.nodes))
+	w.mu.Unlock()
+	return w.askAt(node, msg)
+}
+
+// askAt sends one request to one controller.
+func (w *world) askAt(node int, msg func(frontdoor.Request) any) *httpwire.Response {
+	w.mu.Lock()
+	ctl := w.nodes[node].ctl
+	w.mu.Unlock()
+	time.Sleep(w.between(time.Millisecond, 5*time.Millisecond))
+	if ctl == nil {
+		return nil
+	}
+	a := &simAnswer{got: make(chan *httpwire.Response, 1)}
+	ctl.door.Tell(msg(a))
+	select {
+	case r := <-a.got:
+		return r
+	case <-time.After(5 * time.Second):
+		return nil
+	}
+}
+
+// user submits a job, polls it and perhaps cancels it.
+func (w *world) user(j *simJob, after, cancelAfter time.Duration) {
+	time.Sleep(after)
+	body, err := json.Marshal(fields(j.spec))
+	if err != nil {
+		panic(err)
+	}
+	for {
+		r := w.ask(func(q frontdoor.Request) any { return frontdoor.Submit{Req: q, Body: body} })
+		if r != nil && (r.Status == 201 || r.Status == 200) {
+			w.mu.Lock()
+			j.accepted = true
+			w.mu.Unlock()
+			break
+		}
+		if r != nil && (r.Status == 400 || r.Status == 422) {
+			w.mu.Lock()
+			w.broke("forgotten", "%s refused with %d: %s", j.spec.ID, r.Status, r.Body)
+			w.mu.Unlock()
+			return
+		}
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(time.Second):
+		}
+	}
+	accepted := time.Now()
+	for {
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(w.between(4*time.Second, 6*time.Second)):
+		}
+		if cancelAfter > 0 && time.Since(accepted) > cancelAfter && j.told == "" {
+			w.mu.Lock()
+			j.asked = true
+			w.mu.Unlock()
+			r := w.ask(func(q frontdoor.Request) any { return frontdoor.Cancel{Req: q, ID: j.spec.ID} })
+			w.check(j, r, true)
+			continue
+		}
+		r := w.ask(func(q frontdoor.Request) any { return frontdoor.Poll{Req: q, ID: j.spec.ID} })
+		if w.mute == j.spec.ID {
+			r = nil
+		}
+		w.check(j, r, false)
+		w.known(j)
+		if w.chance(0.1) { // a late repeat of the submission
+			r = w.ask(func(q frontdoor.Request) any { return frontdoor.Submit{Req: q, Body: body} })
+			if r != nil && r.Status == 201 {
+				w.mu.Lock()
+				w.broke("forgotten", "%s accepted twice", j.spec.ID)
+				w.mu.Unlock()
+			}
+			w.check(j, r, false)
+		}
+	}
+}
+
+// known sees to it that questions about a job are answered once all troubles
+// are over, however others fare.
+func (w *world) known(j *simJob) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	since := w.calm
+	if j.answered.After(since) {
+		since = j.answered
+	}
+	if !w.calm.IsZero() && time.Since(since) > 75*time.Second {
+		w.broke("forgotten", "%s: no answer for %s", j.spec.ID, time.Since(since))
+		j.answered = time.Now()
+	}
+}
+
+// check holds an answer against what the user was told before.
+func (w *world) check(j *simJob, r *httpwire.Response, cancel bool) {
+	if r == nil || r.Status == 503 || r.Status == 429 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	j.answered = time.Now()
+	if r.Status != 200 {
+		w.broke("forgotten", "%s: status %d", j.spec.ID, r.Status)
+		return
+	}
+	var s wire.JobState
+	if err := json.Unmarshal(r.Body, &s); err != nil {
+		panic(err)
+	}
+	if j.told != "" && s.Status != j.told {
+		w.broke("went_back", "%s: %s, then %s", j.spec.ID, j.told, s.Status)
+	}
+	switch s.Status {
+	case wire.JobDone:
+		if len(j.doneTasks) < j.spec.Tasks {
+			w.broke("not_done", "%s: %d of %d", j.spec.ID, len(j.doneTasks), j.spec.Tasks)
+		}
+		j.told = s.Status
+	case wire.JobCancelled:
+		if !j.asked {
+			w.broke("went_back", "%s was never cancelled", j.spec.ID)
+		}
+		if j.cancelled.IsZero() {
+			j.cancelled = time.Now()
+		}
+		j.told = s.Status
+	}
+}
+
+// fields is a submission with every field present.
+func fields(s wire.Submission) map[string]any {
+	b, err := json.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	m := map[string]any{"one_zone": false, "scatter": false, "loaners": false}
+	if err := json.Unmarshal(b, &m); err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// nonsense sends reports with impossible fields to a controller.
+func (w *world) nonsense(ctl *Controller) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := &wire.Report{Machine: "m-999999", Addr: "nowhere:1", Type: "box", Zone: "a", Session: 1 + w.rng.Uint64N(5), Seq: w.rng.Uint64N(100)}
+	for _, m := range w.machines { // a real machine, with what it never said
+		if w.rng.IntN(3) > 0 {
+			r.Machine, r.Addr, r.Zone, r.Spot = m.name, m.name, m.zone, m.spot
+			// Backwards: what says that it is newer is a worker's own word, and
+			// nothing protects from a worker that lies.
+			r.Session, r.Seq = m.session, w.rng.Uint64N(m.taken+1)
+		}
+		break
+	}
+	for range w.rng.IntN(4) {
+		s := wire.TaskStatus{Task: []string{"run-nobody/3", "nonsense", "run-000001/99999", "run-000002/0"}[w.rng.IntN(4)],
+			Attempt: w.rng.Uint64N(1 << 30), State: []string{"running", "exited", "flying"}[w.rng.IntN(3)], Cause: "done"}
+		if s.Task == "run-000002/0" {
+			s.State = "flying" // that a real task is done is for its worker to say, and would be believed
+		}
+		r.Tasks = append(r.Tasks, s)
+	}
+	if r.Machine == "m-999999" {
+		return // a machine that the cloud never rented sends nothing
+	}
+	ctl.self.Tell(beat{&simAnswer{got: make(chan *httpwire.Response, 1)}, r})
+}
--- a/part/chunks.go
+++ b/part/chunks.go
@@ -135,8 +135,9 @@
 }
 
 // closeDone closes the done tasks of open chunks here by themselves, unless the
-// record would take too much room in so many pieces: then it returns false. While a chunk is open, all its
-// tasks count within their team's limit: one that runs on would hold back others.
+// record would take too much room in so many pieces: then it returns false. While a
+// chunk is open, all its tasks count within their team's limit: one that runs on
+// would hold back others.
 func (c *Core) closeDone(j *job, rec *state.Job) bool {
 	whole := rec.Chunks
 	var split []state.Chunk
--- a/part/place.go
+++ b/part/place.go
@@ -95,15 +95,7 @@
 		q = append(q, j)
 		j.place = c.cfg.Order.Place(now, j.rec, j.waiting[0].guarantee, j.begun)
 	}
-	slices.SortFunc(q, func(a, b *job) int {
-		switch {
-		case a == b:
-			return 0
-		case a.place.Before(b.place):
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(q, func(a, b *job) int { return a.place.Compare(b.place) })
 	return q
 }
 
