--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -71,11 +71,12 @@
 // fleet is the world around the controllers.
 type fleet struct {
 	deployment
+	program     string // the built controller
 	controllers []*controller
 	store       *store
 	cloud       *cloud
 
-	reports, answered, commands, starts, polls atomic.Int64
+	reports, commands, starts atomic.Int64
 
 	mu      sync.Mutex
 	runTime map[string]time.Duration // by job; absent: it runs until stopped
@@ -132,8 +133,8 @@
 		}
 	}()
 	dir := b.TempDir()
-	program := filepath.Join(dir, "ravenport")
-	if out, err := exec.Command("go", "build", "-o", program, "ravenport/cmd/ravenport").CombinedOutput(); err != nil {
+	f.program = filepath.Join(dir, "ravenport")
+	if out, err := exec.Command("go", "build", "-o", f.program, "ravenport/cmd/ravenport").CombinedOutput(); err != nil {
 		b.Fatalf("building: %v\n%s", err, out)
 	}
 	const nodes = 3
@@ -143,7 +144,7 @@
 			b.Fatal(err)
 		}
 		f.controllers = append(f.controllers, c)
-		c.start(b, program)
+		c.start(b, f.program)
 	}
 	b.Cleanup(func() {
 		for _, c := range f.controllers {
@@ -249,7 +250,6 @@
 		for end := time.Now().Add(time.Minute); time.Now().Before(end); {
 			time.Sleep(5 * time.Second)
 			f.ask("GET", wire.PathJobs+"/"+s.ID, nil)
-			f.polls.Add(1)
 		}
 	}()
 }
@@ -328,7 +328,7 @@
 	f.phase(b, "takeover", 10*time.Second)
 	f.phase(b, "alone", 20*time.Second)
 	for _, c := range others {
-		c.start(b, filepath.Join(filepath.Dir(c.settings), "ravenport"))
+		c.start(b, f.program)
 	}
 	f.phase(b, "back", 10*time.Second)
 }
--- a/internal/loopback/machine_test.go
+++ b/internal/loopback/machine_test.go
@@ -238,7 +238,6 @@
 		if err := json.Unmarshal(msg.Body, &reply); err != nil {
 			panic(fmt.Sprintf("unreadable answer to a report: %v", err))
 		}
-		f.answered.Add(1)
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		if reply.Token < m.token {
