--- a/node/control.go
+++ b/node/control.go
@@ -215,7 +215,9 @@
 		c.granted(now, m)
 		if m.err == nil {
 			// It was heard; what it can reach it tells in its own status.
-			c.peersState[m.node] = peerView{c.peersState[m.node].stateOK, now}
+			view := c.peersState[m.node]
+			view.at = now
+			c.peersState[m.node] = view
 		}
 	default:
 		return false
@@ -394,7 +396,7 @@
 			c.send(ctx, now, c.member.ClaimOf(key, c.set.Node, inc, version))
 		}
 	}
-	if c.leaderRef != nil && c.peersAway(now) && now.Sub(c.ledSince) > 2*constants.PeersAway {
+	if c.leaderRef != nil && c.toldByNobody(now) && now.Sub(c.ledSince) > 2*constants.PeersAway {
 		c.handOn(ctx, now, state.KeyLeader)
 	}
 	c.push(ctx, now)
--- a/node/peers.go
+++ b/node/peers.go
@@ -12,9 +12,11 @@
 	"ravenport/state"
 )
 
+// peerView is what is known of another controller.
 type peerView struct {
 	stateOK bool
-	at      time.Time
+	at      time.Time // it was last heard: its own status, or an answer
+	told    time.Time // its last own status, with the figures of its shards
 }
 
 func (c *control) stateOK(now time.Time) bool { return now.Sub(c.heardAt) < constants.StateSilence }
@@ -85,7 +87,7 @@
 
 func (c *control) peerStatus(now time.Time, s peer.Status) {
 	c.forwardForecast(s.Forecast)
-	c.peersState[s.Node] = peerView{s.StateOK, now}
+	c.peersState[s.Node] = peerView{s.StateOK, now, now}
 	c.tellRelays(now)
 	for _, a := range s.Aggregates {
 		if o := c.owners[a.Shard]; o != nil && a.Term > o.term {
--- a/node/roles.go
+++ b/node/roles.go
@@ -114,10 +114,23 @@
 
 // peersAway says that no other controller was heard from, though some live.
 func (c *control) peersAway(now time.Time) bool {
+	return c.silentPeers(now, func(v peerView) time.Time { return v.at })
+}
+
+// toldByNobody says that no other controller has told its status, though some live and
+// may answer. Guards against a leader that others cannot call: it would know the
+// figures of its own shards alone, and give those all work.
+func (c *control) toldByNobody(now time.Time) bool {
+	return c.silentPeers(now, func(v peerView) time.Time { return v.told })
+}
+
+// silentPeers says that some other controller lives, and that the last sign of each was
+// too long ago.
+func (c *control) silentPeers(now time.Time, last func(peerView) time.Time) bool {
 	alive := false
 	for _, p := range c.set.Peers {
 		alive = alive || c.member.Alive(p.Node)
-		if now.Sub(c.peersState[p.Node].at) < constants.PeersAway {
+		if now.Sub(last(c.peersState[p.Node])) < constants.PeersAway {
 			return false
 		}
 	}
