Machines of a small shard that report elsewhere are neither idle nor deaf

Cause: the owner of three machines that cannot reach it returned an idle one while the shard was out of reach, which left two, and took both of these for deaf; what ran there ended. Change: none is returned as idle while its shard is out of reach; of two, neither is deaf while none of them is heard, until their leases have surely ended. The owner hands on.

--- a/shard/silence.go
+++ b/shard/silence.go
@@ -112,13 +112,13 @@
 		switch {
 		case !m.up && !m.inherited && c.bootAge(now, m) > constants.BootPatience:
 			why = "did not come up"
-		case idleToo && !m.forGangs && m.up && !m.idleSince.IsZero() && (m.draining || now.Sub(m.idleSince) > idle) && !c.busy(m) && m.verified(c.term):
+		case idleToo && !c.isUnreachable && !m.forGangs && m.up && !m.idleSince.IsZero() && (m.draining || now.Sub(m.idleSince) > idle) && !c.busy(m) && m.verified(c.term):
 			why = "idle"
 		case m.up && (c.silent(now, m) && m.unanswered > 0 || c.overdueReport(now, m) && m.unanswered > 1) && c.alone(now, m, sum):
 			// Returning it makes what was on it surely gone, long before its
 			// lease ends.
 			why = "silent"
-		case m.up && !c.isUnreachable && m.unconfirmed() && m.unheeded >= constants.DeafAsks && m.reportsOn() && (sum.hears && heard*2 > up || up <= 2 && c.siblingsHeard(now)):
+		case m.up && !c.isUnreachable && m.unconfirmed() && m.unheeded >= constants.DeafAsks && m.reportsOn() && (sum.hears && heard*2 > up || c.deafOfFew(now, m, up, heard)):
 			// It reports, here or to others, and hears nothing: its lease
 			// runs out whatever it says. Nobody's hearing of it counts. Of a
 			// shard out of reach the first machines that are back are not deaf for
@@ -152,6 +152,17 @@
 	}
 }
 
+// deafOfFew says whether an unconfirmed machine of a shard with one or two is deaf by
+// itself. Two that are both unconfirmed report to others: it is more likely the owner
+// that they cannot reach, which then hands on. What runs there is theirs until their
+// leases have ended.
+func (c *Core) deafOfFew(now time.Time, m *machine, up, heard int) bool {
+	if up > 2 || !c.siblingsHeard(now) {
+		return false
+	}
+	return up == 1 || heard > 0 || now.Sub(m.unconfirmedSince) > c.cfg.LeaseEnd
+}
+
 // census is what the owner hears of its machines taken together.
 type census struct {
 	known int // machines that should report here
