Disruption budgets: claims of owners in the state service, checked by a model

Need: drains may take no more of a team down than its budget allows, over several shards, whoever holds them. Change: design note and safety argument; records of claims and drains; package disruption: budgets, population from the jobs' records, and a ledger in which an owner publishes what is unavailable, raises it on the condition that no other claim changed, and stops only within a raise that was compared with all others. Without claims, or with grants that end at the start of the replacement, the model breaks budgets (TestModelCatchesMutants).

--- /dev/null
+++ b/disruption/ledger_test.go
@@ -0,0 +1,402 @@
+package disruption
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "ravenport/internal/testseed"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// source draws numbers from 0 to n-1.
+type source func(n int) int
+
+// modelTask is one task of the service that the model's budget is for.
+type modelTask struct {
+	shard     string // "": none
+	running   bool
+	since     time.Time // it runs
+	voluntary bool      // stopped by choice, and not proved up again since
+}
+
+// modelStop is a stop on its way to a machine.
+type modelStop struct {
+	shard string
+	term  uint64
+	task  int
+}
+
+// modelWrite is a transaction under way.
+type modelWrite struct {
+	shard   string
+	term    uint64
+	changes []wire.Change
+	ifs     []wire.Condition
+}
+
+// modelOwner is the owner of a shard, in one term.
+type modelOwner struct {
+	shard    string
+	term     uint64
+	ledger   *Ledger
+	read     int            // changes of the state service that it has read
+	views    map[int]string // by task: the shard that it believes it to be in
+	ready    bool
+	stopping map[int]bool
+	write    *modelWrite
+}
+
+// model is a deployment of three shards whose owners end, fall behind, lose answers and
+// are replaced, while tasks fail, move between shards and are stopped by choice.
+type model struct {
+	pick   source
+	now    time.Time
+	stable time.Duration
+	most   Amount
+	tasks  []modelTask
+	owners map[string]*modelOwner
+	shards []string
+
+	log      []state.Change
+	versions map[string]uint64
+	claims   map[string]*state.Claim
+	stops    []modelStop
+	late     []*modelWrite
+
+	hasty, hastyProof bool // mutants: no claim is needed, a grant ends at the start
+	broken            string
+	voluntaryStops    int
+	refusals          map[Reason]int
+}
+
+const modelTeam = "team"
+
+func newModel(pick source) *model {
+	m := &model{pick: pick, now: time.Unix(1000, 0), stable: 10 * time.Second, most: Amount{Tasks: 1 + pick(3)}, shards: []string{"a", "b", "c"},
+		owners: map[string]*modelOwner{}, versions: map[string]uint64{}, claims: map[string]*state.Claim{}, refusals: map[Reason]int{}}
+	if pick(3) == 0 {
+		m.most = Amount{Percent: 25, IsShare: true}
+	}
+	for i := range 6 + pick(10) {
+		m.tasks = append(m.tasks, modelTask{shard: m.shards[i%3], running: true, since: m.now.Add(-time.Minute)})
+	}
+	m.storeJob()
+	return m
+}
+
+// store puts a record into the state service.
+func (m *model) store(key string, record any) uint64 {
+	version := uint64(len(m.log) + 1)
+	m.versions[key] = version
+	m.log = append(m.log, state.Change{Key: key, Version: version, Record: record})
+	return version
+}
+
+// storeJob stores the job as the tasks are assigned now.
+func (m *model) storeJob() {
+	j := &state.Job{ID: "run-1", Spec: wire.Submission{ID: "run-1", Team: modelTeam, Class: "c", Kind: wire.KindService, Tasks: len(m.tasks)}}
+	for i, t := range m.tasks {
+		if t.shard != "" {
+			j.Assignments = append(j.Assignments, state.Assignment{From: i, To: i + 1, Shard: t.shard})
+		}
+	}
+	m.store(state.KeyJob(j.ID), j)
+}
+
+// begin starts an owner of a shard under the next term.
+func (m *model) begin(shard string) {
+	term := uint64(1)
+	if o := m.owners[shard]; o != nil {
+		term = o.term + 1
+	}
+	m.store(state.KeyShard(shard), &state.Term{Shard: shard, Number: term})
+	var budgets Budgets
+	budgets.SetOthers(m.most)
+	o := &modelOwner{shard: shard, term: term, views: map[int]string{}, stopping: map[int]bool{},
+		ledger: NewLedger(Config{Shard: shard, Shards: m.shards, Term: term, Budgets: budgets, Stable: m.stable, Hasty: m.hasty})}
+	m.owners[shard] = o
+	m.deliver(o, len(m.log))
+}
+
+// deliver has an owner read the state service up to a change.
+func (m *model) deliver(o *modelOwner, to int) {
+	for ; o.read < to; o.read++ {
+		ch := m.log[o.read]
+		switch r := ch.Record.(type) {
+		case *state.Job:
+			o.ledger.ApplyJob(m.now, r)
+			clear(o.views)
+			for _, a := range r.Assignments {
+				o.views[a.From] = a.Shard
+			}
+		case *state.Claim:
+			o.ledger.ApplyClaim(r, ch.Version)
+		case *state.Term:
+			o.ledger.ApplyTerm(r)
+		}
+	}
+}
+
+// isUp says whether a task has proved itself, as its owner sees it.
+func (m *model) isUp(t *modelTask) bool {
+	return t.running && (m.hastyProof || m.now.Sub(t.since) >= m.stable)
+}
+
+// step has an owner count, ask for stops and write its claim.
+func (m *model) step(o *modelOwner) {
+	m.deliver(o, o.read+m.pick(len(m.log)-o.read+1))
+	down := Counts{}
+	keys := o.ledger.KeysOf(modelTeam, "c")
+	var up []int
+	for i := range m.tasks {
+		t := &m.tasks[i]
+		switch {
+		case o.views[i] != o.shard:
+		case t.shard != o.shard || o.stopping[i] || !m.isUp(t):
+			down.add(keys, 1)
+		default:
+			up = append(up, i)
+		}
+	}
+	o.ledger.Observe(m.now, down, o.ready)
+	for range 1 + m.pick(3) {
+		if len(up) == 0 {
+			break
+		}
+		at := m.pick(len(up))
+		i := up[at]
+		if refused := o.ledger.Stop(m.now, keys); refused != nil {
+			m.refusals[refused.Reason]++
+			continue
+		}
+		up = slices.Delete(up, at, at+1)
+		o.stopping[i] = true
+		m.stops = append(m.stops, modelStop{o.shard, o.term, i})
+	}
+	if o.write != nil {
+		return
+	}
+	if changes, ifs := o.ledger.Write(m.now, true); changes != nil {
+		o.write = &modelWrite{o.shard, o.term, changes, ifs}
+	}
+}
+
+// land carries a stop out, unless the shard's next owner has seen to it that nothing of
+// earlier ones is carried out any more.
+func (m *model) land(s modelStop) {
+	o := m.owners[s.shard]
+	if o.term == s.term {
+		delete(o.stopping, s.task)
+	} else if o.ready {
+		return
+	}
+	t := &m.tasks[s.task]
+	if t.shard != s.shard || !t.running {
+		return
+	}
+	t.running, t.voluntary = false, true
+	m.voluntaryStops++
+	m.judge(fmt.Sprintf("task %d of %s was stopped", s.task, s.shard))
+}
+
+// judge compares what is down by choice with the budget.
+func (m *model) judge(what string) {
+	n := 0
+	for i := range m.tasks {
+		t := &m.tasks[i]
+		if t.running && m.now.Sub(t.since) >= m.stable {
+			t.voluntary = false
+		}
+		if t.voluntary {
+			n++
+		}
+	}
+	if most := m.most.Of(len(m.tasks)); n > most && m.broken == "" {
+		m.broken = fmt.Sprintf("%s: %d are down by choice, %s of %d may be", what, n, m.most, len(m.tasks))
+	}
+}
+
+// commit carries a write out if its conditions hold.
+func (m *model) commit(w *modelWrite) uint64 {
+	if m.owners[w.shard].term != w.term {
+		return 0
+	}
+	for _, c := range w.ifs {
+		if m.versions[c.Key] != c.Version {
+			return 0
+		}
+	}
+	v, err := state.Decode(w.changes[0].Put, w.changes[0].Value)
+	if err != nil {
+		panic(err)
+	}
+	claim := v.(*state.Claim)
+	was := m.claims[w.shard]
+	m.claims[w.shard] = claim
+	version := m.store(w.changes[0].Put, claim)
+	if len(w.ifs) > 1 && (was == nil || claim.Down[modelTeam] > was.Down[modelTeam]) {
+		m.judgeClaims()
+	}
+	return version
+}
+
+// judgeClaims compares all claims, as they are stored after a raise for stops, with the
+// budget: a raise counts every failure that was published before.
+func (m *model) judgeClaims() {
+	n := 0
+	for _, c := range m.claims {
+		n += c.Down[modelTeam]
+	}
+	if most := m.most.Of(len(m.tasks)); n > most && m.broken == "" {
+		m.broken = fmt.Sprintf("a raise makes all claims %d, of %d that may be", n, most)
+	}
+}
+
+// settleWrite decides what becomes of an owner's write.
+func (m *model) settleWrite(o *modelOwner) {
+	w := o.write
+	o.write = nil
+	switch m.pick(8) {
+	case 0: // carried out late, if at all
+		m.late = append(m.late, w)
+		o.ledger.Written(m.now, 0)
+	case 1: // carried out, the answer is lost
+		m.commit(w)
+		o.ledger.Written(m.now, 0)
+	case 2: // refused
+		o.ledger.Written(m.now, 0)
+	default:
+		o.ledger.Written(m.now, m.commit(w))
+	}
+}
+
+// event lets one thing happen.
+func (m *model) event() {
+	o := m.owners[m.shards[m.pick(3)]]
+	t := &m.tasks[m.pick(len(m.tasks))]
+	switch m.pick(16) {
+	case 0, 1, 2, 3, 4, 5:
+		m.step(o)
+	case 6, 7, 8:
+		if o.write != nil {
+			m.settleWrite(o)
+		}
+	case 9, 10: // a stop arrives
+		if n := len(m.stops); n > 0 {
+			at := m.pick(n)
+			s := m.stops[at]
+			m.stops = slices.Delete(m.stops, at, at+1)
+			m.land(s)
+		}
+	case 11, 12: // a task starts again
+		if !t.running && t.shard != "" {
+			t.running, t.since = true, m.now
+		}
+	case 13: // one fails, or moves to another shard
+		if t.shard != "" && m.pick(3) > 0 {
+			t.running = false
+			break
+		}
+		if !t.running {
+			if t.shard != "" {
+				t.shard = ""
+			} else {
+				t.shard = m.shards[m.pick(3)]
+			}
+			m.storeJob()
+		}
+	case 14: // an owner ends, another begins and rebuilds after a while
+		if m.pick(3) == 0 {
+			m.begin(o.shard)
+		} else {
+			o.ready = true
+		}
+	case 15:
+		if n := len(m.late); n > 0 {
+			w := m.late[n-1]
+			m.late = m.late[:n-1]
+			m.commit(w)
+		}
+	}
+	m.now = m.now.Add(time.Duration(m.pick(600)) * time.Millisecond)
+}
+
+// play lets a deployment live for so many events.
+func (m *model) play(events int) {
+	for _, s := range m.shards {
+		m.begin(s)
+		m.owners[s].ready = true
+	}
+	for range events {
+		if m.event(); m.broken != "" {
+			return
+		}
+	}
+}
+
+// Whatever fails, what is down by choice stays within the budget, and no claim is raised
+// past it.
+func TestClaimsKeepWithinBudgets(t *testing.T) {
+	stops, refusals := 0, map[Reason]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "pick") })
+		m.play(400)
+		if m.broken != "" {
+			t.Fatal(m.broken)
+		}
+		stops += m.voluntaryStops
+		for r, n := range m.refusals {
+			refusals[r] += n
+		}
+	})
+	t.Logf("%d stops, refused: %v", stops, refusals)
+	if stops == 0 || refusals[Exhausted] == 0 || refusals[Unpublished] == 0 || refusals[Writing] == 0 {
+		t.Error("hardly anything came about")
+	}
+}
+
+// Without claims, or with grants that end as soon as the replacement starts, the same
+// model breaks budgets.
+func TestModelCatchesMutants(t *testing.T) {
+	for name, mutate := range map[string]func(*model){
+		"no claim":            func(m *model) { m.hasty = true },
+		"proved by its start": func(m *model) { m.hastyProof = true },
+	} {
+		caught := ""
+		for seed := uint64(0); seed < 300 && caught == ""; seed++ {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			m := newModel(rng.IntN)
+			mutate(m)
+			m.play(400)
+			caught = m.broken
+		}
+		if caught == "" {
+			t.Errorf("%s: never seen broken", name)
+		}
+	}
+}
+
+// Amounts round down, and say what they are.
+func TestAmounts(t *testing.T) {
+	for _, c := range []struct {
+		text       string
+		population int
+		most       int
+	}{{"3", 2, 3}, {"0", 9, 0}, {"10%", 9, 0}, {"10%", 10, 1}, {"29%", 100, 29}, {"99.9%", 1, 0}, {"99.9%", 400, 399}, {"100%", 7, 7}} {
+		a, err := ParseAmount(c.text)
+		if err != nil || a.Of(c.population) != c.most || a.String() != c.text {
+			t.Errorf("%s of %d: %d, %q, %v", c.text, c.population, a.Of(c.population), a, err)
+		}
+	}
+	for _, text := range []string{"", "-1", "1.5", "101%", "-1%", "NaN%", "ten", "%"} {
+		if _, err := ParseAmount(text); err == nil {
+			t.Errorf("%q is taken as an amount", text)
+		}
+	}
+}
--- /dev/null
+++ b/disruption/population.go
@@ -0,0 +1,92 @@
+package disruption
+
+import (
+	"time"
+
+	"ravenport/constants"
+	"ravenport/state"
+)
+
+// Counts are numbers of tasks by budget.
+type Counts map[Key]int
+
+// add adds n to each of some keys.
+func (c Counts) add(keys []Key, n int) {
+	for _, k := range keys {
+		if c[k] += n; c[k] == 0 {
+			delete(c, k)
+		}
+	}
+}
+
+// member is what a job adds to the population.
+type member struct {
+	keys       []Key
+	tasks      int
+	unassigned int
+}
+
+// transit is a number of tasks that have just been given to a shard.
+type transit struct {
+	until time.Time
+	keys  []Key
+	tasks int
+}
+
+// population follows, from the records of all jobs, how many tasks should be up, and
+// how many of those no shard looks after. Tasks that were just given to a shard count
+// as the latter for a while longer, until its owner can have claimed them.
+type population struct {
+	budgets    Budgets
+	jobs       map[string]member
+	all        Counts
+	unassigned Counts
+	inTransit  []transit
+}
+
+func newPopulation(b Budgets) population {
+	return population{budgets: b, jobs: map[string]member{}, all: Counts{}, unassigned: Counts{}}
+}
+
+// apply takes in a job's record.
+func (p *population) apply(now time.Time, j *state.Job) {
+	was, known := p.jobs[j.ID]
+	var is member
+	if j.End == "" && j.Spec.IsService() {
+		is = member{keys: was.keys, tasks: j.Spec.Tasks, unassigned: state.TasksIn(j.Unassigned())}
+		if !known {
+			is.keys = p.budgets.Of(j.Spec.Team, j.Spec.Class)
+		}
+	}
+	p.all.add(was.keys, -was.tasks)
+	p.unassigned.add(was.keys, -was.unassigned)
+	p.all.add(is.keys, is.tasks)
+	p.unassigned.add(is.keys, is.unassigned)
+	if given := was.unassigned - is.unassigned; given > 0 && is.tasks > 0 {
+		p.inTransit = append(p.inTransit, transit{now.Add(constants.ClaimTransit), is.keys, given})
+	}
+	if len(is.keys) == 0 {
+		delete(p.jobs, j.ID)
+		return
+	}
+	p.jobs[j.ID] = is
+}
+
+// nobodys is how many tasks are in no shard's care, or were until a moment ago.
+func (p *population) nobodys(now time.Time, k Key) int {
+	n := p.unassigned[k]
+	kept := p.inTransit[:0]
+	for _, t := range p.inTransit {
+		if !now.Before(t.until) {
+			continue
+		}
+		kept = append(kept, t)
+		for _, has := range t.keys {
+			if has == k {
+				n += t.tasks
+			}
+		}
+	}
+	p.inTransit = kept
+	return n
+}
--- /dev/null
+++ b/state/draining.go
@@ -0,0 +1,105 @@
+package state
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Keys of drains and of claims on disruption budgets. A version that does not know them
+// leaves them alone.
+const (
+	drainPrefix = Prefix + "drain/"
+	claimPrefix = Prefix + "claim/"
+)
+
+// KeyDrain is the key of a drain. Numbers are padded so that keys are in their order.
+func KeyDrain(number int) string { return drainPrefix + fmt.Sprintf("%06d", number) }
+
+// KeyClaim is the key of a shard's claim.
+func KeyClaim(shard string) string { return claimPrefix + shard }
+
+// Claim is what a shard's owner counts against the budgets of disruption: tasks that are
+// unavailable, or that it may stop. See docs/draining.md.
+type Claim struct {
+	Shard string         `json:"-"`
+	Term  uint64         `json:"term"` // of the owner that wrote it
+	Down  map[string]int `json:"down,omitempty"`
+}
+
+// DrainState is how far a drain has come.
+type DrainState string
+
+// States of a drain. Only a running one does anything; cancelled and finished ones
+// never do again.
+const (
+	DrainRunning   DrainState = "running"
+	DrainPaused    DrainState = "paused"
+	DrainStopped   DrainState = "stopped" // by itself, for failures
+	DrainCancelled DrainState = "cancelled"
+	DrainFinished  DrainState = "finished"
+)
+
+// Over says that a drain in this state never goes on.
+func (s DrainState) Over() bool { return s == DrainCancelled || s == DrainFinished }
+
+// Selection says which machines a drain takes in: all that fit every field that is set.
+type Selection struct {
+	Machines []string `json:"machines,omitempty"`
+	Zones    []string `json:"zones,omitempty"`
+	Types    []string `json:"types,omitempty"`
+	Spot     *bool    `json:"spot,omitempty"`
+	// Last is the last machine that it takes in: names are in the order of rental.
+	Last string `json:"last,omitempty"`
+}
+
+// Drain is the record of a drain.
+type Drain struct {
+	Number    int        `json:"-"`
+	Selection Selection  `json:"sel"`
+	State     DrainState `json:"state"`
+	Why       string     `json:"why,omitempty"`      // it stopped
+	StartedS  int64      `json:"at"`                 // time of day (s)
+	Machines  int        `json:"machines"`           // that it took in when it was started
+	Proven    bool       `json:"proven,omitempty"`   // the first machine was replaced
+	Done      []string   `json:"done,omitempty"`     // shards without machines of it
+	Attempt   int        `json:"attempts,omitempty"` // how often it was resumed
+}
+
+// Damaged stands for a record of a drain or a claim that cannot be read.
+type Damaged struct{ Key string }
+
+// Drain is the number of the damaged drain; ok is false if it is none.
+func (d *Damaged) Drain() (number int, ok bool) {
+	r, ok := decodeDraining(d.Key).(*Drain)
+	if !ok {
+		return 0, false
+	}
+	return r.Number, true
+}
+
+// Claim is the shard of the damaged claim; ok is false if it is none.
+func (d *Damaged) Claim() (shard string, ok bool) {
+	return strings.CutPrefix(d.Key, claimPrefix)
+}
+
+// Clone copies the record, so that the copy can be changed.
+func (d *Drain) Clone() *Drain {
+	c := *d
+	c.Done = append([]string(nil), d.Done...)
+	return &c
+}
+
+// decodeDraining makes the empty record under a key of drains or claims; nil for a key
+// of another kind.
+func decodeDraining(key string) any {
+	if shard, ok := strings.CutPrefix(key, claimPrefix); ok {
+		return &Claim{Shard: shard}
+	}
+	if text, ok := strings.CutPrefix(key, drainPrefix); ok {
+		if number, err := strconv.Atoi(text); err == nil {
+			return &Drain{Number: number}
+		}
+	}
+	return nil
+}
--- a/state/feed.go
+++ b/state/feed.go
@@ -141,7 +141,10 @@
 	rec, err := Decode(key, value)
 	if err != nil {
 		slog.Error("unreadable record", "key", key, "err", err)
-		return
+		if decodeDraining(key) == nil {
+			return
+		}
+		rec = &Damaged{key} // whoever went by the record before must not go on
 	}
 	f.known[key] = version
 	up.Changes = append(up.Changes, Change{Key: key, Version: version, Record: rec})
--- a/state/records.go
+++ b/state/records.go
@@ -272,8 +272,8 @@
 	return b
 }
 
-// Decode reads the record under key: *Node, *Revocation, *Term, *Page or *Job. It
-// returns nil for a key of another kind.
+// Decode reads the record under key: *Node, *Revocation, *Term, *Page, *Job, *Drain or
+// *Claim. It returns nil for a key of another kind.
 func Decode(key string, data []byte) (any, error) {
 	var v any
 	switch {
@@ -302,7 +302,9 @@
 		}
 		v = j
 	default:
-		return nil, nil
+		if v = decodeDraining(key); v == nil {
+			return nil, nil
+		}
 	}
 	if err := wire.Decode(data, v); err != nil {
 		return nil, fmt.Errorf("record %s: %w", key, err)
