--- a/cmd/ravenport/main.go
+++ b/cmd/ravenport/main.go
@@ -34,7 +34,7 @@
 }
 
 // files are the paths of the settings files.
-type files struct{ config, properties, detection, duties string }
+type files struct{ config, properties, detection, duties, draining string }
 
 // flags adds the flags that name the settings files to a command.
 func (f *files) flags(cmd *cobra.Command) {
@@ -42,8 +42,9 @@
 	cmd.Flags().StringVar(&f.properties, "properties", "", "path of the operators' own settings (Java-style properties;\ndefault: "+settings.PropertiesName+" beside the settings file, if there)")
 	cmd.Flags().StringVar(&f.detection, "failure-detection", "", "path of the settings of failure detection (Java-style properties;\nwithout it there is none)")
 	cmd.Flags().StringVar(&f.duties, "duties", "", "path of the settings of duties (Java-style properties;\nwithout it they are done as ever)")
+	cmd.Flags().StringVar(&f.draining, "draining", "", "path of the settings of drains and budgets (Java-style properties;\nwithout it there are none)")
 	if err := cmd.MarkFlagRequired("config"); err != nil {
-		panic(err) // the flag was defined four lines above
+		panic(err) // the flag was defined above
 	}
 }
 
@@ -56,6 +57,9 @@
 	if err == nil && f.duties != "" {
 		set.Duties, err = settings.LoadDuties(f.duties)
 	}
+	if err == nil && f.draining != "" {
+		err = set.LoadDraining(f.draining)
+	}
 	return set, err
 }
 
@@ -73,7 +77,7 @@
 		RunE:          func(cmd *cobra.Command, _ []string) error { return run(cmd.Context(), &given) },
 	}
 	given.flags(root)
-	root.AddCommand(checkCommand(), membersCommand())
+	root.AddCommand(checkCommand(), membersCommand(), drainCommand())
 	root.SetContext(context.Background())
 	return root
 }
@@ -106,7 +110,7 @@
 				return err
 			}
 			d, short := set.Authority()
-			fmt.Fprintf(cmd.OutOrStdout(), "settings are good: node %s in %s, %d controllers, authority %s, failure detection %s\n", set.Node, set.Zone, len(set.Nodes()), d, onOff(set.Detection != nil))
+			fmt.Fprintf(cmd.OutOrStdout(), "settings are good: node %s in %s, %d controllers, authority %s, failure detection %s, draining %s\n", set.Node, set.Zone, len(set.Nodes()), d, onOff(set.Detection != nil), onOff(set.Draining != nil))
 			if short {
 				fmt.Fprintln(cmd.OutOrStdout(), "warning: cancel_s leaves little room after the workers' lease; the authority was shortened")
 			}
--- /dev/null
+++ b/drain/drain_test.go
@@ -0,0 +1,133 @@
+package drain
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ravenport/disruption"
+	_ "ravenport/internal/testseed"
+	"ravenport/state"
+)
+
+// A selection takes in what fits every field, and is refused with the field that is
+// wrong.
+func TestSelections(t *testing.T) {
+	spot := true
+	known := Known{Zones: []string{"a", "b"}, Types: []string{"box", "tub"}, Machines: []Machine{{"m-1", "a", "box", false}, {"m-2", "a", "tub", true}, {"m-3", "b", "box", true}}}
+	known.Running = []*state.Drain{{Number: 4, Selection: state.Selection{Zones: []string{"b"}}}}
+	for _, c := range []struct {
+		selection state.Selection
+		takes     []string
+		field     string
+	}{
+		{state.Selection{Zones: []string{"a"}}, []string{"m-1", "m-2"}, ""},
+		{state.Selection{Types: []string{"box"}, Last: "m-2"}, []string{"m-1"}, ""},
+		{state.Selection{Spot: &spot, Zones: []string{"a"}}, []string{"m-2"}, ""},
+		{state.Selection{}, []string{"m-1", "m-2", "m-3"}, "selection"}, // overlaps drain 4
+		{state.Selection{Machines: []string{"m-9"}}, nil, "machine"},
+		{state.Selection{Machines: make([]string, 99)}, nil, "machine"},
+		{state.Selection{Zones: []string{"c"}}, nil, "zone"},
+		{state.Selection{Types: []string{"vat"}}, nil, "type"},
+		{state.Selection{Last: "m-0"}, nil, "selection"},
+	} {
+		var names []string
+		for _, m := range known.Selected(&c.selection) {
+			names = append(names, m.Name)
+		}
+		wrong := known.Check(&c.selection)
+		if !slices.Equal(names, c.takes) || (wrong == nil) != (c.field == "") || wrong != nil && wrong.Field != c.field {
+			t.Errorf("%+v takes %v, %v", c.selection, names, wrong)
+		}
+	}
+}
+
+// Whatever happens to its machines, a drain of several shards begins with one machine of
+// one shard, cordons no more than its share at a time, and ends finished, or stopped
+// after so many failures in a row.
+func TestStepsComeToAnEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zones := []string{"a", "b", "c"}
+		policy := Policy{Parallel: float64(rapid.IntRange(0, 100).Draw(t, "parallel")), FailuresMost: rapid.IntRange(1, 4).Draw(t, "failures")}
+		record, version := &state.Drain{Number: 1, State: state.DrainRunning}, uint64(1)
+		steps, left, cordoned := map[string]*Steps{}, map[string][]string{}, map[string][]string{}
+		for _, z := range zones {
+			steps[z] = NewSteps(policy, z, zones, record, version)
+			for i := range rapid.IntRange(0, 6).Draw(t, "machines") {
+				left[z] = append(left[z], z+string(rune('0'+i)))
+			}
+		}
+		failures := 0
+		for range 400 {
+			z := rapid.SampledFrom(zones).Draw(t, "zone")
+			s := steps[z]
+			if rapid.IntRange(0, 9).Draw(t, "new owner") == 0 {
+				s = NewSteps(policy, z, zones, record, version)
+				steps[z], cordoned[z] = s, nil // they follow from the record
+			}
+			var candidates []Candidate
+			for _, name := range left[z] {
+				candidates = append(candidates, Candidate{Name: name, Cordoned: slices.Contains(cordoned[z], name)})
+			}
+			cordoned[z] = append(cordoned[z], s.Choose(candidates, 10)...)
+			most := max(1, int(policy.Parallel/10))
+			if !record.Proven {
+				most = 1
+			}
+			if n := len(cordoned[z]); n > most || n > 0 && !s.Acts() && record.State == state.DrainRunning {
+				t.Fatalf("%v of %s are cordoned, %d may be", cordoned[z], z, most)
+			}
+			if n := len(cordoned[z]); n > 0 && rapid.Bool().Draw(t, "gone") {
+				left[z] = slices.DeleteFunc(left[z], func(name string) bool { return name == cordoned[z][n-1] })
+				cordoned[z] = cordoned[z][:n-1]
+				s.Replaced()
+			} else if rapid.IntRange(0, 4).Draw(t, "failure") == 0 && s.Acts() {
+				s.Failed("test")
+				failures++
+			}
+			if next, on := s.Write(rapid.Bool().Draw(t, "settled")); next != nil {
+				if on != version || rapid.IntRange(0, 3).Draw(t, "lost") == 0 {
+					s.Written(false)
+					continue
+				}
+				version++
+				record = next
+				for _, other := range steps {
+					other.Apply(record, version)
+				}
+			}
+			if record.State != state.DrainRunning {
+				break
+			}
+		}
+		switch record.State {
+		case state.DrainStopped:
+			if failures < policy.FailuresMost || record.Why == "" {
+				t.Fatalf("stopped after %d failures: %+v", failures, record)
+			}
+		case state.DrainFinished:
+			if n := len(left["a"]) + len(left["b"]) + len(left["c"]); n > 0 {
+				t.Fatalf("finished, and %d machines are left", n)
+			}
+		default:
+			if n := len(left["a"]) + len(left["b"]) + len(left["c"]); n == 0 && len(record.Done) == len(zones) {
+				t.Fatalf("all are gone, and it goes on: %+v", record)
+			}
+		}
+	})
+}
+
+// The plan's least time is that of the budget that binds, over all shards.
+func TestPlansAreMerged(t *testing.T) {
+	usage := []disruption.Usage{{Budget: "x", Most: 2}, {Budget: "y", Most: 10}}
+	p := Merge([]ShardPlan{{Shard: "b", Moves: map[string]int{"x": 3, "y": 9}, Usage: usage, Steps: 4}, {Shard: "a", Moves: map[string]int{"x": 2, "": 50}, Usage: usage, Steps: 2}}, []string{"c"}, 10*time.Second)
+	if p.Binding != "x" || p.LeastS != 30 || p.Steps != 5 || p.Shards[0].Shard != "a" || p.Permanent() != nil {
+		t.Errorf("%+v", p)
+	}
+	p.Shards[1].Obstacles = []Obstacle{{Job: "run-1"}, {Job: "run-2", Permanent: true}}
+	if x := p.Permanent(); x == nil || x.Job != "run-2" {
+		t.Errorf("%+v", x)
+	}
+}
--- /dev/null
+++ b/drain/plan.go
@@ -0,0 +1,92 @@
+package drain
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"ravenport/disruption"
+)
+
+// ShardPlan is what the owner of a shard can say of a drain beforehand.
+type ShardPlan struct {
+	Shard    string             `json:"shard"`
+	Machines int                `json:"machines"`
+	Empty    int                `json:"empty"`  // of those: nothing runs on them
+	Arrays   int                `json:"arrays"` // tasks of arrays and gangs, which get time to end
+	Moves    map[string]int     `json:"moves"`  // services' tasks by budget; "": under none
+	Usage    []disruption.Usage `json:"usage"`
+	Steps    int                `json:"steps"` // rounds of machines at the parallel setting
+	// Obstacles are why tasks cannot be moved; so many are named at most.
+	Obstacles []Obstacle `json:"obstacles,omitempty"`
+}
+
+// Obstacle is why a task cannot be moved.
+type Obstacle struct {
+	Job     string `json:"job"`
+	Machine string `json:"machine"`
+	Why     string `json:"why"`
+	// Permanent: it does not end by itself, so the drain would wait for ever.
+	Permanent bool `json:"permanent"`
+}
+
+// Plan is a drain without acting.
+type Plan struct {
+	Shards []ShardPlan `json:"shards"`
+	Steps  int         `json:"steps"`
+	// Binding is the budget that takes longest, and LeastS the least possible time
+	// under it (s): each move takes a part of the budget for the stable time at least.
+	Binding string  `json:"binding,omitempty"`
+	LeastS  float64 `json:"least_s"`
+	// Missing are shards whose owner could not be asked.
+	Missing []string `json:"missing,omitempty"`
+}
+
+// Permanent is the first thing that can never be done, nil if there is none.
+func (p *Plan) Permanent() *Obstacle {
+	for _, s := range p.Shards {
+		for i := range s.Obstacles {
+			if s.Obstacles[i].Permanent {
+				return &s.Obstacles[i]
+			}
+		}
+	}
+	return nil
+}
+
+// Merge makes the plan of the plans of all shards. stable is the time for which a
+// moved task must run before it counts as up.
+func Merge(shards []ShardPlan, missing []string, stable time.Duration) Plan {
+	p := Plan{Shards: shards, Missing: missing}
+	slices.SortFunc(p.Shards, func(a, b ShardPlan) int { return strings.Compare(a.Shard, b.Shard) })
+	moves, most := map[string]int{}, map[string]int{}
+	for _, s := range shards {
+		p.Steps = max(p.Steps, s.Steps)
+		for budget, n := range s.Moves {
+			moves[budget] += n
+		}
+		for _, u := range s.Usage {
+			most[u.Budget] = u.Most
+		}
+	}
+	for budget, n := range moves {
+		if budget == "" || most[budget] < 1 {
+			continue
+		}
+		least := LeastTime(n, most[budget], stable).Seconds()
+		if least > p.LeastS || least == p.LeastS && budget < p.Binding {
+			p.Binding, p.LeastS = budget, least
+		}
+	}
+	if p.Steps > 0 {
+		p.Steps++ // the first machine alone
+	}
+	return p
+}
+
+// LeastTime bounds from below how long so many moves take under a budget: each uses one
+// of its tasks for the stable time at least.
+func LeastTime(moves, budget int, stable time.Duration) time.Duration {
+	return time.Duration(math.Ceil(float64(moves)/float64(budget))) * stable
+}
--- /dev/null
+++ b/drain/steps.go
@@ -0,0 +1,192 @@
+package drain
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"ravenport/disruption"
+	"ravenport/state"
+)
+
+// Policy says how fast and how long a drain tries.
+type Policy struct {
+	Parallel      float64       // share of a shard's machines that may be cordoned at once (percent)
+	Stable        time.Duration // a task that has run for so long is up
+	ArrayWait     time.Duration // how long tasks of arrays and gangs get to end by themselves
+	ReplaceWithin time.Duration // within which a moved task must be up elsewhere
+	FailuresMost  int           // failures in a row that stop the drain
+}
+
+// Candidate is a selected machine that is still there.
+type Candidate struct {
+	Name     string
+	Cordoned bool
+	Services int
+	CPUs     float64 // held by tasks
+}
+
+// Steps is a drain's progress in one shard, in one term of the shard's owner.
+type Steps struct {
+	policy  Policy
+	shard   string
+	zones   []string // that the selection takes in, in the deployment's order
+	record  *state.Drain
+	version uint64
+
+	failures int    // in a row
+	cause    string // of the last one
+	replaced int    // machines, in this term
+	left     int    // machines
+	writing  bool
+}
+
+// NewSteps makes the progress of a drain that the owner has just heard of.
+func NewSteps(p Policy, shard string, zones []string, record *state.Drain, version uint64) *Steps {
+	return &Steps{policy: p, shard: shard, zones: Zones(&record.Selection, zones), record: record, version: version}
+}
+
+// Apply takes in a newer record. Resuming forgets the failures.
+func (s *Steps) Apply(record *state.Drain, version uint64) {
+	if version <= s.version {
+		return
+	}
+	if record.Attempt > s.record.Attempt {
+		s.failures = 0
+	}
+	s.record, s.version, s.writing = record, version, false
+}
+
+// Record is the drain's record as last read.
+func (s *Steps) Record() *state.Drain { return s.record }
+
+// Failures is how many failures in a row there were.
+func (s *Steps) Failures() int { return s.failures }
+
+// Acts says whether machines of this shard may be cordoned: the drain runs and is not
+// done here, and it is proven or this is the first shard that is not done.
+func (s *Steps) Acts() bool {
+	return s.record.State == state.DrainRunning && !s.done(s.shard) && (s.record.Proven || s.turn() == s.shard)
+}
+
+// Turn is the shard whose first machine proves the drain; empty if it is proven.
+func (s *Steps) Turn() string {
+	if s.record.Proven {
+		return ""
+	}
+	return s.turn()
+}
+
+func (s *Steps) turn() string {
+	for _, z := range s.zones {
+		if !s.done(z) {
+			return z
+		}
+	}
+	return ""
+}
+
+func (s *Steps) done(shard string) bool {
+	return slices.Contains(s.record.Done, shard) || !slices.Contains(s.zones, shard)
+}
+
+// Choose says which machines are to be cordoned now, of those that are still there; of
+// the shard's machines in all only a share is cordoned at once. The emptiest come
+// first: they free room for the others.
+func (s *Steps) Choose(candidates []Candidate, machines int) []string {
+	s.left = len(candidates)
+	if !s.Acts() {
+		return nil
+	}
+	most := 1
+	if s.record.Proven {
+		most = max(1, int(s.policy.Parallel*float64(machines)/100))
+	}
+	var open []Candidate
+	for _, c := range candidates {
+		if c.Cordoned {
+			most--
+		} else {
+			open = append(open, c)
+		}
+	}
+	if most <= 0 {
+		return nil
+	}
+	slices.SortFunc(open, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(a.Services, b.Services), cmp.Compare(a.CPUs, b.CPUs), strings.Compare(a.Name, b.Name))
+	})
+	var out []string
+	for _, c := range open[:min(most, len(open))] {
+		out = append(out, c.Name)
+	}
+	return out
+}
+
+// Replaced notes that a machine was drained and is gone.
+func (s *Steps) Replaced() {
+	s.replaced++
+	s.failures = 0
+}
+
+// Failed notes a failed replacement.
+func (s *Steps) Failed(cause string) {
+	s.failures++
+	s.cause = cause
+}
+
+// Write returns the record as it should be stored now, nil if nothing is to be changed.
+// settled says that every task that was moved is up or was given up. The caller writes
+// the record on the condition of the version that is returned, and tells what came of
+// it with Written.
+func (s *Steps) Write(settled bool) (record *state.Drain, version uint64) {
+	if s.writing || s.record.State != state.DrainRunning {
+		return nil, 0
+	}
+	next := s.record.Clone()
+	switch {
+	case s.failures >= s.policy.FailuresMost:
+		next.State = state.DrainStopped
+		next.Why = fmt.Sprintf("%d replacements in a row failed in %s, the last: %s", s.failures, s.shard, s.cause)
+	case s.left == 0 && !s.done(s.shard) && settled:
+		next.Done = append(next.Done, s.shard)
+		next.Proven = next.Proven || s.replaced > 0
+		if !slices.ContainsFunc(s.zones, func(z string) bool { return !slices.Contains(next.Done, z) }) {
+			next.State = state.DrainFinished
+		}
+	case !s.record.Proven && s.replaced > 0 && settled:
+		next.Proven = true
+	default:
+		return nil, 0
+	}
+	s.writing = true
+	return next, s.version
+}
+
+// Written takes in what came of a write: if it was carried out, the feed brings the
+// record.
+func (s *Steps) Written(ok bool) {
+	if !ok {
+		s.writing = false
+	}
+}
+
+// ShardView is what the owner of a shard tells of its drains and budgets.
+type ShardView struct {
+	Shard  string             `json:"shard"`
+	Drains []Progress         `json:"drains,omitempty"`
+	Usage  []disruption.Usage `json:"usage,omitempty"`
+}
+
+// Progress is a drain's progress in a shard, for operators.
+type Progress struct {
+	Drain    int      `json:"drain"`
+	Shard    string   `json:"shard"`
+	Left     int      `json:"left"` // machines
+	Cordoned []string `json:"cordoned,omitempty"`
+	Moving   int      `json:"moving"` // tasks that were stopped and are not up again
+	Waits    string   `json:"waits,omitempty"`
+	Failures int      `json:"failures,omitempty"`
+}
--- a/node/actors.go
+++ b/node/actors.go
@@ -11,6 +11,7 @@
 	"ravenport/apiserver"
 	"ravenport/cloud"
 	"ravenport/constants"
+	"ravenport/drain"
 	"ravenport/httpwire"
 	"ravenport/leader"
 	"ravenport/settings"
@@ -233,6 +234,9 @@
 	if c.packs {
 		a.core.SetPacks()
 	}
+	if set.Draining != nil {
+		a.core.StartDraining(now, c.drainingConfig(), c.jobs, c.drains.changes())
+	}
 	a.self.Tell(wake{})
 	return a
 }
@@ -294,6 +298,9 @@
 		a.core.Forecast(now, m)
 	case typesRead:
 		a.core.SetTypes(m.types)
+	case shardPlanAsked:
+		m.answer <- a.core.PlanDrain(now, &m.selection)
+		return
 	case wake:
 		a.pace.woke(m)
 	}
@@ -328,6 +335,7 @@
 		if now.Sub(a.countAt) >= constants.PushEvery {
 			a.countAt = now
 			st.counts, st.summary = a.core.Counts(), a.core.Summary(now)
+			st.drains = drain.ShardView{Shard: a.shard, Drains: a.core.DrainProgress(), Usage: a.core.Usage(now)}
 		}
 		a.control.Tell(st)
 		if a.core.TermUsedUp() {
--- a/node/control.go
+++ b/node/control.go
@@ -11,6 +11,7 @@
 	"ravenport/actor"
 	"ravenport/apiserver"
 	"ravenport/constants"
+	"ravenport/drain"
 	"ravenport/httpwire"
 	"ravenport/leader"
 	"ravenport/member"
@@ -70,6 +71,7 @@
 		aggregate leader.Aggregate
 		counts    state.CountsByJob
 		summary   shard.Summary
+		drains    drain.ShardView
 	}
 	termUsedUp struct{ shard string }       // the owner needs a new term
 	halted     struct{ claim member.Claim } // the actor stopped: the claim may go
@@ -137,6 +139,7 @@
 	peersState       map[string]peerView
 	misroutedReports map[string]misroutedReport
 	detect           detection
+	drains           drainRecords
 }
 
 // misroutedReport is a report that was made here though another controller owns its
@@ -151,7 +154,7 @@
 		set: set, io: out, self: self, api: api, started: time.Now(), grants: map[string]time.Time{},
 		jobs: map[string]*state.Job{}, versions: map[string]uint64{}, inventory: map[string]*state.Page{}, inventoryV: map[string]uint64{}, shardOf: map[string]string{}, odd: map[string]bool{},
 		claiming: map[string]time.Time{}, yielded: map[string]uint64{}, successor: map[string]string{}, unsettled: map[string]time.Time{}, owners: map[string]*child{},
-		status: map[string]shardStatus{}, pushing: map[string]bool{}, peersState: map[string]peerView{}, misroutedReports: map[string]misroutedReport{},
+		status: map[string]shardStatus{}, pushing: map[string]bool{}, peersState: map[string]peerView{}, misroutedReports: map[string]misroutedReport{}, drains: newDrainRecords(),
 	}
 	var short bool
 	if c.authority, short = set.Authority(); short {
@@ -195,7 +198,7 @@
 		c.pushNow = c.pushNow || m != nil
 		c.forwardForecast(m)
 	default:
-		if !c.receiveOfPeers(now, msg) && !c.receiveOfLease(ctx, now, msg) && !c.receiveOfShard(ctx, now, msg) {
+		if !c.receiveOfPeers(now, msg) && !c.receiveOfLease(ctx, now, msg) && !c.receiveOfShard(ctx, now, msg) && !c.receiveOfDrains(msg) {
 			c.receiveOfDetection(ctx, now, msg)
 		}
 	}
@@ -293,8 +296,9 @@
 		}
 		c.api.Tell(apiserver.Counts{Shard: m.shard, Jobs: m.counts})
 	} else {
-		m.counts, m.summary = c.status[m.shard].counts, c.status[m.shard].summary
+		m.counts, m.summary, m.drains = c.status[m.shard].counts, c.status[m.shard].summary, c.status[m.shard].drains
 	}
+	c.drains.views[m.shard] = m.drains
 	c.status[m.shard] = m
 	if c.leaderRef != nil {
 		c.leaderRef.ref.Tell(m.aggregate)
@@ -307,6 +311,7 @@
 func (c *control) update(ctx context.Context, now time.Time, up state.Update) {
 	for _, ch := range up.Changes {
 		c.member.Apply(now, ch)
+		c.drains.apply(ch)
 		switch r := ch.Record.(type) {
 		case *state.Job:
 			if r.End == wire.JobCancelled {
--- /dev/null
+++ b/node/draining_test.go
@@ -0,0 +1,344 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ravenport/drain"
+	"ravenport/peer"
+	"ravenport/shard"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// Points of a step, and how it is seen from outside that one is reached.
+var drainPoints = []struct {
+	name    string
+	reached func(*testing.T, *world, int) bool
+}{
+	{"before the grant", func(t *testing.T, w *world, number int) bool {
+		return slices.ContainsFunc(w.view(t, number).Shards, func(p drain.Progress) bool { return len(p.Cordoned) > 0 })
+	}},
+	{"after the grant", func(_ *testing.T, w *world, _ int) bool { return w.claimed() > 0 }},
+	{"after the stop", func(_ *testing.T, w *world, _ int) bool {
+		return w.moved().Stops > 0
+	}},
+	{"after the replacement's start", func(_ *testing.T, w *world, _ int) bool {
+		return w.moved().Replaced > 0
+	}},
+	{"after the close", func(_ *testing.T, w *world, _ int) bool { return w.closedMachines() > 0 }},
+	{"at the return", func(_ *testing.T, w *world, _ int) bool { return w.count("returns asked") > 0 }},
+}
+
+// Ways for the holder of a drain to fail.
+var holderFailures = []struct {
+	name string
+	hurt func(*world, *simNode)
+}{
+	{"killed", func(_ *world, n *simNode) { n.restart(6 * time.Second) }},
+	{"paused past its lease", func(_ *world, n *simNode) { n.freeze(12 * time.Second) }},
+	{"cut from the state service", func(w *world, n *simNode) {
+		w.do(func() { n.cutState = true })
+		time.AfterFunc(20*time.Second, func() { w.do(func() { n.cutState = false }) })
+	}},
+}
+
+// The owner that drains fails at each point of a step, in each way: under the next one
+// the drain goes on, and no budget is broken.
+func TestDrainHolderFails(t *testing.T) {
+	quietLogs(t)
+	for _, point := range drainPoints {
+		for _, failure := range holderFailures {
+			s := drainScenario{name: failure.name + " " + point.name, hurt: func(t *testing.T, w *world, number int) {
+				w.until(t, point.name, 4*time.Minute, func() bool { return point.reached(t, w, number) })
+				owner, term := w.owner("a"), w.term("a")
+				failure.hurt(w, w.nodes[owner])
+				w.until(t, "another term", 2*time.Minute, func() bool { return w.term("a") > term })
+			}}
+			t.Run(s.name, func(t *testing.T) { s.holds(t, 1) })
+		}
+	}
+}
+
+// holds plays a scenario under some seeds and sees that no rule is broken.
+func (s drainScenario) holds(t *testing.T, seeds int) {
+	for seed := range uint64(seeds) {
+		synctest.Test(t, func(t *testing.T) {
+			if broken := s.play(t, seed); len(broken) > 0 {
+				t.Errorf("seed %d: %s", seed, strings.Join(broken[:min(4, len(broken))], "; "))
+			}
+		})
+	}
+}
+
+// Failures in the middle of a drain. Each is seen to come about.
+func TestDrainScenarios(t *testing.T) {
+	quietLogs(t)
+	midway := func(t *testing.T, w *world) {
+		w.until(t, "something was moved", 4*time.Minute, func() bool { return w.moved().Replaced > 1 })
+	}
+	for _, s := range []drainScenario{
+		{name: "nothing fails", seeds: 2},
+		{name: "all controllers are restarted", hurt: func(t *testing.T, w *world, _ int) {
+			midway(t, w)
+			for _, n := range w.nodes {
+				n.restart(2 * time.Second)
+			}
+		}},
+		{name: "machines are lost and use the budget up", hurt: func(t *testing.T, w *world, number int) {
+			midway(t, w)
+			w.loseMachines(4)
+			w.until(t, "the drain waits for the budget", time.Minute, func() bool {
+				return slices.ContainsFunc(w.view(t, number).Shards, func(p drain.Progress) bool { return strings.Contains(p.Waits, "used up") })
+			})
+		}},
+		{name: "a zone is cut off", hurt: func(t *testing.T, w *world, _ int) {
+			midway(t, w)
+			w.do(func() { w.cutZone = "b" })
+			time.Sleep(60 * time.Second)
+			w.do(func() { w.cutZone = "" })
+		}},
+		{name: "the state service is away in mid-step", hurt: func(t *testing.T, w *world, _ int) {
+			midway(t, w)
+			w.setOutage(true)
+			time.Sleep(40 * time.Second)
+			stops := w.moved().Stops
+			time.Sleep(20 * time.Second)
+			if again := w.moved().Stops; again != stops {
+				t.Errorf("%d tasks were stopped without the state service", again-stops)
+			}
+			w.setOutage(false)
+		}},
+		{name: "the cloud has no more machines, then some", hurt: func(t *testing.T, w *world, _ int) {
+			w.do(func() {
+				for k := range w.capacity {
+					w.seen[k] = w.capacity[k]
+					w.capacity[k] = 0
+				}
+			})
+			time.Sleep(90 * time.Second)
+			w.do(func() {
+				for k := range w.capacity {
+					w.capacity[k] += w.seen[k]
+				}
+			})
+		}},
+		{name: "a machine that is drained comes back under a new incarnation", hurt: func(t *testing.T, w *world, number int) {
+			var name string
+			w.until(t, "a machine is cordoned", 4*time.Minute, func() bool {
+				for _, p := range w.view(t, number).Shards {
+					for _, m := range p.Cordoned {
+						name = m
+					}
+				}
+				return name != ""
+			})
+			w.do(func() {
+				if m := w.machines[name]; m != nil {
+					m.restart()
+				}
+			})
+		}},
+		{name: "jobs are submitted and cancelled meanwhile", hurt: func(t *testing.T, w *world, _ int) {
+			for i := range 10 {
+				j := w.newArray(fmt.Sprintf("run-%06d", 100+i), 3, 2, 20)
+				go w.user(j, 0, time.Duration(i%2)*20*time.Second)
+				time.Sleep(5 * time.Second)
+			}
+		}},
+		{name: "paused and resumed", hurt: func(t *testing.T, w *world, number int) {
+			midway(t, w)
+			w.command(t, peer.OpPause, number)
+			time.Sleep(10 * time.Second)
+			if v := w.view(t, number); v.State != state.DrainPaused || slices.ContainsFunc(v.Shards, func(p drain.Progress) bool { return len(p.Cordoned) > 0 }) {
+				t.Errorf("paused: %+v", v)
+			}
+			w.command(t, peer.OpResume, number)
+		}},
+		{name: "cancelled as a step closes", ends: state.DrainCancelled, idle: true, hurt: func(t *testing.T, w *world, number int) {
+			w.until(t, "a machine is closed", 4*time.Minute, func() bool { return w.closedMachines() > 0 })
+			w.command(t, peer.OpCancel, number)
+			w.until(t, "what was closed is returned", time.Minute, func() bool { return w.closedMachines() == 0 })
+		}},
+		{name: "machines that never boot", ends: state.DrainStopped, idle: true, hurt: func(t *testing.T, w *world, number int) {
+			w.do(func() { w.upIn = 1000 * time.Hour })
+		}},
+		{name: "machines on which every task fails", ends: state.DrainStopped, hurt: func(t *testing.T, w *world, number int) {
+			w.do(func() {
+				w.faulty = map[string]bool{}
+				for name := range w.machines {
+					w.faulty[name] = false
+				}
+			})
+			w.until(t, "the drain stops", 10*time.Minute, func() bool { return w.drainRecord(number).State == state.DrainStopped })
+			if why := w.drainRecord(number).Why; !strings.Contains(why, "failed on") && !strings.Contains(why, "not up in time") {
+				t.Errorf("it stopped because of: %s", why)
+			}
+			w.do(func() { w.faulty = nil })
+		}},
+		{name: "the budget is lowered while it runs", hurt: func(t *testing.T, w *world, _ int) {
+			midway(t, w)
+			for _, n := range w.nodes {
+				n.kill()
+				n.set.Draining = n.parseDraining(strings.Replace(drainSettings, "* = 2", "* = 1", 1))
+				time.Sleep(3 * time.Second)
+				n.start()
+			}
+			time.Sleep(10 * time.Second)
+			w.do(func() { w.disruption.SetMost(1) })
+		}},
+	} {
+		t.Run(s.name, func(t *testing.T) { s.holds(t, max(1, s.seeds)) })
+	}
+}
+
+// Two drains over one team, in different shards, whose owners are replaced in turns.
+func TestTwoDrainsShareTheAccount(t *testing.T) {
+	quietLogs(t)
+	s := drainScenario{hurt: func(t *testing.T, w *world, first int) {
+		w.command(t, peer.OpCancel, first)
+		time.Sleep(3 * time.Second)
+		var numbers []int
+		for _, zone := range []string{"a", "b"} {
+			numbers = append(numbers, w.startDrain(t, state.Selection{Zones: []string{zone}}))
+		}
+		time.Sleep(time.Second)
+		reply := w.drains(t, peer.DrainRequest{Op: peer.OpStart, Selection: state.Selection{Zones: []string{"b"}}})
+		if reply.Problem == nil || !strings.Contains(reply.Problem.Problem, fmt.Sprintf("drain %d", numbers[1])) {
+			t.Errorf("a drain that overlaps: %+v", reply)
+		}
+		for i := range 4 {
+			time.Sleep(8 * time.Second)
+			zone := []string{"a", "b"}[i%2]
+			term := w.term(zone)
+			w.nodes[w.owner(zone)].restart(5 * time.Second)
+			w.until(t, "another owner", time.Minute, func() bool { return w.term(zone) > term })
+		}
+		for _, n := range numbers {
+			w.drainEnds(t, n, state.DrainFinished, 12*time.Minute)
+		}
+	}, ends: state.DrainCancelled}
+	s.holds(t, 2)
+}
+
+// Without claims, or with grants that end as the replacement starts, a drain breaks its
+// budget and the check says so.
+func TestDrainCheckNoticesMissingGuards(t *testing.T) {
+	quietLogs(t)
+	for name, unguard := range map[string]func(*shard.DrainingConfig){
+		"claims":      func(c *shard.DrainingConfig) { c.Hasty = true },
+		"stable time": func(c *shard.DrainingConfig) { c.HastyProof = true },
+	} {
+		caught := false
+		for seed := uint64(0); seed < 12 && !caught; seed++ {
+			synctest.Test(t, func(t *testing.T) {
+				broken := drainScenario{unguard: unguard}.play(t, seed)
+				caught = slices.ContainsFunc(broken, func(b string) bool { return strings.HasPrefix(b, "budget:") })
+			})
+		}
+		if !caught {
+			t.Errorf("without the %s the budget was never seen broken", name)
+		}
+	}
+}
+
+// What cannot be drained is refused at once, with the field that is wrong, and nothing
+// is stored; a damaged record does nothing and is not written over.
+func TestDrainRequestsThatAreRefused(t *testing.T) {
+	quietLogs(t)
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorldOf(2, []string{"a", "b", "c"}, 3, magnoliaTimes)
+		w.late, w.tame, w.lostAnswers, w.lateWrites, w.repeats = 0, true, 0, 0, 0
+		w.drainTo(strings.Replace(drainSettings, "* = 2", "* = 40%", 1))
+		for _, n := range w.nodes {
+			n.start()
+		}
+		go w.expireLeases()
+		defer w.shut()
+		time.Sleep(5 * time.Second)
+		w.replicas(t, 1, 2) // 40% of two are none
+		time.Sleep(15 * time.Second)
+		spot := true
+		for field, q := range map[string]peer.DrainRequest{
+			"zone":          {Op: peer.OpStart, Selection: state.Selection{Zones: []string{"x"}}},
+			"type":          {Op: peer.OpStart, Selection: state.Selection{Types: []string{"x"}}},
+			"machine":       {Op: peer.OpStart, Selection: state.Selection{Machines: []string{"m-999999"}}},
+			"selection":     {Op: peer.OpStart},
+			"budget":        {Op: peer.OpStart, All: true},
+			"drain":         {Op: peer.OpPause, Number: 7},
+			"rented-before": {Op: peer.OpStart, RentedBeforeS: 1e9},
+			"op":            {Op: "dance"},
+		} {
+			if r := w.drains(t, q); r.Problem == nil || r.Problem.Field != field {
+				t.Errorf("%s: %+v", field, r.Problem)
+			}
+		}
+		if r := w.drains(t, peer.DrainRequest{Op: peer.OpPlan, Selection: state.Selection{Spot: &spot}}); r.Problem == nil || r.Problem.Field != "selection" {
+			t.Errorf("no spot machine: %+v", r)
+		}
+		if n := w.keysUnder(state.KeyDrain(1)); n > 0 {
+			t.Errorf("%d drains are stored", n)
+		}
+		if r := w.drains(t, peer.DrainRequest{Op: peer.OpPlan, All: true}); r.Plan == nil || r.Plan.Permanent() == nil {
+			t.Errorf("the plan does not say what can never be done: %+v", r)
+		}
+		w.do(func() {
+			w.kv[state.KeyDrain(3)] = &entry{value: []byte(`{"state":7}`), version: w.revision + 1}
+			w.revision++
+			w.events = append(w.events, wire.Event{Put: state.KeyDrain(3), Value: []byte(`{"state":7}`), Version: w.revision})
+			close(w.changed)
+			w.changed = make(chan struct{})
+		})
+		time.Sleep(2 * time.Second)
+		if s := w.drains(t, peer.DrainRequest{Op: peer.OpStatus}).Status; !slices.Equal(s.Damaged, []int{3}) {
+			t.Errorf("damaged: %v", s.Damaged)
+		}
+		if r := w.drains(t, peer.DrainRequest{Op: peer.OpResume, Number: 3}); r.Problem == nil || r.Problem.Field != "drain" {
+			t.Errorf("a damaged drain is resumed: %+v", r)
+		}
+	})
+}
+
+// A controller of a version without drains, or without the file, holds back what its
+// shard's owner cannot vouch for, and says that it is off.
+func TestDrainBesideOneWithout(t *testing.T) {
+	quietLogs(t)
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorldOf(4, []string{"a", "b", "c"}, 3, magnoliaTimes)
+		w.late, w.tame = 0, true
+		for k := range w.capacity {
+			w.capacity[k] = 10
+		}
+		w.drainTo(drainSettings)
+		w.nodes[1].set.Draining = nil
+		for _, n := range w.nodes {
+			n.start()
+		}
+		go w.expireLeases()
+		defer w.shut()
+		time.Sleep(5 * time.Second)
+		w.replicas(t, 6, 3)
+		w.watchDisruption(2)
+		time.Sleep(15 * time.Second)
+		if _, err := (simPeer{w.nodes[0], w.nodes[1]}).Drain(context.Background(), peer.DrainRequest{Op: peer.OpStatus}); err != peer.ErrNoDrains {
+			t.Errorf("it answers: %v", err)
+		}
+		number := w.startDrain(t, state.Selection{Zones: []string{"a"}})
+		time.Sleep(40 * time.Second)
+		if v := w.view(t, number); w.moved().Stops > 0 || len(v.Shards) == 0 || !strings.Contains(v.Shards[0].Waits, "not published") {
+			t.Errorf("%d stops; %+v", w.moved().Stops, v)
+		}
+		w.nodes[1].kill()
+		w.nodes[1].set.Draining = w.nodes[1].parseDraining(drainSettings)
+		w.nodes[1].start()
+		w.drainEnds(t, number, state.DrainFinished, 10*time.Minute)
+		if broken := w.brokenRules(); len(broken) > 0 {
+			t.Error(broken)
+		}
+	})
+}
--- /dev/null
+++ b/node/drains.go
@@ -0,0 +1,386 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"ravenport/actor"
+	"ravenport/constants"
+	"ravenport/disruption"
+	"ravenport/drain"
+	"ravenport/peer"
+	"ravenport/shard"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// DrainPeer is another controller, as far as drains go.
+type DrainPeer interface {
+	Drain(ctx context.Context, r peer.DrainRequest) (peer.DrainReply, error)
+}
+
+// Messages about drains to the control actor and to owners.
+type (
+	drainsAsked struct{ answer chan<- drainSnapshot } // has room for the answer
+	ownerAsked  struct {                              // for the owner of a shard here, nil if there is none
+		shard  string
+		answer chan<- *actor.Ref
+	}
+	shardPlanAsked struct {
+		selection state.Selection
+		answer    chan<- drain.ShardPlan
+	}
+)
+
+// drainRecords is what a controller knows of drains: the records as stored, and what
+// owners tell of their progress.
+type drainRecords struct {
+	stored map[string]state.Change    // drains, claims and terms of shards, by key
+	views  map[string]drain.ShardView // by shard
+}
+
+func newDrainRecords() drainRecords {
+	return drainRecords{stored: map[string]state.Change{}, views: map[string]drain.ShardView{}}
+}
+
+// apply takes in a change from the feed.
+func (r *drainRecords) apply(ch state.Change) {
+	switch ch.Record.(type) {
+	case *state.Drain, *state.Claim, *state.Term, *state.Damaged:
+		r.stored[ch.Key] = ch
+	case nil:
+		delete(r.stored, ch.Key)
+	}
+}
+
+// changes lists the records as an owner that starts takes them in.
+func (r *drainRecords) changes() []state.Change {
+	return slices.Collect(maps.Values(r.stored))
+}
+
+// drainSnapshot is what a request about drains is answered from.
+type drainSnapshot struct {
+	known   drain.Known
+	drains  map[int]state.Change // readable ones
+	damaged []int
+	views   map[string]drain.ShardView
+	holders map[string]string // of each shard, if it has a live one
+}
+
+func (c *control) drainSnapshot() drainSnapshot {
+	s := drainSnapshot{known: drain.Known{Zones: c.set.Params.Zones}, drains: map[int]state.Change{}, views: maps.Clone(c.drains.views), holders: map[string]string{}}
+	for _, t := range c.types {
+		s.known.Types = append(s.known.Types, t.Name)
+	}
+	for _, page := range c.inventory {
+		for _, m := range page.Machines() {
+			s.known.Machines = append(s.known.Machines, drain.Machine{Name: m.Name, Zone: page.Shard, Type: m.Type, Spot: m.Spot})
+		}
+	}
+	for _, ch := range c.drains.stored {
+		switch r := ch.Record.(type) {
+		case *state.Drain:
+			s.drains[r.Number] = ch
+			if !r.State.Over() {
+				s.known.Running = append(s.known.Running, r)
+			}
+		case *state.Damaged:
+			if n, ok := r.Drain(); ok {
+				s.damaged = append(s.damaged, n)
+			}
+		}
+	}
+	slices.SortFunc(s.known.Machines, func(a, b drain.Machine) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(s.known.Running, func(a, b *state.Drain) int { return a.Number - b.Number })
+	slices.Sort(s.damaged)
+	for _, zone := range c.set.Params.Zones {
+		if name, ok := c.member.Holder(state.KeyShard(zone)); ok {
+			s.holders[zone] = name
+		}
+	}
+	return s
+}
+
+// receiveOfDrains takes in questions about drains, and says whether a message is one.
+func (c *control) receiveOfDrains(msg any) bool {
+	switch m := msg.(type) {
+	case drainsAsked:
+		m.answer <- c.drainSnapshot()
+	case ownerAsked:
+		var ref *actor.Ref
+		if o := c.owners[m.shard]; o != nil {
+			ref = o.ref
+		}
+		m.answer <- ref
+	default:
+		return false
+	}
+	return true
+}
+
+// drainingConfig is what an owner here needs to drain machines.
+func (c *control) drainingConfig() shard.DrainingConfig {
+	cfg := shard.DrainingConfig{Shards: c.set.Params.Zones, Budgets: c.set.Draining.Budgets, Policy: c.set.Draining.Policy}
+	if c.io.drainingGuards != nil {
+		c.io.drainingGuards(&cfg)
+	}
+	return cfg
+}
+
+// drainRequests answers requests about drains. It runs beside the actors.
+type drainRequests struct {
+	node    string
+	control *actor.Ref
+	store   Store
+	cloud   Cloud
+	peers   map[string]DrainPeer
+	stable  time.Duration
+}
+
+// errNoAnswer says that an actor did not answer in time.
+var errNoAnswer = errors.New("the controller is busy and did not answer in time")
+
+// ask sends an actor a question and waits for its answer.
+func ask[T any](ctx context.Context, to *actor.Ref, question func(chan<- T) any) (T, error) {
+	answer := make(chan T, 1)
+	to.Tell(question(answer))
+	select {
+	case got := <-answer:
+		return got, nil
+	case <-ctx.Done():
+		var none T
+		return none, errNoAnswer
+	}
+}
+
+func (r *drainRequests) snapshot(ctx context.Context) (drainSnapshot, error) {
+	return ask(ctx, r.control, func(a chan<- drainSnapshot) any { return drainsAsked{a} })
+}
+
+// problem is a reply that says that nothing was done.
+func problem(field, format string, args ...any) peer.DrainReply {
+	return peer.DrainReply{Problem: &drain.FieldError{Field: field, Problem: fmt.Sprintf(format, args...)}}
+}
+
+// Answer answers a request about drains.
+func (r *drainRequests) Answer(ctx context.Context, q peer.DrainRequest) (peer.DrainReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, constants.DrainCallTimeout)
+	defer cancel()
+	switch q.Op {
+	case peer.OpShardPlan:
+		plan, err := r.shardPlan(ctx, q.Shard, q.Selection)
+		return peer.DrainReply{ShardPlan: plan}, err
+	case peer.OpPlan, peer.OpStart:
+		return r.planOrStart(ctx, q)
+	case peer.OpStatus:
+		s, err := r.snapshot(ctx)
+		return peer.DrainReply{Status: s.status(r.node)}, err
+	case peer.OpPause, peer.OpResume, peer.OpCancel:
+		return r.change(ctx, q)
+	}
+	return problem("op", "%q is nothing that can be asked of a drain", q.Op), nil
+}
+
+// shardPlan asks the owner of a shard here; nil if there is none.
+func (r *drainRequests) shardPlan(ctx context.Context, name string, s state.Selection) (*drain.ShardPlan, error) {
+	owner, err := ask(ctx, r.control, func(a chan<- *actor.Ref) any { return ownerAsked{name, a} })
+	if err != nil || owner == nil {
+		return nil, err
+	}
+	plan, err := ask(ctx, owner, func(a chan<- drain.ShardPlan) any { return shardPlanAsked{s, a} })
+	if err != nil {
+		return nil, err
+	}
+	return &plan, nil
+}
+
+// planOrStart checks a selection and plans its drain; with OpStart it is then written.
+func (r *drainRequests) planOrStart(ctx context.Context, q peer.DrainRequest) (peer.DrainReply, error) {
+	s, err := r.snapshot(ctx)
+	if err != nil {
+		return peer.DrainReply{}, err
+	}
+	selection, wrong := r.resolve(ctx, q, &s)
+	if wrong == nil {
+		wrong = s.known.Check(&selection)
+	}
+	if wrong != nil {
+		return peer.DrainReply{Problem: wrong}, nil
+	}
+	plan := r.plan(ctx, &s, selection)
+	reply := peer.DrainReply{Plan: &plan}
+	if q.Op == peer.OpPlan {
+		return reply, nil
+	}
+	if len(plan.Missing) > 0 {
+		return problem("zone", "the owner of shard %s cannot be asked, or does not drain", plan.Missing[0]), nil
+	}
+	if x := plan.Permanent(); x != nil {
+		return problem("budget", "a task of %s on %s can never be moved: %s", x.Job, x.Machine, x.Why), nil
+	}
+	number, wrong, err := r.start(ctx, &s, selection)
+	if wrong != nil || err != nil {
+		return peer.DrainReply{Problem: wrong}, err
+	}
+	reply.Number = number
+	return reply, nil
+}
+
+// resolve makes a selection of what was asked for. It ends with the last machine that
+// is known now, so what is rented later is no part of it.
+func (r *drainRequests) resolve(ctx context.Context, q peer.DrainRequest, s *drainSnapshot) (state.Selection, *drain.FieldError) {
+	selection := q.Selection
+	if len(selection.Machines)+len(selection.Zones)+len(selection.Types) == 0 && selection.Spot == nil && q.RentedBeforeS == 0 && !q.All {
+		return selection, &drain.FieldError{Field: "selection", Problem: "names no machine, zone, type, kind or age; say so if all machines are meant"}
+	}
+	if q.RentedBeforeS < 0 {
+		return selection, &drain.FieldError{Field: "rented-before", Problem: "must not be negative"}
+	}
+	if n := len(s.known.Machines); n > 0 {
+		selection.Last = s.known.Machines[n-1].Name
+	}
+	if q.RentedBeforeS == 0 {
+		return selection, nil
+	}
+	list, err := r.cloud.List(ctx)
+	if err != nil {
+		return selection, &drain.FieldError{Field: "rented-before", Problem: "the cloud does not tell the machines' ages: " + err.Error()}
+	}
+	selection.Last = ""
+	for _, m := range list {
+		if m.AgeS >= q.RentedBeforeS {
+			selection.Last = max(selection.Last, m.Name)
+		}
+	}
+	if selection.Last == "" {
+		return selection, &drain.FieldError{Field: "rented-before", Problem: "no machine is that old"}
+	}
+	return selection, nil
+}
+
+// plan asks the owners of all shards that a selection may touch.
+func (r *drainRequests) plan(ctx context.Context, s *drainSnapshot, selection state.Selection) drain.Plan {
+	var plans []drain.ShardPlan
+	var missing []string
+	for _, zone := range drain.Zones(&selection, s.known.Zones) {
+		var got *drain.ShardPlan
+		if holder := s.holders[zone]; holder == r.node {
+			got, _ = r.shardPlan(ctx, zone, selection) // without an answer it is missing
+		} else if p := r.peers[holder]; p != nil {
+			if reply, err := p.Drain(ctx, peer.DrainRequest{Op: peer.OpShardPlan, Shard: zone, Selection: selection}); err == nil {
+				got = reply.ShardPlan
+			}
+		}
+		if got == nil {
+			missing = append(missing, zone)
+			continue
+		}
+		plans = append(plans, *got)
+	}
+	return drain.Merge(plans, missing, r.stable)
+}
+
+// start writes a new drain under the next number, and clears the oldest ones away that
+// are over.
+func (r *drainRequests) start(ctx context.Context, s *drainSnapshot, selection state.Selection) (int, *drain.FieldError, error) {
+	numbers := slices.Sorted(maps.Keys(s.drains))
+	number := 1
+	for _, n := range append(numbers, s.damaged...) {
+		number = max(number, n+1)
+	}
+	record := state.Drain{Selection: selection, State: state.DrainRunning, StartedS: time.Now().Unix(), Machines: len(s.known.Selected(&selection))}
+	key := state.KeyDrain(number)
+	txn := wire.Txn{If: []wire.Condition{{Key: key, Version: 0}}, Then: []wire.Change{{Put: key, Value: state.Encode(record)}}}
+	if len(numbers) >= constants.DrainsKept {
+		if old := s.drains[numbers[0]]; old.Record.(*state.Drain).State.Over() {
+			txn.If = append(txn.If, wire.Condition{Key: old.Key, Version: old.Version})
+			txn.Then = append(txn.Then, wire.Change{Delete: old.Key})
+		}
+	}
+	wrong, err := r.commit(ctx, txn)
+	return number, wrong, err
+}
+
+// commit writes what an operator asked for.
+func (r *drainRequests) commit(ctx context.Context, txn wire.Txn) (*drain.FieldError, error) {
+	err := state.RetryLimited(ctx, constants.DrainCallTimeout, constants.RetryMin, constants.RetryMin, func() error {
+		_, err := r.store.Commit(ctx, txn)
+		return err
+	})
+	var conflict *state.Conflict
+	if errors.As(err, &conflict) {
+		return &drain.FieldError{Field: "drain", Problem: "its record changed meanwhile; look at the status and ask again"}, nil
+	}
+	return nil, err
+}
+
+// change pauses, resumes or cancels a drain.
+func (r *drainRequests) change(ctx context.Context, q peer.DrainRequest) (peer.DrainReply, error) {
+	s, err := r.snapshot(ctx)
+	if err != nil {
+		return peer.DrainReply{}, err
+	}
+	if slices.Contains(s.damaged, q.Number) {
+		return problem("drain", "the record of drain %d cannot be read; it does nothing, and is not written over", q.Number), nil
+	}
+	stored, ok := s.drains[q.Number]
+	if !ok {
+		return problem("drain", "there is no drain %d", q.Number), nil
+	}
+	next := stored.Record.(*state.Drain).Clone()
+	if next.State.Over() {
+		return problem("drain", "drain %d is %s already", q.Number, next.State), nil
+	}
+	switch {
+	case q.Op == peer.OpCancel:
+		next.State = state.DrainCancelled
+	case q.Op == peer.OpPause && next.State == state.DrainRunning:
+		next.State = state.DrainPaused
+	case q.Op == peer.OpResume && next.State != state.DrainRunning:
+		next.State, next.Why = state.DrainRunning, ""
+		next.Attempt++
+	default:
+		return problem("drain", "drain %d is %s already", q.Number, next.State), nil
+	}
+	wrong, err := r.commit(ctx, wire.Txn{
+		If:   []wire.Condition{{Key: stored.Key, Version: stored.Version}},
+		Then: []wire.Change{{Put: stored.Key, Value: state.Encode(next)}},
+	})
+	return peer.DrainReply{Number: q.Number, Problem: wrong}, err
+}
+
+// status makes the status of all drains.
+func (s *drainSnapshot) status(node string) *peer.DrainStatus {
+	out := &peer.DrainStatus{Node: node, Drains: []peer.DrainView{}, Damaged: s.damaged}
+	for _, n := range slices.Sorted(maps.Keys(s.drains)) {
+		r := s.drains[n].Record.(*state.Drain)
+		v := peer.DrainView{Number: n, State: r.State, Why: r.Why, StartedS: r.StartedS, Machines: r.Machines, Proven: r.Proven}
+		if !r.State.Over() {
+			v.Left = len(s.known.Selected(&r.Selection))
+		}
+		for _, zone := range s.known.Zones {
+			for _, p := range s.views[zone].Drains {
+				if p.Drain == n {
+					v.Shards = append(v.Shards, p)
+				}
+			}
+		}
+		out.Drains = append(out.Drains, v)
+	}
+	for _, zone := range s.known.Zones {
+		for _, u := range s.views[zone].Usage {
+			at := slices.IndexFunc(out.Budgets, func(x disruption.Usage) bool { return x.Budget == u.Budget })
+			if at < 0 {
+				out.Budgets = append(out.Budgets, u)
+			} else if u.Down > out.Budgets[at].Down {
+				out.Budgets[at] = u
+			}
+		}
+	}
+	return out
+}
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 	"ravenport/peer"
 	"ravenport/server"
 	"ravenport/settings"
+	"ravenport/shard"
 	"ravenport/state"
 	"ravenport/wire"
 	"ravenport/worker"
@@ -70,6 +71,10 @@
 	// becomes of them, where failure detection is on.
 	Monitors map[string]MonitorPeer
 	History  History
+	// Drains are the other controllers, where machines are drained.
+	Drains map[string]DrainPeer
+	// drainingGuards lets a test take away what budgets rest on.
+	drainingGuards func(*shard.DrainingConfig)
 }
 
 // Controller is one controller without its servers.
@@ -80,6 +85,7 @@
 	monitor   *actor.Ref // nil: failure detection is off
 	monitors  map[string]MonitorPeer
 	failed    chan error
+	drains    *drainRequests // nil: draining is off
 }
 
 // Start starts a controller's actors; they run until ctx ends.
@@ -90,6 +96,9 @@
 			return nil, err
 		}
 	}
+	if set.Draining != nil {
+		n.drains = &drainRequests{node: set.Node, control: n.self, store: out.State, cloud: out.Cloud, peers: out.Drains, stable: set.Draining.Policy.Stable}
+	}
 	c := newControl(set, out, n.self, n.api, n.monitor)
 	go n.api.Run(ctx, apiserver.New(set, out.State, n.api, n.self))
 	go n.self.Run(ctx, c)
@@ -174,6 +183,9 @@
 	if n.monitor != nil {
 		handlers.Detection = peer.Detection{Heartbeat: n.PeerHeartbeat, Probe: n.PeerProbe}
 	}
+	if n.drains != nil {
+		handlers.Drain = n.drains.Answer
+	}
 	failed := make(chan error, 2)
 	go func() { failed <- peer.Serve(ctx, set.PeerAddr, handlers) }()
 	front, _ := set.Sockets()
@@ -193,6 +205,7 @@
 // connect prepares the connections to the other controllers.
 func connect(set *settings.Settings, out *Outside) error {
 	out.Monitors = map[string]MonitorPeer{}
+	out.Drains = map[string]DrainPeer{}
 	for _, p := range set.Peers {
 		client, err := peer.Dial(p.Addr)
 		if err != nil {
@@ -200,6 +213,7 @@
 		}
 		out.Peers[p.Node] = client
 		out.Monitors[p.Node] = client
+		out.Drains[p.Node] = client
 	}
 	return nil
 }
--- a/node/peers.go
+++ b/node/peers.go
@@ -39,6 +39,9 @@
 		s.Aggregates = append(s.Aggregates, st.aggregate)
 		if due {
 			s.Counts[shard] = st.counts
+			if c.set.Draining != nil {
+				s.Drains = append(s.Drains, st.drains)
+			}
 		}
 	}
 	for name, x := range c.misroutedReports {
@@ -114,6 +117,11 @@
 		o.ref.Tell(s.Aggregates)
 		o.ref.Tell(misroutedReports{s.MisroutedReports, all})
 	}
+	for _, v := range s.Drains {
+		if c.owners[v.Shard] == nil {
+			c.drains.views[v.Shard] = v
+		}
+	}
 	for shard, jobs := range s.Counts {
 		if c.owners[shard] == nil {
 			c.api.Tell(apiserver.Counts{Shard: shard, Jobs: jobs})
--- /dev/null
+++ b/node/standin_draining_test.go
@@ -0,0 +1,370 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"ravenport/internal/disruptioncheck"
+	"ravenport/peer"
+	"ravenport/settings"
+	"ravenport/shard"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// watchDisruption begins to judge stops: all services' tasks share a budget of so many.
+func (w *world) watchDisruption(most int) {
+	w.do(func() {
+		w.disruption = disruptioncheck.New(most, w.nodes[0].set.Draining.Policy.Stable, w.times.lease()+30*time.Second)
+	})
+	go func() {
+		for {
+			select {
+			case <-w.stop:
+				return
+			case <-time.After(100 * time.Millisecond):
+				w.do(w.lookAtServices)
+			}
+		}
+	}()
+}
+
+// lookAtServices tells the check which tasks run. The caller holds the lock.
+func (w *world) lookAtServices() {
+	running := map[string]bool{}
+	for _, m := range w.machines {
+		for _, x := range m.held {
+			if x.state == wire.TaskRunning && !m.gone {
+				running[x.name] = true
+			}
+		}
+	}
+	for id, j := range w.jobs {
+		if !j.spec.IsService() || !j.accepted {
+			continue
+		}
+		for i := range j.spec.Tasks {
+			name := wire.TaskName(id, i)
+			switch {
+			case j.asked:
+				w.disruption.Forget(name)
+			case running[name]:
+				w.disruption.SawUp(name, time.Now())
+			default:
+				w.disruption.SawDown(name, time.Now())
+			}
+		}
+	}
+}
+
+// stopped judges the stop of a running task of a service. The caller holds the lock.
+func (w *world) stopped(task string) {
+	id, _, _ := wire.SplitTask(task)
+	if j := w.jobs[id]; w.disruption == nil || !j.spec.IsService() || j.asked || !j.accepted {
+		return
+	}
+	w.lookAtServices()
+	if err := w.disruption.Stop(task, time.Now()); err != nil {
+		w.broke("budget", "%v", err)
+	}
+}
+
+// moved is what was seen of voluntary stops.
+func (w *world) moved() disruptioncheck.Figures {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.disruption.Figures()
+}
+
+// drainTo switches draining on at all controllers, under these settings.
+func (w *world) drainTo(text string) {
+	for _, n := range w.nodes {
+		d, err := n.set.ParseDraining([]byte(text))
+		if err != nil {
+			panic(err)
+		}
+		n.set.Draining = d
+	}
+}
+
+// Drain carries a request about drains to the other controller.
+func (p simPeer) Drain(ctx context.Context, r peer.DrainRequest) (peer.DrainReply, error) {
+	ctl, err := p.reach(ctx)
+	if err != nil {
+		return peer.DrainReply{}, err
+	}
+	if ctl.drains == nil {
+		return peer.DrainReply{}, peer.ErrNoDrains
+	}
+	return ctl.drains.Answer(ctx, r)
+}
+
+// drains asks a controller that is up about drains.
+func (w *world) drains(t *testing.T, r peer.DrainRequest) peer.DrainReply {
+	t.Helper()
+	for range 60 {
+		for _, n := range w.nodes {
+			ctl := n.up()
+			if ctl == nil || ctl.drains == nil || n.cutState || time.Now().Before(n.thaws) {
+				continue
+			}
+			if reply, err := ctl.drains.Answer(context.Background(), r); err == nil {
+				return reply
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	t.Fatalf("nobody answers %s", r.Op)
+	return peer.DrainReply{}
+}
+
+// startDrain starts a drain and returns its number.
+func (w *world) startDrain(t *testing.T, s state.Selection) int {
+	t.Helper()
+	for range 30 { // right after a takeover an owner may not be there to be asked
+		reply := w.drains(t, peer.DrainRequest{Op: peer.OpStart, Selection: s, All: true})
+		if reply.Problem == nil {
+			return reply.Number
+		}
+		var number int
+		if _, err := fmt.Sscanf(reply.Problem.Problem, "overlaps drain %d:", &number); err == nil {
+			return number // it was written, and the answer was lost
+		}
+		if f := reply.Problem.Field; f != "zone" && f != "drain" {
+			t.Fatalf("a drain of %+v: %v", s, reply.Problem)
+		}
+		time.Sleep(time.Second)
+	}
+	t.Fatal("the drain was never started")
+	return 0
+}
+
+// command pauses, resumes or cancels a drain, again if its record changed meanwhile.
+func (w *world) command(t *testing.T, op peer.DrainOp, number int) {
+	t.Helper()
+	becomes := map[peer.DrainOp]state.DrainState{peer.OpPause: state.DrainPaused, peer.OpResume: state.DrainRunning, peer.OpCancel: state.DrainCancelled}[op]
+	for range 10 {
+		problem := w.drains(t, peer.DrainRequest{Op: op, Number: number}).Problem
+		if problem == nil || w.drainRecord(number).State == becomes { // the answer may have been lost
+			return
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	t.Fatalf("%s of drain %d is never taken", op, number)
+}
+
+// drainRecord is a drain as it is stored.
+func (w *world) drainRecord(number int) *state.Drain {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := w.kv[state.KeyDrain(number)]
+	if e == nil {
+		return nil
+	}
+	record, err := state.Decode(state.KeyDrain(number), e.value)
+	if err != nil {
+		return nil
+	}
+	return record.(*state.Drain)
+}
+
+// view is what the controllers tell of a drain.
+func (w *world) view(t *testing.T, number int) peer.DrainView {
+	for _, v := range w.drains(t, peer.DrainRequest{Op: peer.OpStatus}).Status.Drains {
+		if v.Number == number {
+			return v
+		}
+	}
+	return peer.DrainView{}
+}
+
+// drainEnds waits until a drain is in a state.
+func (w *world) drainEnds(t *testing.T, number int, in state.DrainState, limit time.Duration) {
+	t.Helper()
+	for end := time.Now().Add(limit); ; time.Sleep(time.Second) {
+		r := w.drainRecord(number)
+		if r != nil && r.State == in {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("drain %d is not %s after %s: %+v; %+v", number, in, limit, r, w.view(t, number))
+		}
+	}
+}
+
+// old lists the machines that are there now.
+func (w *world) present() map[string]bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := map[string]bool{}
+	for name := range w.machines {
+		out[name] = true
+	}
+	return out
+}
+
+// left counts those of some machines that are still there.
+func (w *world) left(old map[string]bool) int {
+	n := 0
+	for name := range w.present() {
+		if old[name] {
+			n++
+		}
+	}
+	return n
+}
+
+// replicas adds services to fill machines with, and waits until all their tasks run.
+func (w *world) replicas(t *testing.T, jobs, tasks int) {
+	t.Helper()
+	for i := range jobs {
+		j := &simJob{spec: wire.Submission{ID: fmt.Sprintf("run-%06d", 900+i), Class: "s", Team: "free", Kind: wire.KindService, Priority: wire.PriorityProduction,
+			Tasks: tasks, CPUs: 4, MemoryGB: 1, Image: "i", ImageGB: 1, Spread: true}, doneTasks: map[int]bool{}}
+		w.do(func() { w.jobs[j.spec.ID] = j })
+		go w.user(j, 0, 0)
+	}
+	w.until(t, "all replicas run", 3*time.Minute, func() bool { return w.replicasUp() == jobs*tasks })
+}
+
+// replicasUp counts the tasks of all services that run.
+func (w *world) replicasUp() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, m := range w.machines {
+		for _, x := range m.held {
+			if id, _, _ := wire.SplitTask(x.name); x.state == wire.TaskRunning && w.jobs[id].spec.IsService() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// drainSettings are those of these tests: short times.
+const drainSettings = "disruption.budget.* = 2\ndisruption.stable.ms = 4000\ndrain.parallel.percent = 34\ndrain.array.wait.ms = 20000\n" +
+	"drain.replace.within.ms = 60000\ndrain.failures.most = 3\n"
+
+// drainScenario is a failure in the middle of a drain of all machines.
+type drainScenario struct {
+	name  string
+	seeds int
+	// hurt brings the failure about once the drain is under way; nil: none.
+	hurt func(*testing.T, *world, int)
+	// ends is the state that the drain comes to; empty: finished.
+	ends state.DrainState
+	// idle: nothing need be moved.
+	idle bool
+	// unguard takes away what the budget rests on; the play must then break it.
+	unguard func(*shard.DrainingConfig)
+}
+
+// play drains a deployment that is at work and returns what rules were broken.
+func (s drainScenario) play(t *testing.T, seed uint64) []string {
+	w := newWorldOf(seed, []string{"a", "b", "c"}, 3, magnoliaTimes)
+	w.late, w.tame = 0, true
+	w.lostAnswers, w.lateWrites, w.repeats = 0.01, 0.01, 0.01
+	for k := range w.capacity {
+		w.capacity[k] = 10
+	}
+	w.drainTo(drainSettings)
+	for _, n := range w.nodes {
+		n.unguardDrains = s.unguard
+		n.start()
+	}
+	go w.expireLeases()
+	defer w.shut()
+	time.Sleep(5 * time.Second)
+	w.replicas(t, 6, 3)
+	w.watchDisruption(2)
+	time.Sleep(15 * time.Second)
+	old := w.present()
+	number := w.startDrain(t, state.Selection{})
+	if s.hurt != nil {
+		s.hurt(t, w, number)
+	}
+	if s.unguard != nil {
+		time.Sleep(2 * time.Minute)
+		return w.brokenRules()
+	}
+	if s.ends == "" {
+		w.drainEnds(t, number, state.DrainFinished, 12*time.Minute)
+		if n := w.left(old); n > 0 {
+			t.Errorf("%d of %d machines are still there", n, len(old))
+		}
+	} else {
+		w.drainEnds(t, number, s.ends, 12*time.Minute)
+	}
+	w.until(t, "all replicas run again", 3*time.Minute, func() bool { return w.replicasUp() == 18 })
+	t.Logf("seed %d: %+v", seed, w.moved())
+	if w.moved().Replaced == 0 && !s.idle {
+		t.Errorf("seed %d: nothing was moved", seed)
+	}
+	return w.brokenRules()
+}
+
+func (w *world) brokenRules() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.broken...)
+}
+
+// parseDraining reads settings of drains for a controller.
+func (n *simNode) parseDraining(text string) *settings.Draining {
+	d, err := n.set.ParseDraining([]byte(text))
+	if err != nil {
+		panic(err)
+	}
+	return d
+}
+
+// claimed is the sum of what all shards claim.
+func (w *world) claimed() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for key, e := range w.kv {
+		if !strings.HasPrefix(key, state.KeyClaim("")) {
+			continue
+		}
+		if record, err := state.Decode(key, e.value); err == nil {
+			for _, down := range record.(*state.Claim).Down {
+				n += down
+			}
+		}
+	}
+	return n
+}
+
+// closedMachines counts machines that are durably closed.
+func (w *world) closedMachines() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for key, e := range w.kv {
+		record, err := state.Decode(key, e.value)
+		if page, ok := record.(*state.Page); ok && err == nil {
+			for _, m := range page.Machines() {
+				if m.Closed {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
+
+// loseMachines takes some machines that run something away.
+func (w *world) loseMachines(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for name, m := range w.machines {
+		if n > 0 && len(m.held) > 0 {
+			w.remove(name)
+			n--
+		}
+	}
+}
--- a/node/standin_test.go
+++ b/node/standin_test.go
@@ -11,8 +11,10 @@
 
 	"ravenport/apiserver"
 	"ravenport/httpwire"
+	"ravenport/internal/disruptioncheck"
 	"ravenport/peer"
 	"ravenport/settings"
+	"ravenport/shard"
 	"ravenport/state"
 	"ravenport/wire"
 )
@@ -90,6 +92,9 @@
 	keepCopies bool           // all reports are kept, to come again
 	copies     []*wire.Report // those kept
 
+	disruption *disruptioncheck.Check // nil: stops are not judged
+	faulty     map[string]bool        // machines that are not in it end every task with an error; nil: none does
+
 	seen map[string]int // what came about, for scenarios to ask after
 }
 
@@ -123,6 +128,8 @@
 	answered   time.Time // when a report to it was last answered
 	reported   time.Time // and when one last came to it
 	thaws      time.Time
+	// unguardDrains takes away what budgets rest on; nil: nothing is.
+	unguardDrains func(*shard.DrainingConfig)
 }
 
 // apart says whether a zone and a controller are on two sides of a cut-off
@@ -240,11 +247,12 @@
 
 func (n *simNode) start() {
 	ctx, cancel := context.WithCancel(context.Background())
-	out := Outside{State: &simStore{n}, First: &simStore{n}, Later: &simStore{n}, Urgent: &simStore{n}, Cloud: &simCloud{n}, Workers: func() Workers { return &simCommands{n} }, Peers: map[string]Peer{}, Monitors: map[string]MonitorPeer{}}
+	out := Outside{State: &simStore{n}, First: &simStore{n}, Later: &simStore{n}, Urgent: &simStore{n}, Cloud: &simCloud{n}, Workers: func() Workers { return &simCommands{n} }, Peers: map[string]Peer{}, Monitors: map[string]MonitorPeer{}, Drains: map[string]DrainPeer{}}
 	for _, o := range n.w.nodes {
 		if o != n {
 			out.Peers[o.set.Node] = simPeer{n, o}
 			out.Monitors[o.set.Node] = simPeer{n, o}
+			out.Drains[o.set.Node] = simPeer{n, o}
 		}
 	}
 	n.w.mu.Lock()
@@ -253,6 +261,7 @@
 		cancel()
 		return
 	}
+	out.drainingGuards = n.unguardDrains
 	ctl, err := Start(ctx, n.set, out)
 	if err != nil {
 		panic(err)
--- a/node/standin_worker_test.go
+++ b/node/standin_worker_test.go
@@ -287,6 +287,9 @@
 func (w *world) started(m *simWorker, t *simTask, j *simJob) {
 	w.starts++
 	j.starts++
+	if w.disruption != nil {
+		w.lookAtServices()
+	}
 	if !j.cancelled.IsZero() {
 		w.seen["starts after a confirmed cancellation"]++
 	}
@@ -363,6 +366,9 @@
 			if t.state != wire.TaskExited && used+m.w.jobs[job].spec.CPUs > 8+1e-6 {
 				t.state, t.cause = wire.TaskExited, wire.CauseNoRoom
 			}
+			if _, sound := m.w.faulty[m.name]; m.w.faulty != nil && !sound && t.state != wire.TaskExited {
+				t.state, t.cause = wire.TaskExited, wire.CauseError
+			}
 			if t.state == wire.TaskFetching {
 				t.next = time.Now().Add(time.Duration(m.w.rng.IntN(3000)) * time.Millisecond)
 			}
@@ -371,6 +377,9 @@
 				continue
 			}
 			job, _, _ := wire.SplitTask(c.Task)
+			if t.state == wire.TaskRunning {
+				m.w.stopped(t.name)
+			}
 			if j := m.w.jobs[job]; j.spec.IsGang() {
 				graceS := 0.0
 				if c.GraceS != nil {
--- /dev/null
+++ b/peer/drain.go
@@ -0,0 +1,114 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"ravenport/disruption"
+	"ravenport/drain"
+	"ravenport/state"
+)
+
+// ErrNoDrains says that the other controller does not drain machines: it is switched off
+// there, or its version does not know how.
+var ErrNoDrains = errors.New("draining is off at this controller (start it with --draining), or its version does not know it")
+
+// DrainOp is what is asked about drains.
+type DrainOp string
+
+// What can be asked. OpShardPlan is asked by controllers alone.
+const (
+	OpPlan      DrainOp = "plan"
+	OpStart     DrainOp = "start"
+	OpStatus    DrainOp = "status"
+	OpPause     DrainOp = "pause"
+	OpResume    DrainOp = "resume"
+	OpCancel    DrainOp = "cancel"
+	OpShardPlan DrainOp = "shard plan"
+)
+
+// DrainRequest asks a controller about drains.
+type DrainRequest struct {
+	Op        DrainOp         `json:"op"`
+	Number    int             `json:"number,omitempty"`
+	Selection state.Selection `json:"sel"`
+	// All: a selection without any field is meant as it is.
+	All bool `json:"all,omitempty"`
+	// RentedBeforeS takes in only machines that are at least so old (s); 0: any.
+	RentedBeforeS float64 `json:"rented_before_s,omitempty"`
+	Shard         string  `json:"shard,omitempty"` // with OpShardPlan
+}
+
+// DrainReply answers it.
+type DrainReply struct {
+	// Problem says that nothing was done, and why.
+	Problem   *drain.FieldError `json:"problem,omitempty"`
+	Number    int               `json:"number,omitempty"`
+	Plan      *drain.Plan       `json:"plan,omitempty"`
+	ShardPlan *drain.ShardPlan  `json:"shard_plan,omitempty"`
+	Status    *DrainStatus      `json:"status,omitempty"`
+}
+
+// DrainStatus is what a controller knows of all drains.
+type DrainStatus struct {
+	Node    string             `json:"node"`
+	Drains  []DrainView        `json:"drains"`
+	Budgets []disruption.Usage `json:"budgets"`
+	// Damaged are drains whose record cannot be read.
+	Damaged []int `json:"damaged,omitempty"`
+}
+
+// DrainView is one drain.
+type DrainView struct {
+	Number   int              `json:"number"`
+	State    state.DrainState `json:"state"`
+	Why      string           `json:"why,omitempty"`
+	StartedS int64            `json:"started_s"`
+	Machines int              `json:"machines"` // at its start
+	Left     int              `json:"left"`     // in the inventory
+	Proven   bool             `json:"proven"`
+	Shards   []drain.Progress `json:"shards,omitempty"` // as their owners told last
+}
+
+// DrainHandler answers requests about drains. It is called on a goroutine of its own
+// and may block until ctx ends.
+type DrainHandler func(ctx context.Context, r DrainRequest) (DrainReply, error)
+
+const drainMethod = "/ravenport.Peer/Drain"
+
+// Drain asks the other controller about drains.
+func (c *Client) Drain(ctx context.Context, r DrainRequest) (DrainReply, error) {
+	var answer DrainReply
+	err := c.conn.Invoke(ctx, drainMethod, &r, &answer)
+	switch {
+	case err == nil:
+		return answer, nil
+	case status.Code(err) == codes.Unimplemented:
+		return answer, ErrNoDrains
+	}
+	return answer, fmt.Errorf("peer: %w", err)
+}
+
+// Close ends the connection.
+func (c *Client) Close() { _ = c.conn.Close() } // nothing is left to lose
+
+var drainDesc = grpc.MethodDesc{
+	MethodName: "Drain",
+	Handler: func(srv any, ctx context.Context, dec func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+		handle := srv.(Handlers).Drain
+		if handle == nil {
+			return nil, status.Error(codes.Unimplemented, "draining is off")
+		}
+		var r DrainRequest
+		if err := dec(&r); err != nil {
+			return nil, err
+		}
+		answer, err := handle(ctx, r)
+		return &answer, err
+	},
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc/encoding"
 
 	"ravenport/constants"
+	"ravenport/drain"
 	"ravenport/leader"
 	"ravenport/shard"
 	"ravenport/state"
@@ -39,6 +40,8 @@
 	Ask []Held `json:"ask,omitempty"`
 	// Counts are tasks running, and done in open assignments, by shard and job.
 	Counts map[string]state.CountsByJob `json:"counts,omitempty"`
+	// Drains is how far the drains have come in the sender's shards.
+	Drains []drain.ShardView `json:"drains,omitempty"`
 }
 
 // Held is a term that a controller holds.
@@ -74,6 +77,8 @@
 	Commit CommitHandler
 	// Detection is empty where failure detection is off.
 	Detection Detection
+	// Drain answers requests about drains; nil where they are off.
+	Drain DrainHandler
 }
 
 const method = "/ravenport.Peer/Push"
@@ -102,7 +107,7 @@
 			r := srv.(Handlers).Status(s)
 			return &r, nil
 		},
-	}, commitDesc, heartbeatDesc, probeDesc},
+	}, commitDesc, heartbeatDesc, probeDesc, drainDesc},
 }
 
 // Serve listens on addr until ctx ends.
--- /dev/null
+++ b/settings/draining.go
@@ -0,0 +1,134 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/magiconair/properties"
+
+	"ravenport/disruption"
+	"ravenport/drain"
+)
+
+// Draining holds the settings of drains and of the budgets of disruption; see
+// docs/operators-draining.md.
+type Draining struct {
+	Budgets disruption.Budgets // disruption.budget.TEAM, disruption.budget.TEAM/CLASS
+	Policy  drain.Policy
+}
+
+// budgetPrefix stands before a team, or a team and a class; anyTeam is for each team
+// that is not named.
+const (
+	budgetPrefix = "disruption.budget."
+	anyTeam      = "*"
+)
+
+// Bounds of the settings of drains.
+const (
+	drainLongest   = 24 * time.Hour
+	failuresLeast  = 1
+	failuresMost   = 1000
+	parallelMost   = 100 // percent
+	claimNumber    = 16  // bytes that a number takes in a claim, with its quotes and comma
+	claimBytes     = 64  // of a claim beside its budgets
+	conditionsAOp  = 4   // conditions of a transaction for each of its changes
+	claimCondition = 2   // the owner's term and its own claim
+)
+
+// LoadDraining reads and checks the file of drains against the deployment.
+func (s *Settings) LoadDraining(path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return &Error{path, err.Error()}
+	}
+	s.Draining, err = s.ParseDraining(text)
+	return err
+}
+
+// ParseDraining reads and checks the settings of drains. Unknown fields are ignored,
+// unknown teams and classes are not.
+func (s *Settings) ParseDraining(text []byte) (*Draining, error) {
+	loader := properties.Loader{Encoding: properties.UTF8, DisableExpansion: true}
+	p, err := loader.LoadBytes(text)
+	if err != nil {
+		return nil, &Error{"draining", err.Error()}
+	}
+	d := &Draining{Policy: drain.Policy{Stable: 10 * time.Second, ArrayWait: 2 * time.Minute, ReplaceWithin: 3 * time.Minute, Parallel: 10, FailuresMost: 3}}
+	for _, f := range []durationField{
+		{"disruption.stable.ms", &d.Policy.Stable, time.Second, drainLongest},
+		{"drain.array.wait.ms", &d.Policy.ArrayWait, 0, drainLongest},
+		{"drain.replace.within.ms", &d.Policy.ReplaceWithin, time.Second, drainLongest},
+	} {
+		if err := f.read(p); err != nil {
+			return nil, err
+		}
+	}
+	if d.Policy.ReplaceWithin <= d.Policy.Stable {
+		return nil, &Error{"drain.replace.within.ms", "must be larger than disruption.stable.ms"}
+	}
+	if d.Policy.FailuresMost, err = whole(p, "drain.failures.most", d.Policy.FailuresMost, failuresLeast, failuresMost); err != nil {
+		return nil, err
+	}
+	if text, ok := p.Get("drain.parallel.percent"); ok {
+		if d.Policy.Parallel, err = strconv.ParseFloat(text, 64); err != nil || !(d.Policy.Parallel >= 0 && d.Policy.Parallel <= parallelMost) {
+			return nil, &Error{"drain.parallel.percent", "must be a share from 0 to 100"}
+		}
+	}
+	if err := s.readBudgets(p, d); err != nil {
+		return nil, err
+	}
+	return d, s.checkClaims(d)
+}
+
+// readBudgets reads the budgets.
+func (s *Settings) readBudgets(p *properties.Properties, d *Draining) error {
+	for _, key := range p.Keys() {
+		name, isBudget := strings.CutPrefix(key, budgetPrefix)
+		if !isBudget {
+			continue
+		}
+		text, _ := p.Get(key)
+		amount, err := disruption.ParseAmount(strings.TrimSpace(text))
+		if err != nil {
+			return &Error{key, err.Error()}
+		}
+		if name == anyTeam {
+			d.Budgets.SetOthers(amount)
+			continue
+		}
+		k := disruption.ParseKey(name)
+		if !slices.ContainsFunc(s.Params.Teams, func(t Team) bool { return t.Name == k.Team }) {
+			return &Error{key, fmt.Sprintf("there is no team %q", k.Team)}
+		}
+		if k.Class != "" && !slices.ContainsFunc(s.Params.Objectives, func(o Objective) bool { return o.Class == k.Class }) {
+			return &Error{key, fmt.Sprintf("no objective names a class %q", k.Class)}
+		}
+		d.Budgets.Set(k, amount)
+	}
+	return nil
+}
+
+// checkClaims sees to it that a shard's claim fits into a value, and its conditions into
+// a transaction, of the state service.
+func (s *Settings) checkClaims(d *Draining) error {
+	limits := s.StateLimits()
+	bytes := claimBytes
+	for _, k := range d.Budgets.Keys() {
+		bytes += len(k.String()) + claimNumber
+	}
+	for _, t := range s.Params.Teams {
+		bytes += len(t.Name) + claimNumber
+	}
+	if most := int(limits.ValueKB * 1024); bytes > most {
+		return &Error{budgetPrefix + "…", fmt.Sprintf("%d budgets take %d bytes of the state service, which has %d for a value", len(d.Budgets.Keys()), bytes, most)}
+	}
+	if most := limits.TxnOps*conditionsAOp - claimCondition + 1; len(s.Params.Zones) > most {
+		return &Error{"facts.zones", fmt.Sprintf("draining serves at most %d zones with these limits of the state service", most)}
+	}
+	return nil
+}
--- /dev/null
+++ b/settings/draining_test.go
@@ -0,0 +1,49 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	"ravenport/disruption"
+)
+
+// The shipped file gives every team a budget; a bad field is named, whatever is wrong
+// with it, and an unknown one ignored.
+func TestDrainingSettings(t *testing.T) {
+	s, err := Parse([]byte(strings.Replace(good, "[facts.workers]", "[[facts.objectives]]\nkind = \"wait\"\nclass = \"train\"\nwithin_s = 1.0\nshare = 0.9\n[facts.workers]", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.LoadDraining("../deploy/draining.properties"); err != nil || len(s.Draining.Budgets.Of("t", "train")) != 1 {
+		t.Fatalf("%+v, %v", s.Draining, err)
+	}
+	shipped, err := os.ReadFile("../deploy/draining.properties")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := s.ParseDraining([]byte("disruption.budget.t = 25%\ndisruption.budget.t/train = 2\ndrain.other = x"))
+	if want := []disruption.Key{{Team: "t"}, {Team: "t", Class: "train"}}; err != nil || len(d.Budgets.Of("t", "train")) != len(want) || len(d.Budgets.Of("x", "train")) != 0 {
+		t.Errorf("%+v, %v", d, err)
+	}
+	for field, line := range map[string]string{
+		"disruption.budget.nobody": "disruption.budget.nobody = 1",
+		"disruption.budget.t/new":  "disruption.budget.t/new = 1",
+		"disruption.budget.t":      "disruption.budget.t = 101%",
+		"disruption.budget.*":      "disruption.budget.* = -1",
+		"disruption.stable.ms":     "disruption.stable.ms = soon",
+		"drain.replace.within.ms":  "drain.replace.within.ms = 5000",
+		"drain.failures.most":      "drain.failures.most = 0",
+		"drain.parallel.percent":   "drain.parallel.percent = 1000",
+	} {
+		var bad *Error
+		if _, err := s.ParseDraining(append(shipped, "\n"+line...)); !errors.As(err, &bad) || bad.Field != field {
+			t.Errorf("%s: %v", line, err)
+		}
+	}
+	var bad *Error
+	if err := s.LoadDraining("not there"); !errors.As(err, &bad) {
+		t.Errorf("%v", err)
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -38,6 +38,8 @@
 	// Detection is nil where failure detection is off.
 	Detection *Detection `toml:"-"`
 	Duties    Duties     `toml:"-"`
+	// Draining is nil where draining is off.
+	Draining *Draining `toml:"-"`
 }
 
 // Peer is another controller.
--- a/shard/core.go
+++ b/shard/core.go
@@ -105,8 +105,9 @@
 	excess       float64   // what of it (CPUs) nothing that is coming will take
 	forecast     leader.Forecast
 	forecastAt   time.Time
-	since        []given  // assignments that are newer than the forecast, or may be
-	roomComing   []coming // room of machines that are coming and not spoken for
+	since        []given   // assignments that are newer than the forecast, or may be
+	roomComing   []coming  // room of machines that are coming and not spoken for
+	draining     *draining // nil: drains and disruption budgets are off
 }
 
 type rental struct {
@@ -260,6 +261,9 @@
 
 // Apply takes in a change from the feed.
 func (c *Core) Apply(now time.Time, ch state.Change) {
+	if c.draining != nil {
+		c.draining.apply(now, c.cfg.Shard, ch)
+	}
 	switch r := ch.Record.(type) {
 	case *state.Job:
 		c.applyJob(now, r.ID, r, ch.Version, false)
@@ -512,6 +516,7 @@
 			c.leaveNoticed(now)
 			c.consolidate(now)
 		}
+		c.drain(now)
 		if now.Sub(c.censusAt) >= constants.CensusEvery {
 			c.censusAt = now
 			c.giveBack(now)
@@ -543,7 +548,11 @@
 // Invalid takes note that the state service found fault with a write: smaller
 // ones follow.
 func (c *Core) Invalid(id string) {
-	if kind, _, _ := strings.Cut(id, "/"); kind != "roster" {
+	switch kind, _, _ := strings.Cut(id, "/"); kind {
+	case "roster":
+	case commitClaim, commitDrain:
+		return // nothing of them can be made smaller
+	default:
 		c.SetPacks()
 		return
 	}
@@ -576,5 +585,7 @@
 			j.retryAt = now.Add(constants.RetryMax)
 			c.check(j)
 		}
+	default:
+		c.drainCommitted(now, kind, rest, revision)
 	}
 }
--- /dev/null
+++ b/shard/draining.go
@@ -0,0 +1,373 @@
+package shard
+
+import (
+	"log/slog"
+	"slices"
+	"strconv"
+	"time"
+
+	"ravenport/constants"
+	"ravenport/disruption"
+	"ravenport/drain"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// DrainingConfig is what an owner needs to know to drain machines.
+type DrainingConfig struct {
+	Shards  []string // all of the deployment, in its order
+	Budgets disruption.Budgets
+	Policy  drain.Policy
+	// Hasty and HastyProof let a test see what the claims and the stable time are
+	// worth: stops without a claim, and tasks that are up as soon as they run.
+	Hasty, HastyProof bool
+}
+
+// draining is the owner's state of drains and of its shard's account of disruption.
+type draining struct {
+	cfg      DrainingConfig
+	ledger   *disruption.Ledger
+	steps    map[int]*drain.Steps // drains that are not over, by number
+	damaged  map[int]bool         // drains whose record cannot be read
+	moves    map[*task]*move      // tasks that were stopped and are not up again
+	surge    []*task              // that may be moved and find no room
+	headroom disruption.Counts    // how many more of those the budgets allow
+	waits    map[int]string       // by drain: why it waits
+	lookedAt time.Time
+}
+
+// move is a service's task on its way to another machine.
+type move struct {
+	drain int
+	to    *machine // that had room for it
+	needs resources
+	since time.Time
+}
+
+// cordon says that a machine takes no new task.
+type cordon struct {
+	drain int
+	since time.Time
+}
+
+// StartDraining has the owner keep its shard's account and drain machines. jobs are
+// the records of all jobs, and records the drains, claims and terms that are stored.
+func (c *Core) StartDraining(now time.Time, cfg DrainingConfig, jobs map[string]*state.Job, records []state.Change) {
+	c.draining = &draining{
+		cfg: cfg, steps: map[int]*drain.Steps{}, damaged: map[int]bool{}, moves: map[*task]*move{}, waits: map[int]string{},
+		ledger: disruption.NewLedger(disruption.Config{Shard: c.cfg.Shard, Shards: cfg.Shards, Term: c.term, Budgets: cfg.Budgets, Stable: cfg.Policy.Stable, Hasty: cfg.Hasty}),
+	}
+	for _, j := range jobs {
+		c.draining.ledger.ApplyJob(now, j)
+	}
+	for _, ch := range records {
+		c.draining.apply(now, c.cfg.Shard, ch)
+	}
+}
+
+// apply takes in a change from the feed.
+func (d *draining) apply(now time.Time, shard string, ch state.Change) {
+	switch r := ch.Record.(type) {
+	case *state.Job:
+		d.ledger.ApplyJob(now, r)
+	case *state.Term:
+		d.ledger.ApplyTerm(r)
+	case *state.Claim:
+		d.ledger.ApplyClaim(r, ch.Version)
+	case *state.Drain:
+		d.applyDrain(shard, r, ch.Version)
+	case nil:
+		if number, ok := (&state.Damaged{Key: ch.Key}).Drain(); ok {
+			delete(d.steps, number) // an old one was cleared away
+		}
+	case *state.Damaged:
+		if claimOf, ok := r.Claim(); ok {
+			d.ledger.ApplyDamage(claimOf, ch.Version)
+		}
+		if number, ok := r.Drain(); ok {
+			d.damaged[number] = true
+			delete(d.steps, number)
+		}
+	}
+}
+
+func (d *draining) applyDrain(shard string, r *state.Drain, version uint64) {
+	delete(d.damaged, r.Number)
+	steps := d.steps[r.Number]
+	switch {
+	case r.State.Over():
+		delete(d.steps, r.Number)
+		delete(d.waits, r.Number)
+	case steps != nil:
+		steps.Apply(r, version)
+	default:
+		d.steps[r.Number] = drain.NewSteps(d.cfg.Policy, shard, d.cfg.Shards, r, version)
+	}
+}
+
+// numbers lists the drains that are not over, in order.
+func (d *draining) numbers() []int {
+	var out []int
+	for n := range d.steps {
+		out = append(out, n)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// active says whether any drain runs.
+func (d *draining) active() bool {
+	for _, s := range d.steps {
+		if s.Record().State == state.DrainRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// drain counts what is unavailable, goes on with all drains, and writes the shard's
+// claim.
+func (c *Core) drain(now time.Time) {
+	d := c.draining
+	if d == nil || now.Sub(d.lookedAt) < constants.DrainEvery {
+		return
+	}
+	d.lookedAt = now
+	d.ledger.Observe(now, c.unavailable(now), c.rebuilt)
+	d.surge, d.headroom = d.surge[:0], disruption.Counts{}
+	c.settleMoves(now)
+	c.liftCordons()
+	if c.rebuilt && !c.isUnreachable {
+		for _, number := range d.numbers() {
+			c.advanceDrain(now, number, d.steps[number])
+		}
+	}
+	if changes, conditions := d.ledger.Write(now, d.active()); changes != nil {
+		c.commit(commitClaim+"/", changes, conditions...)
+	}
+}
+
+// isUp says whether a task of a service runs and has proved itself.
+func (c *Core) isUp(now time.Time, t *task) bool {
+	h := t.hold
+	if h == nil || h.stop || h.state != wire.TaskRunning || c.silent(now, h.m) {
+		return false
+	}
+	return h.adopted || c.draining.cfg.HastyProof || now.Sub(h.runSince) >= c.draining.cfg.Policy.Stable
+}
+
+// unavailable counts the shard's tasks of services that should be up and are not.
+func (c *Core) unavailable(now time.Time) disruption.Counts {
+	down := disruption.Counts{}
+	for _, j := range c.jobs {
+		if j.rec.End != "" || !j.rec.Spec.IsService() {
+			continue
+		}
+		n := 0
+		for _, t := range j.tasks {
+			if !c.isUp(now, t) {
+				n++
+			}
+		}
+		if n == 0 {
+			continue
+		}
+		for _, k := range c.budgetsOf(j) {
+			down[k] += n
+		}
+	}
+	return down
+}
+
+// budgetsOf lists the budgets that a job's tasks count against.
+func (c *Core) budgetsOf(j *job) []disruption.Key {
+	return c.draining.ledger.KeysOf(j.rec.Spec.Team, j.rec.Spec.Class)
+}
+
+// settleMoves looks which moved tasks are up again, and which never came up.
+func (c *Core) settleMoves(now time.Time) {
+	d := c.draining
+	for t, m := range d.moves {
+		steps := d.steps[m.drain]
+		switch {
+		case c.jobs[t.job.rec.ID] != t.job || t.job.tasks[t.index] != t || t.job.rec.End != "":
+			delete(d.moves, t) // it ended, or another shard looks after it
+		case c.isUp(now, t):
+			delete(d.moves, t)
+		case now.Sub(m.since) > d.cfg.Policy.ReplaceWithin:
+			delete(d.moves, t)
+			if steps != nil {
+				steps.Failed("a task of " + t.job.rec.ID + " was not up in time")
+			}
+		}
+	}
+}
+
+// moveFailed notes that a moved task ended with an error before it was up.
+func (c *Core) moveFailed(t *task, machine string) {
+	if c.draining == nil {
+		return
+	}
+	if m := c.draining.moves[t]; m != nil {
+		if steps := c.draining.steps[m.drain]; steps != nil {
+			steps.Failed("a task of " + t.job.rec.ID + " failed on " + machine)
+		}
+	}
+}
+
+// bootFailed notes that a machine did not come up: while a drain runs, replacements may
+// be among those.
+func (c *Core) bootFailed(m *machine) {
+	if c.draining == nil {
+		return
+	}
+	for _, steps := range c.draining.steps {
+		if steps.Acts() && !drain.Matches(&steps.Record().Selection, c.selectable(m)) {
+			steps.Failed(m.name + " did not come up")
+		}
+	}
+}
+
+// liftCordons lets machines take tasks again whose drain does not run any more.
+func (c *Core) liftCordons() {
+	for _, m := range c.fleet {
+		if m.cordon == nil {
+			continue
+		}
+		if s := c.draining.steps[m.cordon.drain]; s == nil || s.Record().State != state.DrainRunning {
+			slog.Info("cordon is lifted", "machine", m.name, "drain", m.cordon.drain)
+			m.cordon = nil
+			c.dirty, c.pushDirty = true, true
+		}
+	}
+}
+
+// selectable is a machine as a selection looks at it.
+func (c *Core) selectable(m *machine) drain.Machine {
+	return drain.Machine{Name: m.name, Zone: c.cfg.Shard, Type: m.typeName, Spot: m.spot}
+}
+
+// selected lists the machines that a drain takes in and that are still there.
+func (c *Core) selected(s *state.Selection) []*machine {
+	var out []*machine
+	for _, m := range c.fleet {
+		if !m.leaving && drain.Matches(s, c.selectable(m)) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// advanceDrain makes a drain's next step in this shard: it cordons machines, moves
+// what runs on them, and records how far the drain has come.
+func (c *Core) advanceDrain(now time.Time, number int, s *drain.Steps) {
+	machines := c.selected(&s.Record().Selection)
+	byName := make(map[string]*machine, len(machines))
+	candidates := make([]drain.Candidate, 0, len(machines))
+	for _, m := range machines {
+		byName[m.name] = m
+		sums := c.sumsOf(m)
+		candidates = append(candidates, drain.Candidate{Name: m.name, Cordoned: m.cordon != nil || m.returning, Services: sums.services, CPUs: sums.used.cpus})
+	}
+	for _, name := range s.Choose(candidates, len(c.fleet)) {
+		slog.Info("cordoning machine", "machine", name, "drain", number)
+		byName[name].cordon = &cordon{number, now}
+		c.pushDirty = true
+	}
+	c.draining.waits[number] = c.whyIdle(s)
+	for _, m := range machines {
+		if m.cordon != nil && m.cordon.drain == number && !m.returning {
+			c.empty(now, m, number)
+		}
+	}
+	if record, version := s.Write(c.settled(number)); record != nil {
+		key := state.KeyDrain(number)
+		c.commit(commitDrain+"/"+strconv.Itoa(number), []wire.Change{{Put: key, Value: state.Encode(record)}}, wire.Condition{Key: key, Version: version})
+	}
+}
+
+// whyIdle says why a drain has nothing to do in this shard at present; empty if it has.
+func (c *Core) whyIdle(s *drain.Steps) string {
+	switch {
+	case s.Record().State != state.DrainRunning:
+		return string(s.Record().State)
+	case !s.Acts() && s.Turn() != "":
+		return "the first machine, in " + s.Turn() + ", is not replaced yet"
+	}
+	return ""
+}
+
+// settled says whether no task that a drain moved is on its way.
+func (c *Core) settled(number int) bool {
+	for _, m := range c.draining.moves {
+		if m.drain == number {
+			return false
+		}
+	}
+	return true
+}
+
+// Kinds of transactions of drains and claims, in their names.
+const (
+	commitClaim = "claim"
+	commitDrain = "drain"
+)
+
+// drainCommitted takes in what came of a transaction of a drain or a claim.
+func (c *Core) drainCommitted(now time.Time, kind, rest string, revision uint64) {
+	switch kind {
+	case commitClaim:
+		c.draining.ledger.Written(now, revision)
+	case commitDrain:
+		number, _ := strconv.Atoi(rest) // as it was written by advanceDrain
+		if s := c.draining.steps[number]; s != nil {
+			s.Written(revision != 0)
+		}
+	}
+}
+
+// DrainProgress is how far the drains have come in this shard.
+func (c *Core) DrainProgress() []drain.Progress {
+	if c.draining == nil {
+		return nil
+	}
+	var out []drain.Progress
+	for _, number := range c.draining.numbers() {
+		out = append(out, c.progress(number, c.draining.steps[number]))
+	}
+	return out
+}
+
+func (c *Core) progress(number int, s *drain.Steps) drain.Progress {
+	p := drain.Progress{Drain: number, Shard: c.cfg.Shard, Waits: c.draining.waits[number], Failures: s.Failures()}
+	for _, m := range c.selected(&s.Record().Selection) {
+		p.Left++
+		if m.cordon != nil && m.cordon.drain == number && len(p.Cordoned) < constants.DrainNames {
+			p.Cordoned = append(p.Cordoned, m.name)
+		}
+	}
+	for _, m := range c.draining.moves {
+		if m.drain == number {
+			p.Moving++
+		}
+	}
+	return p
+}
+
+// Usage is how much of the budgets is used, as the owner knows it.
+func (c *Core) Usage(now time.Time) []disruption.Usage {
+	if c.draining == nil {
+		return nil
+	}
+	return c.draining.ledger.Usage(now)
+}
+
+// drained notes that a cordoned machine is gone for good.
+func (c *Core) drained(m *machine) {
+	if m.cordon == nil || c.draining == nil {
+		return
+	}
+	if s := c.draining.steps[m.cordon.drain]; s != nil {
+		s.Replaced()
+	}
+}
--- a/shard/empty.go
+++ b/shard/empty.go
@@ -47,9 +47,7 @@
 			case c.bestFit(now, s, nil) == nil:
 				continue
 			}
-			h.stop = true
-			m.stale = true
-			c.requestCommand(m)
+			c.stopHold(h)
 			moves++
 		}
 	}
@@ -184,10 +182,8 @@
 		if h.state != wire.TaskRunning || t == nil || t.hold != h || h.stop || !t.job.rec.Spec.IsService() || !h.instant {
 			continue
 		}
-		if to := c.bestFit(now, &t.job.rec.Spec, nil); to != nil && !to.draining && to.images[t.job.rec.Spec.Image] {
-			h.stop = true
-			m.stale = true
-			c.requestCommand(m)
+		if to := c.bestFit(now, &t.job.rec.Spec, nil); to != nil && !to.draining && to.images[t.job.rec.Spec.Image] && c.mayConsolidate(now, t) {
+			c.stopHold(h)
 			slog.Debug("moving service", "task", h.key.task, "from", m.name, "to", to.name)
 			return true
 		}
--- a/shard/model.go
+++ b/shard/model.go
@@ -71,6 +71,7 @@
 	image    string
 	listed   bool   // a report of this session has shown it
 	seen     uint64 // the look at a report that last showed it
+	adopted  bool   // it ran already when this owner first heard of it
 	direct   bool   // a direct command may have carried its start; such a one can be repeated late
 	directed uint64 // the highest token under which one may have
 	sentSeq  uint64 // the report whose answer last carried the start
@@ -120,7 +121,8 @@
 	idleSince    time.Time
 	returning    bool
 	closing      closing
-	draining     bool // its tasks move elsewhere; it takes new ones last
+	cordon       *cordon // it takes no new task; nil: it may
+	draining     bool    // its tasks move elsewhere; it takes new ones last
 	spareSince   time.Time
 	avoidUntil   time.Time
 	forGangs     bool // no array begins here: its room is for gangs
--- /dev/null
+++ b/shard/moving.go
@@ -0,0 +1,201 @@
+package shard
+
+import (
+	"log/slog"
+	"time"
+
+	"ravenport/constants"
+	"ravenport/disruption"
+	"ravenport/drain"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// empty moves what it can off a cordoned machine. Whatever keeps it from more is noted
+// as what the drain waits for.
+func (c *Core) empty(now time.Time, m *machine, number int) {
+	wait := func(why string) {
+		if c.draining.waits[number] == "" {
+			c.draining.waits[number] = m.name + ": " + why
+		}
+	}
+	if m.unconfirmed() || c.silent(now, m) {
+		wait("the machine does not answer")
+		return
+	}
+	for _, h := range m.holds {
+		t := c.taskOf(h)
+		if !stoppable(h, t) {
+			continue
+		}
+		if !t.job.rec.Spec.IsService() {
+			c.endOrStop(now, t, h, wait)
+			continue
+		}
+		if why := c.moveService(now, number, t); why != "" {
+			wait(why)
+		}
+	}
+}
+
+// endOrStop lets a task of an array or a gang end by itself for a while, and then has it
+// save or stop; a gang does so whole.
+func (c *Core) endOrStop(now time.Time, t *task, h *hold, wait func(string)) {
+	switch {
+	case now.Sub(h.m.cordon.since) < c.draining.cfg.Policy.ArrayWait:
+		wait("tasks of arrays or gangs get time to end")
+	case t.job.gang != nil:
+		c.stopGang(t.job, "its machine is drained")
+	default:
+		c.stopHold(h)
+	}
+}
+
+// stopHold has an attempt stopped; its task starts again where there is room.
+func (c *Core) stopHold(h *hold) {
+	h.stop = true
+	h.m.stale = true
+	c.requestCommand(h.m)
+}
+
+// moveService stops a service's task if a machine has room for it and its budgets
+// allow it, or says why not.
+func (c *Core) moveService(now time.Time, number int, t *task) string {
+	d := c.draining
+	s := &t.job.rec.Spec
+	keys := c.budgetsOf(t.job)
+	isUp := c.isUp(now, t)
+	if refused := d.ledger.Check(now, keys); refused != nil && isUp {
+		return refused.Error()
+	}
+	to := c.roomToMove(now, s)
+	if to == nil {
+		c.askForRoom(now, t, keys)
+		return "no machine has room for a task of " + s.ID
+	}
+	if isUp { // what is down already is counted
+		if refused := d.ledger.Stop(now, keys); refused != nil {
+			return refused.Error()
+		}
+	}
+	slog.Info("draining: task moves", "task", t.hold.key.task, "from", t.hold.m.name, "room_on", to.name, "drain", number)
+	c.stopHold(t.hold)
+	d.moves[t] = &move{drain: number, to: to, needs: need(s), since: now}
+	return ""
+}
+
+// roomToMove is a machine with room for a task, beside what is on its way there.
+func (c *Core) roomToMove(now time.Time, s *wire.Submission) *machine {
+	promised := map[*machine]resources{}
+	for t, m := range c.draining.moves {
+		if t.hold == nil || t.hold.stop {
+			promised[m.to] = promised[m.to].plus(m.needs)
+		}
+	}
+	return c.bestFit(now, s, func(m *machine) bool {
+		return need(s).fits(c.free(m).minus(promised[m]))
+	})
+}
+
+// askForRoom has a machine rented for a task that may move and finds no room, for no
+// more tasks than the budgets would let move.
+func (c *Core) askForRoom(now time.Time, t *task, keys []disruption.Key) {
+	d := c.draining
+	if len(d.surge) >= constants.DrainRentals {
+		return
+	}
+	for _, k := range keys {
+		if d.headroom[k] >= d.ledger.Headroom(now, k) {
+			return
+		}
+	}
+	for _, k := range keys {
+		d.headroom[k]++
+	}
+	d.surge = append(d.surge, t)
+}
+
+// rentForDrains rents for tasks that may move and fit on nothing that is coming.
+func (c *Core) rentForDrains(now time.Time, want map[kind]int) {
+	if c.draining == nil {
+		return
+	}
+	for _, t := range c.draining.surge {
+		s := &t.job.rec.Spec
+		if c.takesComing(s) {
+			continue
+		}
+		typ, spot, ok := c.pick(now, s)
+		if !ok {
+			continue
+		}
+		want[kind{typ.Name, spot}]++
+		c.roomComing = append(c.roomComing, coming{sizeOf(typ).minus(need(s)), typ.Name, spot})
+	}
+}
+
+// takesComing gives a task room that is coming, if any fits it.
+func (c *Core) takesComing(s *wire.Submission) bool {
+	for i := range c.roomComing {
+		b := &c.roomComing[i]
+		if need(s).fits(b.free) && allowed(s, b.typ, b.spot) {
+			b.free = b.free.minus(need(s))
+			return true
+		}
+	}
+	return false
+}
+
+// mayConsolidate asks the account whether a service's task may be moved to do without
+// its machine.
+func (c *Core) mayConsolidate(now time.Time, t *task) bool {
+	return c.draining == nil || c.draining.ledger.Stop(now, c.budgetsOf(t.job)) == nil
+}
+
+// PlanDrain says what a drain would do in this shard.
+func (c *Core) PlanDrain(now time.Time, s *state.Selection) drain.ShardPlan {
+	p := drain.ShardPlan{Shard: c.cfg.Shard, Moves: map[string]int{}, Usage: c.Usage(now)}
+	for _, m := range c.selected(s) {
+		p.Machines++
+		if c.sumsOf(m).live == 0 {
+			p.Empty++
+			continue
+		}
+		for _, h := range m.holds {
+			if t := c.taskOf(h); t != nil && t.hold == h && !h.exited() {
+				c.planMove(now, &p, t, m)
+			}
+		}
+	}
+	if p.Machines > 0 {
+		parallel := max(1, int(c.draining.cfg.Policy.Parallel*float64(len(c.fleet))/100))
+		p.Steps = (p.Machines + parallel - 1) / parallel
+	}
+	return p
+}
+
+// planMove adds what is known of one task's move.
+func (c *Core) planMove(now time.Time, p *drain.ShardPlan, t *task, m *machine) {
+	s := &t.job.rec.Spec
+	if !s.IsService() {
+		p.Arrays++
+		return
+	}
+	keys := c.budgetsOf(t.job)
+	if len(keys) == 0 {
+		p.Moves[""]++
+	}
+	for _, k := range keys {
+		p.Moves[k.String()]++
+	}
+	obstacle := func(why string, permanent bool) {
+		if len(p.Obstacles) < constants.DrainNames {
+			p.Obstacles = append(p.Obstacles, drain.Obstacle{Job: s.ID, Machine: m.name, Why: why, Permanent: permanent})
+		}
+	}
+	if refused := c.draining.ledger.Check(now, keys); refused != nil && refused.Reason == disruption.Never {
+		obstacle(refused.Error(), true)
+	} else if _, _, rentable := c.pick(now, s); !rentable && c.roomToMove(now, s) == nil {
+		obstacle("no machine has room for it, and none can be rented now", false)
+	}
+}
--- a/shard/place.go
+++ b/shard/place.go
@@ -16,7 +16,7 @@
 // usable says whether new tasks may go to a machine now.
 func (c *Core) usable(now time.Time, m *machine) bool {
 	return m.verified(c.term) && m.durable && m.inventoryAddr == m.addr && m.typ != nil && !m.unconfirmed() &&
-		!m.returning && m.notice.IsZero() && !c.silent(now, m) && !now.Before(m.avoidUntil)
+		!m.returning && m.cordon == nil && m.notice.IsZero() && !c.silent(now, m) && !now.Before(m.avoidUntil)
 }
 
 // allowed says whether a job's tasks may run on a kind of machine.
@@ -545,9 +545,7 @@
 			continue
 		}
 		freed = freed.plus(h.needs)
-		h.stop = true
-		h.m.stale = true
-		c.requestCommand(h.m)
+		c.stopHold(h)
 		slog.Debug("task saves and makes room", "task", h.key.task, "machine", h.m.name)
 	}
 	if len(best) == 0 {
--- a/shard/rent.go
+++ b/shard/rent.go
@@ -100,6 +100,7 @@
 			c.rentFor(now, j, tasks, &r)
 		}
 	}
+	c.rentForDrains(now, r.want)
 	c.rentForForecast(now, r.want)
 	if len(r.want) == 0 {
 		if typ, n := c.reserveMissing(now); n > 0 {
--- a/shard/report.go
+++ b/shard/report.go
@@ -220,7 +220,7 @@
 		}
 		// Left by an earlier owner, or by a command whose answer was lost. The
 		// term in its number bounds the tokens under which it was ever sent.
-		h = &hold{key: holdKey{ts.Task, ts.Attempt}, jobID: jobID, index: index, m: m, direct: true, instant: true}
+		h = &hold{key: holdKey{ts.Task, ts.Attempt}, jobID: jobID, index: index, m: m, adopted: ts.State == wire.TaskRunning, direct: true, instant: true}
 		h.directed = (ts.Attempt>>constants.AttemptBits+1)<<constants.EpochBits - 1
 		if ts.Attempt>>constants.AttemptBits == 0 {
 			h.directed = c.term<<constants.EpochBits - 1 // a gang's shared number names no term
@@ -294,6 +294,7 @@
 		}
 		wait := time.Second << min(t.fails, 5)
 		t.notBefore = now.Add(min(wait, constants.JobFaultRetry))
+		c.moveFailed(t, h.m.name)
 	default: // refused for room, or as busy
 		slog.Warn("start refused", "task", h.key.task, "machine", h.m.name, "cause", h.cause)
 		t.notBefore = now.Add(constants.RefusedRetry)
--- a/shard/silence.go
+++ b/shard/silence.go
@@ -112,6 +112,9 @@
 		switch {
 		case !m.up && !m.inherited && c.bootAge(now, m) > constants.BootPatience:
 			why = "did not come up"
+			c.bootFailed(m)
+		case m.cordon != nil && !c.isUnreachable && !c.busy(m) && (m.up && m.verified(c.term) || !m.up && !m.inherited && !m.lapsed):
+			why = "drained"
 		case idleToo && !c.isUnreachable && !m.forGangs && m.up && !m.idleSince.IsZero() && (m.draining || now.Sub(m.idleSince) > idle) && !c.busy(m) && m.verified(c.term):
 			why = "idle"
 		case m.up && (c.silent(now, m) && m.unanswered > 0 || c.overdueReport(now, m) && m.unanswered > 1) && c.alone(now, m, sum):
@@ -138,7 +141,7 @@
 		if why != "" {
 			slog.Info("returning machine", "machine", m.name, "why", why, "spot", m.spot, "unlisted", m.vanished(), "known", sum.known, "heard", heard)
 			m.returning = true
-			if c.cfg.CloseFirst {
+			if c.cfg.CloseFirst || m.cordon != nil { // a drain may go on under another owner
 				c.close(m)
 				continue
 			}
@@ -311,6 +314,7 @@
 		m.returning = true
 		m.leaseUntil = time.Time{}
 		c.gone[name] = now
+		c.drained(m)
 		if m.addr != "" {
 			c.actions = append(c.actions, Gone{m.addr})
 		}
