The owner in files of one job each, sealed actions, one type for pacing

Need: gang.go, place.go and core.go were 590 to 680 lines, nobody could tell which file does what. Change: moves only (gangfit, gangreserve, bestfit, preempt, elsewhere, action, jobs), Action is a sealed interface, four times that only pace a step are of type pace, the package comment names the states and their order. Result: tests green, assertions untouched (one field renamed in gang_test).

--- /dev/null
+++ b/shard/bestfit.go
@@ -0,0 +1,112 @@
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"ravenport/constants"
+	"ravenport/wire"
+)
+
+// usable says whether new tasks may go to a machine now.
+func (c *Core) usable(now time.Time, m *machine) bool {
+	return m.verified(c.term) && m.durable && m.inventoryAddr == m.addr && m.typ != nil && !m.unconfirmed() &&
+		!m.returning && m.cordon == nil && m.notice.IsZero() && !c.silent(now, m) && !now.Before(m.avoidUntil)
+}
+
+// allowed says whether a job's tasks may run on a kind of machine.
+func allowed(s *wire.Submission, typ string, spot bool) bool {
+	return (s.Spot || !spot) && (len(s.Types) == 0 || slices.Contains(s.Types, typ))
+}
+
+// candidates is the paper's Resource-Only Match: the machines that have room
+// in the order in which they are filled, the one that is left with the least
+// first. A machine that got a task is left with less and so stays the best fit
+// for the job's next, until it is full. Machines that hold the image already
+// come first, and spot machines before ordinary ones where both are allowed:
+// ordinary room is the only room for those that may not use spot.
+func (c *Core) candidates(s *wire.Submission, n resources, r *round) []*machine {
+	type cand struct {
+		m     *machine
+		score float64
+	}
+	var cs []cand
+	for _, m := range r.room {
+		if free := c.free(m); n.fits(free) && allowed(s, m.typeName, m.spot) && (m.keptFor == nil || m.keptFor.rec.ID == s.ID) && (!m.forGangs || s.Whole()) {
+			cs = append(cs, cand{m, c.score(s, n, m, free)})
+		}
+	}
+	slices.SortFunc(cs, func(a, b cand) int {
+		switch {
+		case a.score < b.score:
+			return -1
+		case a.score > b.score:
+			return 1
+		case a.m.name < b.m.name:
+			return -1
+		}
+		return 1
+	})
+	out := make([]*machine, len(cs))
+	for i := range cs {
+		out[i] = cs[i].m
+	}
+	return out
+}
+
+// score ranks a machine with room for a job's task; less is better.
+func (c *Core) score(s *wire.Submission, n resources, m *machine, free resources) float64 {
+	score := m.left(free.minus(n))
+	if !m.images[s.Image] {
+		score += constants.ScoreCold
+	}
+	if s.Spot && !m.spot {
+		// Ordinary machines with services stay whatever happens, so their
+		// gaps cost nothing; an empty one had better stay empty.
+		if c.sumsOf(m).services > 0 {
+			score -= constants.ScoreShared
+		} else {
+			score += constants.ScoreOrdinary
+		}
+	}
+	if m.draining {
+		score += constants.ScoreDraining
+	}
+	if m.forGangs && !s.IsGang() {
+		score += constants.ScoreForGangs
+	}
+	return score
+}
+
+// bestFit is the best candidate for one task of a job, or nil; except leaves out
+// those that it is false for.
+func (c *Core) bestFit(now time.Time, s *wire.Submission, except func(*machine) bool) *machine {
+	n := need(s)
+	var best *machine
+	var least float64
+	for _, m := range c.fleet {
+		if !allowed(s, m.typeName, m.spot) || !c.usable(now, m) {
+			continue
+		}
+		free := c.free(m)
+		if !n.fits(free) || m.keptFor != nil && m.keptFor.rec.ID != s.ID || m.forGangs && !s.Whole() || except != nil && !except(m) {
+			continue
+		}
+		if score := c.score(s, n, m, free); best == nil || score < least || score == least && m.name < best.name {
+			best, least = m, score
+		}
+	}
+	return best
+}
+
+// left is the share of a machine that stays free, from 0 to 2.
+func (m *machine) left(free resources) float64 {
+	l := 0.0
+	if m.capacity.cpus > 0 {
+		l += free.cpus / m.capacity.cpus
+	}
+	if m.capacity.mem > 0 {
+		l += free.mem / m.capacity.mem
+	}
+	return l
+}
--- a/shard/draining.go
+++ b/shard/draining.go
@@ -33,7 +33,7 @@
 	surge    []*task              // that may be moved and find no room
 	headroom disruption.Counts    // how many more of those the budgets allow
 	waits    map[int]string       // by drain: why it waits
-	lookedAt time.Time
+	looks    pace
 }
 
 // move is a service's task on its way to another machine.
@@ -129,10 +129,9 @@
 // claim.
 func (c *Core) drain(now time.Time) {
 	d := c.draining
-	if d == nil || now.Sub(d.lookedAt) < constants.DrainEvery {
+	if d == nil || !d.looks.due(now, constants.DrainEvery) {
 		return
 	}
-	d.lookedAt = now
 	d.ledger.Observe(now, c.unavailable(now), c.rebuilt)
 	d.surge, d.headroom = d.surge[:0], disruption.Counts{}
 	c.settleMoves(now)
--- /dev/null
+++ b/shard/elsewhere.go
@@ -0,0 +1,78 @@
+package shard
+
+import (
+	"time"
+
+	"ravenport/constants"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// warmerElsewhere says whether a production task would wait for its image
+// here, and would not in another shard.
+func (c *Core) warmerElsewhere(now time.Time, s *wire.Submission) bool {
+	if s.Priority != wire.PriorityProduction || s.OneZone || s.Spread && s.Tasks > 1 || s.Zone != "" {
+		return false
+	}
+	for _, m := range c.fleet {
+		if m.images[s.Image] && c.usable(now, m) && allowed(s, m.typeName, m.spot) && c.prodRoom(m) >= s.CPUs {
+			return false
+		}
+	}
+	for _, o := range c.others {
+		if now.Sub(o.at) < constants.StaleAggregate && o.agg.Warm[s.Image] >= s.CPUs {
+			return true
+		}
+	}
+	return false
+}
+
+// elsewhere says whether another shard is known to have room for one more of a
+// job's tasks, after so many.
+func (c *Core) elsewhere(now time.Time, rec *state.Job, after int) bool {
+	// Others see the same room.
+	return c.roomElsewhere(now, rec) > (after+1)*max(1, len(c.others))
+}
+
+// roomElsewhere is for how many more of a job's tasks other shards are known to have
+// room.
+func (c *Core) roomElsewhere(now time.Time, rec *state.Job) int {
+	s := &rec.Spec
+	n := 0
+	for _, o := range c.others {
+		if now.Sub(o.at) < constants.StaleAggregate && (s.Zone == "" || s.Zone == o.agg.Shard) {
+			n += o.agg.Takes(s)
+		}
+	}
+	// spread may leave no place for it outside this shard, whatever the room.
+	if s.Spread && s.Tasks > 1 {
+		n = min(n, c.spreadElsewhere(rec))
+	}
+	return n
+}
+
+// spreadElsewhere is how many more tasks of a job may be in the other shards,
+// beside those there: at most half of all in each.
+func (c *Core) spreadElsewhere(rec *state.Job) int {
+	n := 0
+	for name := range c.others {
+		left := (rec.Spec.Tasks + 1) / 2
+		for _, ch := range rec.Assignments {
+			if ch.Shard == name && !ch.Closed {
+				left -= ch.Tasks()
+			}
+		}
+		n += max(left, 0)
+	}
+	return n
+}
+
+// sendBack marks a waiting task to be sent back to the leader. From here on
+// it is not placed, until a newer record says what became of it.
+func (c *Core) sendBack(j *job, t *task) {
+	if !j.recordChanges() && !c.somewhere(j.rec.ID, t.index) {
+		t.leaving = true
+		c.touch(j)
+		c.check(j)
+	}
+}
--- a/shard/empty.go
+++ b/shard/empty.go
@@ -58,10 +58,9 @@
 // is away for a moment, while a machine with one service on it costs as much
 // as a full one. How many are emptied at once grows with the shard.
 func (c *Core) consolidate(now time.Time) {
-	if !c.rebuilt || now.Sub(c.lastMove) < constants.MoveGap {
+	if !c.rebuilt || !c.moves.due(now, constants.MoveGap) {
 		return
 	}
-	c.lastMove = now
 	var ms []*machine
 	moving, draining := 0, 0
 	total := 0.0
--- a/shard/gang_test.go
+++ b/shard/gang_test.go
@@ -298,7 +298,7 @@
 			}
 			for range steps {
 				now = now.Add(300 * time.Millisecond)
-				c.lastSlow = now // nobody reports: nothing is to be given up for it
+				c.slowSteps.last = now // nobody reports: nothing is to be given up for it
 				for _, a := range c.Step(now) {
 					cm, ok := a.(Commit)
 					if !ok {
--- a/shard/model.go
+++ b/shard/model.go
@@ -2,9 +2,22 @@
 // reports, places tasks by best fit and rents and returns machines. It is
 // pure: messages, state and time in, actions out; an actor does the I/O.
 //
-// Its files: model (what it knows), core (messages and steps), report (what a
-// report proves), place, rent, silence (and returns), empty (notices and
-// machines to do without), assignments (job records), inventory, push (figures).
+// Core takes messages in and asks, in every step and in this order:
+//
+//   - model, jobs, report: what is known of machines, jobs, tasks and attempts, and what
+//     a report proves of them
+//   - inventory, closing: the durable list of machines, and which of them are closed
+//   - place, with bestfit, preempt, elsewhere, and gang with gangfit: which waiting task
+//     goes to which machine, who makes room, what goes back to the leader
+//   - rent, gangreserve: what to rent, and the room that is kept ready
+//   - empty: notices, and machines to do without
+//   - draining, moving: drains, and the account of disruption budgets
+//   - silence: machines that are silent or deaf, and returns
+//   - assignments: what of the jobs' records is over
+//   - direct: commands that go straight to machines
+//
+// push has the figures for leader, users and operators, action what the actor has to do,
+// pace how often a step is made, numbers the numbers of attempts and tokens.
 package shard
 
 import (
--- a/shard/rent.go
+++ b/shard/rent.go
@@ -84,7 +84,6 @@
 
 // rent asks for machines for what waits and fits on nothing that is coming.
 func (c *Core) rent(now time.Time) {
-	c.lastRent = now
 	c.unplaced, c.excess = resources{}, 0
 	c.roomComing = c.arriving(now)
 	if len(c.types) == 0 || !c.rebuilt {
