--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -47,6 +47,7 @@
 	nodes      int           // controllers; 0: three
 	properties string        // operators' own settings
 	detection  string        // settings of failure detection; empty: none
+	draining   string        // settings of drains and budgets; empty: none
 	leaseLife  time.Duration // of the controllers; 0: as they come
 	linked     bool          // what passes between controllers, and to the state service, can be cut
 	earlier    string        // program that the first controller runs instead; empty: none
@@ -127,6 +128,7 @@
 	arguments             []string
 	log                   *os.File // nil: the test's own standard error
 	process               *exec.Cmd
+	stopped               atomic.Bool   // by a signal, so that it answers nothing
 	spent                 time.Duration // by its earlier processes
 }
 
@@ -226,6 +228,9 @@
 		history := filepath.Join(dir, c.name+".history")
 		c.arguments = append(c.arguments, "--failure-detection", write(c.name+".detection", f.detection+"\ndetection.history.path = "+history+"\n"))
 	}
+	if f.draining != "" {
+		c.arguments = append(c.arguments, "--draining", write("draining.properties", f.draining))
+	}
 	if f.linked {
 		log, err := os.Create(filepath.Join(dir, c.name+".log"))
 		if err != nil {
--- a/internal/loopback/machine_test.go
+++ b/internal/loopback/machine_test.go
@@ -228,7 +228,7 @@
 			m.tasks = append(m.tasks, t)
 			m.notice()
 		case c.Op == wire.OpStop && at >= 0 && m.tasks[at].State != wire.TaskExited:
-			m.record.leaves(c.Task, m.name)
+			m.record.stops(c.Task, m.name, m.tasks[at].State == wire.TaskRunning)
 			m.tasks[at].State, m.tasks[at].Cause, m.tasks[at].next = wire.TaskExited, wire.CauseStopped, time.Time{}
 			m.notice()
 		case c.Op == wire.OpForget && at >= 0:
--- a/internal/loopback/record_test.go
+++ b/internal/loopback/record_test.go
@@ -8,6 +8,7 @@
 	"github.com/anishathalye/porcupine"
 
 	"ravenport/constants"
+	"ravenport/internal/disruptioncheck"
 )
 
 // stay is the time that a task was on a machine.
@@ -27,6 +28,9 @@
 	obeyed  map[string]map[uint64]time.Time  // by zone and term: when the first start under it was obeyed
 	claimed map[string]map[uint64]time.Time
 	began   time.Time
+	// services judges stops of the tasks that isService is true for; nil: nothing does.
+	services  *disruptioncheck.Check
+	isService func(task string) bool
 }
 
 func newRecord() *record {
@@ -45,6 +49,24 @@
 		}
 	}
 	r.stays[task] = append(r.stays[task], &stay{machine: machine, from: now})
+	if r.judges(task) {
+		r.services.SawUp(task, now)
+	}
+}
+
+// judges says whether stops of a task are judged. The caller holds the lock.
+func (r *record) judges(task string) bool { return r.services != nil && r.isService(task) }
+
+// stops notes that a task was told to stop, and leaves its machine for that.
+func (r *record) stops(task, machine string, running bool) {
+	r.mu.Lock()
+	if r.judges(task) && running {
+		if err := r.services.Stop(task, time.Now()); err != nil {
+			r.broken = append(r.broken, "budget: "+err.Error())
+		}
+	}
+	r.mu.Unlock()
+	r.leaves(task, machine)
 }
 
 // leaves notes that a task is not on a machine any more.
@@ -54,6 +76,9 @@
 	for _, s := range r.stays[task] {
 		if s.to.IsZero() && s.machine == machine {
 			s.to = time.Now()
+			if r.judges(task) {
+				r.services.SawDown(task, s.to)
+			}
 		}
 	}
 }
