Maintenance windows for drains: recurrence rules in a time zone

Refused: rules that never open or come more often than daily, unknown zones, lengths beyond a week. In the doubled hour the library chose the second opening; the first is taken.

--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -71,7 +71,7 @@
 			for _, name := range left[z] {
 				candidates = append(candidates, Candidate{Name: name, Cordoned: slices.Contains(cordoned[z], name)})
 			}
-			cordoned[z] = append(cordoned[z], s.Choose(candidates, 10)...)
+			cordoned[z] = append(cordoned[z], s.Choose(time.Unix(0, 0), candidates, 10)...)
 			most := max(1, int(policy.Parallel/10))
 			if !record.Proven {
 				most = 1
--- a/drain/steps.go
+++ b/drain/steps.go
@@ -9,6 +9,7 @@
 
 	"ravenport/disruption"
 	"ravenport/state"
+	"ravenport/window"
 )
 
 // Policy says how fast and how long a drain tries.
@@ -18,6 +19,9 @@
 	ArrayWait     time.Duration // how long tasks of arrays and gangs get to end by themselves
 	ReplaceWithin time.Duration // within which a moved task must be up elsewhere
 	FailuresMost  int           // failures in a row that stop the drain
+	// Window is when machines may be cordoned; nil: at any time. What was begun is
+	// finished whenever it is.
+	Window *window.Schedule
 }
 
 // Candidate is a selected machine that is still there.
@@ -41,6 +45,7 @@
 	replaced int    // machines, in this term
 	left     int    // machines
 	writing  bool
+	window   window.Window // the one that is open, or the next; zero: none was looked for yet
 }
 
 // NewSteps makes the progress of a drain that the owner has just heard of.
@@ -92,12 +97,23 @@
 	return slices.Contains(s.record.Done, shard) || !slices.Contains(s.zones, shard)
 }
 
+// Open says whether a maintenance window is open, and if not when the next one opens.
+func (s *Steps) Open(now time.Time) (open bool, next time.Time) {
+	if s.policy.Window == nil {
+		return true, now
+	}
+	if !now.Before(s.window.Closes) {
+		s.window, _ = s.policy.Window.Next(now)
+	}
+	return s.window.Open(now), s.window.Opens
+}
+
 // Choose says which machines are to be cordoned now, of those that are still there; of
 // the shard's machines in all only a share is cordoned at once. The emptiest come
 // first: they free room for the others.
-func (s *Steps) Choose(candidates []Candidate, machines int) []string {
+func (s *Steps) Choose(now time.Time, candidates []Candidate, machines int) []string {
 	s.left = len(candidates)
-	if !s.Acts() {
+	if open, _ := s.Open(now); !open || !s.Acts() {
 		return nil
 	}
 	most := 1
--- a/node/draining_test.go
+++ b/node/draining_test.go
@@ -151,6 +151,15 @@
 				time.Sleep(5 * time.Second)
 			}
 		}},
+		{name: "outside of its window, then in it", settings: "drain.window.rule = FREQ=DAILY;BYHOUR=0;BYMINUTE=3\ndrain.window.minutes = 60\n", hurt: func(t *testing.T, w *world, number int) {
+			opens := time.Date(2000, 1, 1, 0, 3, 0, 0, time.UTC)
+			for time.Now().Before(opens) {
+				if v := w.view(t, number); len(v.Shards) > 0 && (len(v.Shards[0].Cordoned) > 0 || time.Until(opens) < time.Minute && !strings.Contains(v.Shards[0].Waits, "window opens")) {
+					t.Fatalf("before its window: %+v", v)
+				}
+				time.Sleep(5 * time.Second)
+			}
+		}},
 		{name: "paused and resumed", hurt: func(t *testing.T, w *world, number int) {
 			midway(t, w)
 			w.command(t, peer.OpPause, number)
--- a/node/standin_draining_test.go
+++ b/node/standin_draining_test.go
@@ -256,6 +256,8 @@
 	hurt func(*testing.T, *world, int)
 	// ends is the state that the drain comes to; empty: finished.
 	ends state.DrainState
+	// settings are added to those of all plays.
+	settings string
 	// idle: nothing need be moved.
 	idle bool
 	// unguard takes away what the budget rests on; the play must then break it.
@@ -270,7 +272,7 @@
 	for k := range w.capacity {
 		w.capacity[k] = 10
 	}
-	w.drainTo(drainSettings)
+	w.drainTo(drainSettings + s.settings)
 	for _, n := range w.nodes {
 		n.unguardDrains = s.unguard
 		n.start()
--- a/settings/draining.go
+++ b/settings/draining.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"slices"
@@ -12,13 +13,14 @@
 
 	"ravenport/disruption"
 	"ravenport/drain"
+	"ravenport/window"
 )
 
 // Draining holds the settings of drains and of the budgets of disruption; see
 // docs/operators-draining.md.
 type Draining struct {
 	Budgets disruption.Budgets // disruption.budget.TEAM, disruption.budget.TEAM/CLASS
-	Policy  drain.Policy
+	Policy  drain.Policy       // with drain.window.rule, .zone and .minutes
 }
 
 // budgetPrefix stands before a team, or a team and a class; anyTeam is for each team
@@ -79,12 +81,37 @@
 			return nil, &Error{"drain.parallel.percent", "must be a share from 0 to 100"}
 		}
 	}
+	if d.Policy.Window, err = readWindow(p); err != nil {
+		return nil, err
+	}
 	if err := s.readBudgets(p, d); err != nil {
 		return nil, err
 	}
 	return d, s.checkClaims(d)
 }
 
+// readWindow reads the maintenance window; nil if there is none.
+func readWindow(p *properties.Properties) (*window.Schedule, error) {
+	rule := p.GetString("drain.window.rule", "")
+	if rule == "" {
+		return nil, nil
+	}
+	minutes, err := whole(p, "drain.window.minutes", 0, 1, int(window.Longest.Minutes()))
+	if err != nil {
+		return nil, err
+	}
+	schedule, err := window.Parse(rule, p.GetString("drain.window.zone", "UTC"), time.Duration(minutes)*time.Minute, time.Now())
+	switch {
+	case errors.Is(err, window.ErrZone):
+		return nil, &Error{"drain.window.zone", err.Error()}
+	case errors.Is(err, window.ErrLength):
+		return nil, &Error{"drain.window.minutes", err.Error()}
+	case err != nil:
+		return nil, &Error{"drain.window.rule", err.Error()}
+	}
+	return schedule, nil
+}
+
 // readBudgets reads the budgets.
 func (s *Settings) readBudgets(p *properties.Properties, d *Draining) error {
 	for _, key := range p.Keys() {
--- a/settings/draining_test.go
+++ b/settings/draining_test.go
@@ -36,6 +36,9 @@
 		"drain.replace.within.ms":  "drain.replace.within.ms = 5000",
 		"drain.failures.most":      "drain.failures.most = 0",
 		"drain.parallel.percent":   "drain.parallel.percent = 1000",
+		"drain.window.rule":        "drain.window.rule = FREQ=YEARLY;BYMONTH=2;BYMONTHDAY=30\ndrain.window.minutes = 60",
+		"drain.window.zone":        "drain.window.rule = FREQ=DAILY\ndrain.window.minutes = 60\ndrain.window.zone = Mars/Olympus",
+		"drain.window.minutes":     "drain.window.rule = FREQ=DAILY",
 	} {
 		var bad *Error
 		if _, err := s.ParseDraining(append(shipped, "\n"+line...)); !errors.As(err, &bad) || bad.Field != field {
--- a/shard/draining.go
+++ b/shard/draining.go
@@ -268,12 +268,12 @@
 		sums := c.sumsOf(m)
 		candidates = append(candidates, drain.Candidate{Name: m.name, Cordoned: m.cordon != nil || m.returning, Services: sums.services, CPUs: sums.used.cpus})
 	}
-	for _, name := range s.Choose(candidates, len(c.fleet)) {
+	for _, name := range s.Choose(now, candidates, len(c.fleet)) {
 		slog.Info("cordoning machine", "machine", name, "drain", number)
 		byName[name].cordon = &cordon{number, now}
 		c.pushDirty = true
 	}
-	c.draining.waits[number] = c.whyIdle(s)
+	c.draining.waits[number] = whyIdle(now, s)
 	for _, m := range machines {
 		if m.cordon != nil && m.cordon.drain == number && !m.returning {
 			c.empty(now, m, number)
@@ -286,12 +286,14 @@
 }
 
 // whyIdle says why a drain has nothing to do in this shard at present; empty if it has.
-func (c *Core) whyIdle(s *drain.Steps) string {
-	switch {
+func whyIdle(now time.Time, s *drain.Steps) string {
+	switch open, next := s.Open(now); {
 	case s.Record().State != state.DrainRunning:
 		return string(s.Record().State)
 	case !s.Acts() && s.Turn() != "":
 		return "the first machine, in " + s.Turn() + ", is not replaced yet"
+	case !open:
+		return "the maintenance window opens at " + next.UTC().Format(time.RFC3339)
 	}
 	return ""
 }
--- /dev/null
+++ b/window/window_test.go
@@ -0,0 +1,94 @@
+package window
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "ravenport/internal/testseed"
+)
+
+func at(text string) time.Time {
+	t, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		panic(err)
+	}
+	return t
+}
+
+// Windows open by the zone's clocks, over midnight and over changes of the clocks.
+func TestWindowsOpenByTheZonesClocks(t *testing.T) {
+	for name, c := range map[string]struct {
+		rule, zone    string
+		length        time.Duration
+		asked         string
+		opens, closes string
+	}{
+		"at night, asked by day":     {"FREQ=DAILY;BYHOUR=1", "Africa/Johannesburg", 2 * time.Hour, "2026-12-02T13:00:00Z", "2026-12-02T23:00:00Z", "2026-12-03T01:00:00Z"},
+		"over midnight, asked in it": {"FREQ=DAILY;BYHOUR=23;BYMINUTE=30", "Europe/Berlin", 2 * time.Hour, "2026-12-02T23:45:00Z", "2026-12-02T22:30:00Z", "2026-12-03T00:30:00Z"},
+		"in the hour that is left out": {"FREQ=DAILY;BYHOUR=2;BYMINUTE=30", "Europe/Berlin", time.Hour, "2026-03-29T00:00:00Z",
+			"2026-03-29T01:30:00Z", "2026-03-29T02:30:00Z"},
+		"in the hour that comes twice": {"FREQ=DAILY;BYHOUR=2;BYMINUTE=30", "Europe/Berlin", time.Hour, "2026-10-24T23:00:00Z",
+			"2026-10-25T00:30:00Z", "2026-10-25T01:30:00Z"},
+		"every second Tuesday": {"FREQ=WEEKLY;INTERVAL=2;BYDAY=TU", "UTC", time.Hour, "2026-12-02T00:00:00Z", "2026-12-08T00:00:00Z", "2026-12-08T01:00:00Z"},
+		"on leap days":         {"FREQ=YEARLY;BYMONTH=2;BYMONTHDAY=29", "UTC", time.Hour, "2026-12-02T00:00:00Z", "2028-02-29T00:00:00Z", "2028-02-29T01:00:00Z"},
+	} {
+		s, err := Parse(c.rule, c.zone, c.length, at(c.asked))
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		if w, ok := s.Next(at(c.asked)); !ok || !w.Opens.Equal(at(c.opens)) || !w.Closes.Equal(at(c.closes)) {
+			t.Errorf("%s: %s to %s, %v", name, w.Opens.UTC(), w.Closes.UTC(), ok)
+		}
+	}
+}
+
+// What cannot be a window is refused, and says why.
+func TestBadWindows(t *testing.T) {
+	now := at("2026-12-02T13:00:00Z")
+	for _, c := range []struct {
+		rule, zone string
+		length     time.Duration
+		want       error
+	}{
+		{"FREQ=DAILY", "Mars/Olympus", time.Hour, ErrZone},
+		{"FREQ=DAILY", "", time.Hour, ErrZone},
+		{"FREQ=DAILY", "UTC", 0, ErrLength},
+		{"FREQ=DAILY", "UTC", 8 * 24 * time.Hour, ErrLength},
+		{"FREQ=SECONDLY", "UTC", time.Hour, ErrRule},
+		{"FREQ=HOURLY", "UTC", time.Hour, ErrRule},
+		{"every night", "UTC", time.Hour, ErrRule},
+		{"FREQ=DAILY;BYHOUR=25", "UTC", time.Hour, ErrRule},
+		{"FREQ=YEARLY;BYMONTH=2;BYMONTHDAY=30", "UTC", time.Hour, ErrNever},
+		{"FREQ=DAILY;UNTIL=20250101T000000Z", "UTC", time.Hour, ErrNever},
+	} {
+		if _, err := Parse(c.rule, c.zone, c.length, now); !errors.Is(err, c.want) {
+			t.Errorf("%s in %q for %s: %v", c.rule, c.zone, c.length, err)
+		}
+	}
+}
+
+// Whenever it is asked, the window is open then or opens later, and none opens between.
+func TestNextWindowIsTheNext(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zone := rapid.SampledFrom([]string{"Europe/Berlin", "Africa/Johannesburg", "America/New_York", "Australia/Lord_Howe"}).Draw(t, "zone")
+		rule := rapid.SampledFrom([]string{"FREQ=DAILY;BYHOUR=2;BYMINUTE=15", "FREQ=WEEKLY;BYDAY=SU;BYHOUR=1", "FREQ=DAILY;BYHOUR=23"}).Draw(t, "rule")
+		now := at("2026-01-01T00:00:00Z").Add(time.Duration(rapid.IntRange(0, 365*24*60).Draw(t, "minute")) * time.Minute)
+		s, err := Parse(rule, zone, time.Duration(rapid.IntRange(1, 600).Draw(t, "minutes"))*time.Minute, now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w, ok := s.Next(now)
+		if !ok || !now.Before(w.Closes) {
+			t.Fatalf("%v at %s", w, now)
+		}
+		for between := now; between.Before(w.Opens); between = between.Add(5 * time.Hour) {
+			if other, _ := s.Next(between); !other.Opens.Equal(w.Opens) {
+				t.Fatalf("%v at %s, %v at %s", w, now, other, between)
+			}
+		}
+	})
+}
