Drains: bounded looks for room, large fleets, arrays and gangs, lossy fleet matched

Change: an owner looks for room for 32 tasks a step, beginning with another machine each time. TestLossyFleet plays losses again and matches each restart to a machine that had answered nothing, or whose lease ended.

--- a/constants/constants.go
+++ b/constants/constants.go
@@ -517,6 +517,9 @@
 	// DrainRentals bounds the tasks for whose move an owner rents at a time (tasks):
 	// one request's worth of machines.
 	DrainRentals = 50
+	// DrainLooks bounds the tasks for which an owner looks for a machine with room each
+	// time it goes on with its drains (tasks): a look is at all machines of the shard.
+	DrainLooks = 32
 	// DrainNames bounds the machines that a status or a selection names (machines): a
 	// selection must fit a value of the state service.
 	DrainNames = 20
--- a/node/draining_test.go
+++ b/node/draining_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -151,6 +153,20 @@
 				time.Sleep(5 * time.Second)
 			}
 		}},
+		{name: "long arrays and a gang run on what is drained", hurt: func(t *testing.T, w *world, number int) {
+			go w.playGangs()
+			lot := []*simJob{w.newArray("run-000200", 6, 2, 90)}
+			gang := w.newArray("run-000201", 3, 2, 60)
+			gang.spec.Kind, gang.spec.CheckpointS, gang.spec.SaveS, gang.spec.Spot = wire.KindGang, 4, 1, false
+			for _, j := range append(lot, gang) {
+				go w.user(j, 0, 0)
+			}
+			midway(t, w)
+			second := w.newArray("run-000202", 6, 2, 90)
+			go w.user(second, 0, 0)
+			w.drainEnds(t, number, state.DrainFinished, 12*time.Minute)
+			w.allDone(t, 6*time.Minute, append(lot, gang, second))
+		}},
 		{name: "outside of its window, then in it", settings: "drain.window.rule = FREQ=DAILY;BYHOUR=0;BYMINUTE=3\ndrain.window.minutes = 60\n", hurt: func(t *testing.T, w *world, number int) {
 			opens := time.Date(2000, 1, 1, 0, 3, 0, 0, time.UTC)
 			for time.Now().Before(opens) {
@@ -351,3 +367,69 @@
 		}
 	})
 }
+
+// What TestDrainLargeFleet plays. For the figures of docs/draining.md:
+//
+//	go test ./node -run TestDrainLargeFleet -v -timeout 0 -drain.machines 4000
+var (
+	drainMachines = flag.Int("drain.machines", 100, "machines of the fleet that is replaced")
+	drainPercent  = flag.String("drain.budget", "5%", "what may be unavailable of the team")
+)
+
+// A large fleet is replaced under a share as its budget, in little more than the least
+// time under it, and with changes of the state service that do not grow with the moves
+// of single tasks alone.
+func TestDrainLargeFleet(t *testing.T) {
+	quietLogs(t)
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorldOf(2, []string{"a", "b"}, 3, umoyaTimes)
+		w.late, w.tame, w.lossless, w.lostAnswers, w.lateWrites, w.repeats, w.lateCopies = 0, true, true, 0, 0, 0, 0
+		w.pause = 500 * time.Millisecond
+		for k := range w.capacity {
+			w.capacity[k] = *drainMachines
+		}
+		w.drainTo("disruption.budget.* = " + *drainPercent + "\ndrain.parallel.percent = 10\n")
+		for _, n := range w.nodes {
+			n.set.Params.Limits.CPU = 0
+			n.start()
+		}
+		go w.expireLeases()
+		defer w.shut()
+		time.Sleep(5 * time.Second)
+		tasks := *drainMachines * 2 // of half a machine
+		w.replicas(t, 4, tasks/4)
+		time.Sleep(30 * time.Second)
+		old := w.present()
+		plan := w.drains(t, peer.DrainRequest{Op: peer.OpPlan, All: true}).Plan
+		began, revision, processor := time.Now(), w.stateRevision(), processorTime()
+		number := w.startDrain(t, state.Selection{})
+		w.drainEnds(t, number, state.DrainFinished, 12*time.Hour)
+		took := time.Since(began)
+		least := time.Duration(plan.LeastS * float64(time.Second))
+		t.Logf("%d machines, %d tasks, budget %s: %s, %s at least (%s); %d changes of the state service, %s of the test's processor time",
+			len(old), tasks, *drainPercent, took.Round(time.Second), least, plan.Binding, w.stateRevision()-revision, (processorTime() - processor).Round(100*time.Millisecond))
+		if n := w.left(old); n > 0 || took < least {
+			t.Errorf("%d machines are left after %s, at least %s", n, took, least)
+		}
+		w.until(t, "all replicas run again", 3*time.Minute, func() bool { return w.replicasUp() == tasks })
+		if broken := w.brokenRules(); len(broken) > 0 {
+			t.Error(broken[:min(4, len(broken))])
+		}
+	})
+}
+
+// stateRevision counts the changes of the state service.
+func (w *world) stateRevision() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.revision
+}
+
+// processorTime is what the test has taken so far.
+func processorTime() time.Duration {
+	var used syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &used); err != nil {
+		panic(err)
+	}
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
--- a/node/large_fleet_test.go
+++ b/node/large_fleet_test.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"flag"
+	"maps"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -13,6 +15,34 @@
 // largeFleet is how many machines no limit may stand below.
 const largeFleet = 4000
 
+// lossyFleet is how many machines TestLossyFleet plays, and lossyShare which share of
+// answers is lost.
+var (
+	lossyFleet = flag.Int("lossy.machines", 600, "machines of the fleet whose answers are lost now and then")
+	lossyShare = flag.Float64("lossy.share", 0.45, "share of their answers that is lost")
+)
+
+// Where answers are lost by chance, machines now and then leave all questions of a return
+// unanswered, or hear nothing for a lease. Whatever starts again was on one of those, and
+// all others stay.
+func TestLossyFleet(t *testing.T) {
+	quietLogs(t)
+	synctest.Test(t, func(t *testing.T) {
+		w := playLargeFleet(t, "", *lossyFleet, *lossyShare)
+		ended, unheard, lapsed := w.count("tasks ended by a return"), w.count("tasks ended by the return of an unheard machine"), w.count("tasks ended by a lease")
+		t.Logf("%d starts again; %d tasks ended by returns, %d of them on machines that answered nothing, %d by a lease", w.restarts, ended, unheard, lapsed)
+		if ended != unheard {
+			t.Errorf("%d tasks were ended by the return of a machine that had answered", ended-unheard)
+		}
+		if w.restarts > unheard+lapsed {
+			t.Errorf("%d tasks started again, and %d were on machines that were lost", w.restarts, unheard+lapsed)
+		}
+		if unheard+lapsed == 0 {
+			t.Error("no machine was lost: nothing was shown")
+		}
+	})
+}
+
 // A deployment of 4,000 machines, all of them in one shard or half in each of two,
 // starts, loses an owner, and comes through an outage that is longer than the workers'
 // lease: every machine is used, nothing that runs stops, and work goes on.
@@ -20,20 +50,19 @@
 	quietLogs(t)
 	for name, zone := range map[string]string{"in one shard": "a", "in two shards": ""} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { playLargeFleet(t, zone) })
+			synctest.Test(t, func(t *testing.T) { playLargeFleet(t, zone, largeFleet, 0) })
 		})
 	}
 }
 
-func playLargeFleet(t *testing.T, zone string) {
+// playLargeFleet plays a fleet of so many machines. Without loss nothing may start again.
+func playLargeFleet(t *testing.T, zone string, machines int, loss float64) *world {
 	w := newWorldOf(1, []string{"a", "b"}, 3, umoyaTimes)
 	w.late, w.tame, w.lostAnswers, w.lateWrites, w.repeats, w.lateCopies = 0, true, 0, 0, 0, 0
 	w.pause = 500 * time.Millisecond
-	// Of so many machines one now and then loses all the answers by which it would be
-	// known to live, and is returned as it must be. This is about the fleet's size.
-	w.lossless = true
+	w.loss, w.lossless = loss, loss == 0
 	for k := range w.capacity {
-		w.capacity[k] = largeFleet
+		w.capacity[k] = machines
 	}
 	for _, n := range w.nodes {
 		n.detect()
@@ -45,18 +74,19 @@
 	time.Sleep(5 * time.Second)
 	// Each task fills a machine.
 	j := &simJob{spec: wire.Submission{ID: "run-000001", Class: "c", Team: "free", Kind: wire.KindService, Priority: wire.PriorityProduction,
-		Tasks: largeFleet, CPUs: 8, MemoryGB: 1, Image: "i", ImageGB: 1, Zone: zone, Spread: zone == ""}, doneTasks: map[int]bool{}}
+		Tasks: machines, CPUs: 8, MemoryGB: 1, Image: "i", ImageGB: 1, Zone: zone, Spread: zone == ""}, doneTasks: map[int]bool{}}
 	w.do(func() { w.jobs[j.spec.ID] = j })
 	go w.user(j, 0, 0)
 	began := time.Now()
 	running := func() bool {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		return w.running(j.spec.ID) == largeFleet
+		return w.running(j.spec.ID) == machines
 	}
 	w.until(t, "all machines are up and used", 10*time.Minute, running)
-	t.Logf("%d tasks run on %d machines after %s", largeFleet, len(w.machines), time.Since(began))
+	t.Logf("%d tasks run on %d machines after %s", machines, len(w.machines), time.Since(began))
 	starts := w.starts
+	before := maps.Clone(w.seen)
 
 	owner, term := w.owner("a"), w.term("a")
 	w.nodes[owner].restart(5 * time.Second)
@@ -66,8 +96,14 @@
 	time.Sleep(w.times.lease() + 20*time.Second)
 	w.setOutage(false)
 	time.Sleep(30 * time.Second)
-	if !running() || w.starts != starts {
-		t.Errorf("%d of %d tasks run, after %d starts more", w.running(j.spec.ID), largeFleet, w.starts-starts)
+	w.do(func() {
+		w.restarts = w.starts - starts
+		for what := range w.seen {
+			w.seen[what] -= before[what]
+		}
+	})
+	if loss == 0 && (!running() || w.restarts != 0) {
+		t.Errorf("%d of %d tasks run, after %d starts more", w.running(j.spec.ID), machines, w.restarts)
 	}
 	after := w.newArray("run-000002", 50, 8, 5)
 	began = time.Now()
@@ -77,6 +113,7 @@
 	if len(w.broken) > 0 {
 		t.Errorf("rules broken: %s", strings.Join(w.broken[:min(4, len(w.broken))], "; "))
 	}
+	return w
 }
 
 // keysUnder counts the state service's keys under a prefix.
--- a/node/roles.go
+++ b/node/roles.go
@@ -109,6 +109,7 @@
 		o.cancel()
 		delete(c.owners, shard)
 		delete(c.status, shard)
+		delete(c.drains.views, shard)
 	}
 }
 
--- a/node/standin_cloud_test.go
+++ b/node/standin_cloud_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ravenport/cloud"
+	"ravenport/constants"
 	"ravenport/wire"
 )
 
@@ -75,11 +76,36 @@
 		return cloud.ErrTrouble
 	}
 	for _, n := range names {
+		c.n.w.noteReturn(n)
 		c.n.w.remove(n)
 	}
 	return nil
 }
 
+// noteReturn counts the tasks that a return ends, and those of machines that had answered
+// nothing before it. The caller holds the lock.
+func (w *world) noteReturn(name string) {
+	m := w.machines[name]
+	if m == nil {
+		return
+	}
+	lately := 0
+	for _, at := range m.unheard {
+		if time.Since(at) < w.times.lease() {
+			lately++
+		}
+	}
+	for _, task := range m.held {
+		if !onMachine(task.state) {
+			continue
+		}
+		w.seen["tasks ended by a return"]++
+		if lately >= constants.DeafAsks {
+			w.seen["tasks ended by the return of an unheard machine"]++
+		}
+	}
+}
+
 // returnAsked notes that a return was decided. The caller holds the lock.
 func (w *world) returnAsked(by *simNode) {
 	w.seen["returns asked"]++
--- a/node/standin_test.go
+++ b/node/standin_test.go
@@ -52,6 +52,7 @@
 	broken     []string
 	starts     int
 	gangStarts int
+	restarts   int // of tasks that ran already, where a test counts them
 
 	// Guards of the protocol that a test may take away, to see that the
 	// checker notices.
@@ -78,6 +79,7 @@
 
 	times    times
 	onReturn func(by *simNode) // called as a return is decided, with the lock held
+	loss     float64           // share of answers of workers, and to them, that are lost by chance; 0: as usual
 	lossless bool              // no answer of a worker, or to one, is lost by chance
 	pause    time.Duration     // between two looks of a worker at itself; 0: 100 ms
 	upIn     time.Duration     // machines are up within this after their rental; 0: after seconds
--- a/node/standin_worker_test.go
+++ b/node/standin_worker_test.go
@@ -32,6 +32,7 @@
 	renewed     time.Time // when the last answered report was sent
 	held        map[string]*simTask
 	changed     bool
+	unheard     []time.Time // when a direct command to it had no answer
 }
 
 type simTask struct {
@@ -166,7 +167,7 @@
 
 // dropAnswer loses an answer now and then. The caller holds the lock.
 func (w *world) dropAnswer(m *simWorker) bool {
-	return m.cut || m.deaf || !w.lossless && w.rng.Float64() < 0.01
+	return m.cut || m.deaf || !w.lossless && w.rng.Float64() < cmp.Or(w.loss, 0.01)
 }
 
 // advance lets time pass on the machine. The caller holds the lock.
@@ -174,6 +175,7 @@
 	now := time.Now()
 	if !m.w.noLease && now.Sub(m.renewed) > m.w.times.lease() {
 		slog.Debug("stand-in: lease ends", "machine", m.name, "session", m.session)
+		m.w.seen["tasks ended by a lease"] += len(m.held)
 		m.held = map[string]*simTask{}
 		m.session++
 		m.taken = 0
@@ -444,7 +446,8 @@
 		}
 		r := c.deliver(addr, req)
 		time.Sleep(w.between(time.Millisecond, 5*time.Millisecond))
-		if !w.lossless && w.chance(0.02) {
+		if !w.lossless && w.chance(cmp.Or(w.loss, 0.02)) {
+			w.do(func() { m.unheard = append(m.unheard, time.Now()) })
 			r = worker.Result{Err: fmt.Errorf("the answer was lost")}
 		}
 		c.n.stand()
--- a/shard/draining.go
+++ b/shard/draining.go
@@ -27,13 +27,15 @@
 type draining struct {
 	cfg      DrainingConfig
 	ledger   *disruption.Ledger
-	steps    map[int]*drain.Steps // drains that are not over, by number
+	drains   map[int]*drain.Steps // those that are not over, by number
 	damaged  map[int]bool         // drains whose record cannot be read
 	moves    map[*task]*move      // tasks that were stopped and are not up again
 	surge    []*task              // that may be moved and find no room
 	headroom disruption.Counts    // how many more of those the budgets allow
 	waits    map[int]string       // by drain: why it waits
-	looks    pace
+	steps    pace                 // counts and goes on with drains
+	looks    int                  // for machines with room, in this step
+	turn     int                  // counts steps: each begins with another machine
 }
 
 // move is a service's task on its way to another machine.
@@ -54,7 +56,7 @@
 // the records of all jobs, and records the drains, claims and terms that are stored.
 func (c *Core) StartDraining(now time.Time, cfg DrainingConfig, jobs map[string]*state.Job, records []state.Change) {
 	c.draining = &draining{
-		cfg: cfg, steps: map[int]*drain.Steps{}, damaged: map[int]bool{}, moves: map[*task]*move{}, waits: map[int]string{},
+		cfg: cfg, drains: map[int]*drain.Steps{}, damaged: map[int]bool{}, moves: map[*task]*move{}, waits: map[int]string{},
 		ledger: disruption.NewLedger(disruption.Config{Shard: c.cfg.Shard, Shards: cfg.Shards, Term: c.term, Budgets: cfg.Budgets, Stable: cfg.Policy.Stable, Hasty: cfg.Hasty}),
 	}
 	for _, j := range jobs {
@@ -78,7 +80,7 @@
 		d.applyDrain(shard, r, ch.Version)
 	case nil:
 		if number, ok := (&state.Damaged{Key: ch.Key}).Drain(); ok {
-			delete(d.steps, number) // an old one was cleared away
+			delete(d.drains, number) // an old one was cleared away
 		}
 	case *state.Damaged:
 		if claimOf, ok := r.Claim(); ok {
@@ -86,29 +88,29 @@
 		}
 		if number, ok := r.Drain(); ok {
 			d.damaged[number] = true
-			delete(d.steps, number)
+			delete(d.drains, number)
 		}
 	}
 }
 
 func (d *draining) applyDrain(shard string, r *state.Drain, version uint64) {
 	delete(d.damaged, r.Number)
-	steps := d.steps[r.Number]
+	steps := d.drains[r.Number]
 	switch {
 	case r.State.Over():
-		delete(d.steps, r.Number)
+		delete(d.drains, r.Number)
 		delete(d.waits, r.Number)
 	case steps != nil:
 		steps.Apply(r, version)
 	default:
-		d.steps[r.Number] = drain.NewSteps(d.cfg.Policy, shard, d.cfg.Shards, r, version)
+		d.drains[r.Number] = drain.NewSteps(d.cfg.Policy, shard, d.cfg.Shards, r, version)
 	}
 }
 
 // numbers lists the drains that are not over, in order.
 func (d *draining) numbers() []int {
 	var out []int
-	for n := range d.steps {
+	for n := range d.drains {
 		out = append(out, n)
 	}
 	slices.Sort(out)
@@ -117,7 +119,7 @@
 
 // active says whether any drain runs.
 func (d *draining) active() bool {
-	for _, s := range d.steps {
+	for _, s := range d.drains {
 		if s.Record().State == state.DrainRunning {
 			return true
 		}
@@ -129,16 +131,17 @@
 // claim.
 func (c *Core) drain(now time.Time) {
 	d := c.draining
-	if d == nil || !d.looks.due(now, constants.DrainEvery) {
+	if d == nil || !d.steps.due(now, constants.DrainEvery) {
 		return
 	}
 	d.ledger.Observe(now, c.unavailable(now), c.rebuilt)
-	d.surge, d.headroom = d.surge[:0], disruption.Counts{}
+	d.surge, d.headroom, d.looks = d.surge[:0], disruption.Counts{}, 0
+	d.turn++
 	c.settleMoves(now)
 	c.liftCordons()
 	if c.rebuilt && !c.isUnreachable {
 		for _, number := range d.numbers() {
-			c.advanceDrain(now, number, d.steps[number])
+			c.advanceDrain(now, number, d.drains[number])
 		}
 	}
 	if changes, conditions := d.ledger.Write(now, d.active()); changes != nil {
@@ -187,7 +190,7 @@
 func (c *Core) settleMoves(now time.Time) {
 	d := c.draining
 	for t, m := range d.moves {
-		steps := d.steps[m.drain]
+		steps := d.drains[m.drain]
 		switch {
 		case c.jobs[t.job.rec.ID] != t.job || t.job.tasks[t.index] != t || t.job.rec.End != "":
 			delete(d.moves, t) // it ended, or another shard looks after it
@@ -208,7 +211,7 @@
 		return
 	}
 	if m := c.draining.moves[t]; m != nil {
-		if steps := c.draining.steps[m.drain]; steps != nil {
+		if steps := c.draining.drains[m.drain]; steps != nil {
 			steps.Failed("a task of " + t.job.rec.ID + " failed on " + machine)
 		}
 	}
@@ -220,7 +223,7 @@
 	if c.draining == nil {
 		return
 	}
-	for _, steps := range c.draining.steps {
+	for _, steps := range c.draining.drains {
 		if steps.Acts() && !drain.Matches(&steps.Record().Selection, c.selectable(m)) {
 			steps.Failed(m.name + " did not come up")
 		}
@@ -233,7 +236,7 @@
 		if m.cordon == nil {
 			continue
 		}
-		if s := c.draining.steps[m.cordon.drain]; s == nil || s.Record().State != state.DrainRunning {
+		if s := c.draining.drains[m.cordon.drain]; s == nil || s.Record().State != state.DrainRunning {
 			slog.Info("cordon is lifted", "machine", m.name, "drain", m.cordon.drain)
 			m.cordon = nil
 			c.dirty, c.pushDirty = true, true
@@ -274,8 +277,8 @@
 		c.pushDirty = true
 	}
 	c.draining.waits[number] = whyIdle(now, s)
-	for _, m := range machines {
-		if m.cordon != nil && m.cordon.drain == number && !m.returning {
+	for i := range machines {
+		if m := machines[(i+c.draining.turn)%len(machines)]; m.cordon != nil && m.cordon.drain == number && !m.returning {
 			c.empty(now, m, number)
 		}
 	}
@@ -321,7 +324,7 @@
 		c.draining.ledger.Written(now, revision)
 	case commitDrain:
 		number, _ := strconv.Atoi(rest) // as it was written by advanceDrain
-		if s := c.draining.steps[number]; s != nil {
+		if s := c.draining.drains[number]; s != nil {
 			s.Written(revision != 0)
 		}
 	}
@@ -334,7 +337,7 @@
 	}
 	var out []drain.Progress
 	for _, number := range c.draining.numbers() {
-		out = append(out, c.progress(number, c.draining.steps[number]))
+		out = append(out, c.progress(number, c.draining.drains[number]))
 	}
 	return out
 }
@@ -368,7 +371,7 @@
 	if m.cordon == nil || c.draining == nil {
 		return
 	}
-	if s := c.draining.steps[m.cordon.drain]; s != nil {
+	if s := c.draining.drains[m.cordon.drain]; s != nil {
 		s.Replaced()
 	}
 }
--- a/shard/moving.go
+++ b/shard/moving.go
@@ -68,6 +68,9 @@
 	if refused := d.ledger.Check(now, keys); refused != nil && isUp {
 		return refused.Error()
 	}
+	if d.looks++; d.looks > constants.DrainLooks {
+		return "others are looked at first"
+	}
 	to := c.roomToMove(now, s)
 	if to == nil {
 		c.askForRoom(now, t, keys)
