The owner's core is composed of states with a type each

Need: one Core of some 65 fields was reached from every file, so no reader could tell what a function may touch. Core keeps what holds for the whole term. Moves and receivers only. Result: tests of shard and node green, assertions untouched. Left: most methods are still Core's, since they bring several states together.

--- a/shard/assignments.go
+++ b/shard/assignments.go
@@ -9,6 +9,12 @@
 	"ravenport/wire"
 )
 
+// closings is which jobs may have something to record.
+type closings struct {
+	toClose map[string]*job
+	heldAt  time.Time // when jobs of teams at their limit were last looked at for done tasks
+}
+
 // closeAssignments records what is finished, for the jobs that have changed.
 func (c *Core) closeAssignments(now time.Time) {
 	for id, j := range c.toClose {
--- a/shard/core.go
+++ b/shard/core.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"cmp"
 	"log/slog"
 	"maps"
 	"slices"
@@ -36,78 +35,32 @@
 	Budget         time.Duration // of a round of placing; 0: the usual one
 }
 
-// Core is the state of one shard's owner in one term.
+// Core is one shard's owner in one term: what holds for the whole term, and the states
+// that a step asks in turn. A method of a state's own type changes nothing but that state;
+// Core's methods bring several together.
 type Core struct {
-	cfg     Config
-	term    uint64
-	termVer uint64
-	claimed time.Time
-
+	cfg       Config
+	term      uint64
+	termVer   uint64
+	claimed   time.Time
 	authority time.Time // may act until then
-	types     map[string]*wire.MachineType
-	jobs      map[string]*job
-	machines  map[string]*machine
-	fleet     []*machine // the same, in a fixed order
-	byTask    map[taskKey][]*hold
-
-	commandQueue []*machine // machines that wait for a direct command
-	inFlight     int        // direct commands under way
-
-	numbers       numbers
-	look          uint64 // counts looks at reports
-	freed         bool   // the last look found that something had ended
-	rebuilt       bool
-	deposed       bool
-	isUnreachable bool // its machines are out of reach all together
-
-	rested  time.Time // silences are counted from here at the earliest
-	stepped time.Time // when the last step was made
-
-	touched []*job           // jobs whose waiting tasks are to be listed anew
-	waiting map[*job]bool    // jobs with waiting tasks
-	toClose map[string]*job  // jobs whose assignments may have something to record
-	order   []*job           // waiting jobs in the order of the last round
-	scratch []*task          // ready tasks of the job that a round looks at
-	resume  *leader.Place    // where the last round of placing stopped
-	budget  time.Duration    // of a round
-	clock   func() time.Time // what a round's time is taken by
-
-	pages         map[int]*page // of the inventory
-	inventoryBusy bool          // a write of pages is under way
-	inventoryNext time.Time     // when the next one may be sent
-
-	gone         map[string]time.Time // machines returned lately
-	others       map[string]other     // by shard
-	siblingsAt   time.Time            // when all live controllers had been heard from
-	pendingRents map[string]*rental
-	rentSeq      int
-	refused      map[bool]time.Time // by spot: no more is to be had until then
-	actions      []Action
-	dirty        bool // something changed that placing may use
-	pushDirty    bool
-	lastPlace    time.Time
-	heldAt       time.Time // when jobs of teams at their limit were last looked at for done tasks
-	overdueAt    time.Time // when tasks were last sent back for having waited too long
-	rentedAt     time.Time // when the cloud was last asked for machines
-	returnedAt   time.Time // when idle machines were last returned
-	slowSteps    pace      // looks at the whole fleet
-	censuses     pace      // looks at which machines are to be returned
-	rentals      pace      // looks at what to rent
-	moves        pace      // of services, to do without machines
-	prod         arrivals  // of production work
-	gangs        arrivals  // of gangs, each as a whole
-	shapes       map[string]gangShape
-	gangNeed     float64 // room (CPUs) to be held ready for gangs
-	drainAt      time.Time
-	drainWork    float64   // CPU seconds before the machines that are there
-	drainCPUs    float64   // what those can give to arrays
-	unplaced     resources // waiting demand after the last round
-	excess       float64   // what of it (CPUs) nothing that is coming will take
-	forecast     leader.Forecast
-	forecastAt   time.Time
-	since        []given   // assignments that are newer than the forecast, or may be
-	roomComing   []coming  // room of machines that are coming and not spoken for
-	draining     *draining // nil: drains and disruption budgets are off
+	deposed   bool
+	numbers   numbers
+	stepped   time.Time // when the last step was made
+	slowSteps pace      // looks at the whole fleet
+	actions   []Action  // gathered since the last step
+
+	knowledge
+	calls
+	placement
+	closings
+	pageBook
+	capacity
+	gangReserves
+	hearing
+	consolidation
+	figures
+	draining *draining // nil: drains and disruption budgets are off
 }
 
 type rental struct {
@@ -133,10 +86,10 @@
 // inventory are as of that revision.
 func New(cfg Config, term, termVersion uint64, now time.Time, types []wire.MachineType,
 	jobs map[string]*state.Job, versions map[string]uint64, inventory map[string]*state.Page, inventoryVersions map[string]uint64) *Core {
-	c := &Core{cfg: cfg, term: term, numbers: newNumbers(term), termVer: termVersion, claimed: now, budget: cmp.Or(cfg.Budget, constants.RoundBudget), clock: time.Now,
-		types: map[string]*wire.MachineType{}, jobs: map[string]*job{}, machines: map[string]*machine{},
-		byTask: map[taskKey][]*hold{}, shapes: map[string]gangShape{}, waiting: map[*job]bool{}, toClose: map[string]*job{}, pages: map[int]*page{},
-		pendingRents: map[string]*rental{}, refused: map[bool]time.Time{}, gone: map[string]time.Time{}, others: map[string]other{}, dirty: true, pushDirty: true}
+	c := &Core{cfg: cfg, term: term, numbers: newNumbers(term), termVer: termVersion, claimed: now,
+		knowledge: newKnowledge(), placement: newPlacement(cfg.Budget), closings: closings{toClose: map[string]*job{}}, pageBook: pageBook{pages: map[int]*page{}},
+		capacity:     capacity{pendingRents: map[string]*rental{}, refused: map[bool]time.Time{}},
+		gangReserves: gangReserves{shapes: map[string]gangShape{}}, hearing: hearing{gone: map[string]time.Time{}}, figures: figures{others: map[string]other{}, pushDirty: true}}
 	c.SetTypes(types)
 	// Pages split off a large one have higher numbers: a machine found on both
 	// stays on its new page.
@@ -171,8 +124,8 @@
 	c.dirty = true
 }
 
-func (c *Core) size(m *machine) {
-	if t := c.types[m.typeName]; t != nil {
+func (k *knowledge) size(m *machine) {
+	if t := k.types[m.typeName]; t != nil {
 		m.typ = t
 		m.capacity = sizeOf(t)
 	}
@@ -213,12 +166,12 @@
 // there before harmless without a new term.
 func (c *Core) token(m *machine) uint64 { return c.term<<constants.EpochBits | m.epoch }
 
-func (c *Core) machine(name string) *machine {
-	m := c.machines[name]
+func (k *knowledge) machine(name string) *machine {
+	m := k.machines[name]
 	if m == nil {
 		m = &machine{name: name, page: pageless, images: map[string]bool{}, stale: true}
-		c.machines[name] = m
-		c.fleet = append(c.fleet, m)
+		k.machines[name] = m
+		k.fleet = append(k.fleet, m)
 	}
 	return m
 }
--- a/shard/direct.go
+++ b/shard/direct.go
@@ -7,13 +7,19 @@
 	"ravenport/wire"
 )
 
+// calls is which machines wait for a direct command, and how many are under way.
+type calls struct {
+	commandQueue []*machine
+	inFlight     int
+}
+
 // requestCommand has the next step send a machine what it should do, unless an
 // answer to a report carries it before.
-func (c *Core) requestCommand(m *machine) {
+func (q *calls) requestCommand(m *machine) {
 	m.wantCommand = true
 	if !m.commandQueued {
 		m.commandQueued = true
-		c.commandQueue = append(c.commandQueue, m)
+		q.commandQueue = append(q.commandQueue, m)
 	}
 }
 
@@ -99,10 +105,10 @@
 }
 
 // landed notes that a direct command to a machine is no longer under way.
-func (c *Core) landed(m *machine) {
+func (q *calls) landed(m *machine) {
 	if m.inFlight {
 		m.inFlight = false
-		c.inFlight--
+		q.inFlight--
 	}
 }
 
--- a/shard/empty.go
+++ b/shard/empty.go
@@ -10,6 +10,9 @@
 	"ravenport/wire"
 )
 
+// consolidation is how often services are moved to do without machines.
+type consolidation struct{ moves pace }
+
 // leaveNoticed moves work off machines that the cloud is about to take: what
 // can save is told to in time, services and arrays that will not be done start
 // again elsewhere while there is room.
--- a/shard/gangreserve.go
+++ b/shard/gangreserve.go
@@ -10,6 +10,13 @@
 	"ravenport/wire"
 )
 
+// gangReserves is the room to be held ready for gangs.
+type gangReserves struct {
+	gangs    arrivals // each as a whole
+	shapes   map[string]gangShape
+	gangNeed float64 // CPUs
+}
+
 // noteGang remembers what gangs look like, whichever shard has them: the leader
 // wants to know whether one of that shape would start here.
 func (c *Core) noteGang(now time.Time, rec *state.Job) {
--- a/shard/inventory.go
+++ b/shard/inventory.go
@@ -15,6 +15,13 @@
 // pageless is the page of a machine that is on none.
 const pageless = -1
 
+// pageBook is the inventory's pages and the write of them that is under way.
+type pageBook struct {
+	pages         map[int]*page
+	inventoryBusy bool      // a write of pages is under way
+	inventoryNext time.Time // when the next one may be sent
+}
+
 // page is one page of the shard's inventory. It is written as a whole, one write
 // at a time, so that a rental or a wave of boots costs a change or two and not
 // one for each machine.
@@ -116,11 +123,11 @@
 // pageBytes is what the entries of a page may take.
 func (c *Core) pageBytes() int { return c.cfg.Sizes.Next * constants.PageFill / 100 }
 
-func (c *Core) page(n int) *page {
-	p := c.pages[n]
+func (b *pageBook) page(n int) *page {
+	p := b.pages[n]
 	if p == nil {
 		p = &page{number: n, names: map[string]bool{}, stored: map[string]bool{}}
-		c.pages[n] = p
+		b.pages[n] = p
 	}
 	return p
 }
--- a/shard/jobs.go
+++ b/shard/jobs.go
@@ -129,8 +129,8 @@
 	return t != nil && t.hold == h && !t.done && !h.stop && t.job.rec.End == ""
 }
 
-func (c *Core) taskOf(h *hold) *task {
-	j := c.jobs[h.jobID]
+func (k *knowledge) taskOf(h *hold) *task {
+	j := k.jobs[h.jobID]
 	if j == nil {
 		return nil
 	}
--- a/shard/model.go
+++ b/shard/model.go
@@ -32,6 +32,22 @@
 	"ravenport/wire"
 )
 
+// knowledge is what the owner knows of machines, jobs and attempts.
+type knowledge struct {
+	types    map[string]*wire.MachineType
+	jobs     map[string]*job
+	machines map[string]*machine
+	fleet    []*machine // the same, in a fixed order
+	byTask   map[taskKey][]*hold
+	look     uint64 // counts looks at reports
+	freed    bool   // the last look found that something had ended
+	rebuilt  bool
+}
+
+func newKnowledge() knowledge {
+	return knowledge{types: map[string]*wire.MachineType{}, jobs: map[string]*job{}, machines: map[string]*machine{}, byTask: map[taskKey][]*hold{}}
+}
+
 // resources is an amount of what tasks take of machines.
 type resources struct{ cpus, gpus, mem float64 }
 
@@ -195,20 +211,20 @@
 }
 
 // busy says whether any attempt has not exited.
-func (c *Core) busy(m *machine) bool { return c.sumsOf(m).live > 0 }
+func (k *knowledge) busy(m *machine) bool { return k.sumsOf(m).live > 0 }
 
 // free is what is left of a machine.
-func (c *Core) free(m *machine) resources { return m.capacity.minus(c.sumsOf(m).used) }
+func (k *knowledge) free(m *machine) resources { return m.capacity.minus(k.sumsOf(m).used) }
 
 // prodRoom is what production work can have of an ordinary machine (CPUs):
 // what is free, and what lower work holds that can be stopped at once.
-func (c *Core) prodRoom(m *machine) float64 {
-	s := c.sumsOf(m)
+func (k *knowledge) prodRoom(m *machine) float64 {
+	s := k.sumsOf(m)
 	return m.capacity.cpus - s.used.cpus + s.yielding
 }
 
 // sumsOf keeps a machine's sums; they are made anew only after a change.
-func (c *Core) sumsOf(m *machine) *sums {
+func (k *knowledge) sumsOf(m *machine) *sums {
 	if !m.stale {
 		return &m.sums
 	}
@@ -228,7 +244,7 @@
 		if !(h.stop && h.instant) {
 			m.sums.used = m.sums.used.plus(h.needs)
 		}
-		t := c.taskOf(h)
+		t := k.taskOf(h)
 		if t == nil {
 			continue
 		}
@@ -253,7 +269,7 @@
 }
 
 // addHold puts an attempt on its machine, in the order of attempts.
-func (c *Core) addHold(h *hold) {
+func (k *knowledge) addHold(h *hold) {
 	m := h.m
 	i := len(m.holds)
 	for i > 0 && m.holds[i-1].key.attempt > h.key.attempt {
@@ -261,32 +277,32 @@
 	}
 	m.holds = slices.Insert(m.holds, i, h)
 	m.stale = true
-	k := taskKey{h.jobID, h.index}
-	c.byTask[k] = append(c.byTask[k], h)
+	key := taskKey{h.jobID, h.index}
+	k.byTask[key] = append(k.byTask[key], h)
 }
 
 // dropHold takes an attempt off its machine.
-func (c *Core) dropHold(h *hold) {
+func (k *knowledge) dropHold(h *hold) {
 	m := h.m
 	if i := slices.Index(m.holds, h); i >= 0 {
 		m.holds = slices.Delete(m.holds, i, i+1)
 	}
 	m.stale = true
-	k := taskKey{h.jobID, h.index}
-	hs := c.byTask[k]
+	key := taskKey{h.jobID, h.index}
+	hs := k.byTask[key]
 	if i := slices.Index(hs, h); i >= 0 {
 		hs = slices.Delete(hs, i, i+1)
 	}
 	if len(hs) == 0 {
-		delete(c.byTask, k)
+		delete(k.byTask, key)
 	} else {
-		c.byTask[k] = hs
+		k.byTask[key] = hs
 	}
 }
 
 // somewhere says whether any attempt of a task may be on any machine.
-func (c *Core) somewhere(jobID string, index int) bool {
-	for _, h := range c.byTask[taskKey{jobID, index}] {
+func (k *knowledge) somewhere(jobID string, index int) bool {
+	for _, h := range k.byTask[taskKey{jobID, index}] {
 		if !h.exited() {
 			return true
 		}
@@ -337,16 +353,16 @@
 
 // touch says that a job's tasks have changed, so that a round's cost follows
 // what changed.
-func (c *Core) touch(j *job) {
+func (p *placement) touch(j *job) {
 	if !j.stale {
 		j.stale = true
-		c.touched = append(c.touched, j)
+		p.touched = append(p.touched, j)
 	}
 }
 
 // check says that a job's assignments may have something to record.
-func (c *Core) check(j *job) {
-	c.toClose[j.rec.ID] = j
+func (s *closings) check(j *job) {
+	s.toClose[j.rec.ID] = j
 	j.changed = true
 }
 
--- a/shard/place.go
+++ b/shard/place.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"log/slog"
 	"slices"
 	"sort"
@@ -11,6 +12,23 @@
 	"ravenport/wire"
 )
 
+// placement is which tasks wait, and how far rounds of placing have come.
+type placement struct {
+	touched   []*job           // jobs whose waiting tasks are to be listed anew
+	waiting   map[*job]bool    // jobs with waiting tasks
+	order     []*job           // waiting jobs in the order of the last round
+	scratch   []*task          // ready tasks of the job that a round looks at
+	resume    *leader.Place    // where the last round stopped
+	budget    time.Duration    // of a round
+	clock     func() time.Time // what a round's time is taken by
+	dirty     bool             // something changed that placing may use
+	lastPlace time.Time
+}
+
+func newPlacement(budget time.Duration) placement {
+	return placement{waiting: map[*job]bool{}, budget: cmp.Or(budget, constants.RoundBudget), clock: time.Now, dirty: true}
+}
+
 // round is what a round of placing has found out.
 type round struct {
 	room []*machine // usable machines with anything free
--- a/shard/push.go
+++ b/shard/push.go
@@ -9,6 +9,12 @@
 	"ravenport/wire"
 )
 
+// figures is what other shards have told, and whether this one has something to tell.
+type figures struct {
+	others    map[string]other // by shard
+	pushDirty bool
+}
+
 // Aggregate is what the owner pushes to the leader: the free room of the
 // machines that take tasks and, less what already waits for it, of those that
 // are coming.
@@ -61,7 +67,7 @@
 }
 
 // PushDue says whether the aggregate has changed since it was last taken.
-func (c *Core) PushDue() bool { d := c.pushDirty; c.pushDirty = false; return d }
+func (f *figures) PushDue() bool { d := f.pushDirty; f.pushDirty = false; return d }
 
 // Others takes in what the other shards push. Tasks that wait for machines that
 // are not to be had go up again only when some other shard has room.
--- a/shard/rent.go
+++ b/shard/rent.go
@@ -22,9 +22,9 @@
 }
 
 // bootS is the longest nominal boot time (s).
-func (c *Core) bootS() float64 {
+func (k *knowledge) bootS() float64 {
 	boot := 0.0
-	for _, t := range c.types {
+	for _, t := range k.types {
 		boot = max(boot, t.BootS)
 	}
 	return boot
@@ -67,6 +67,26 @@
 	return max(k, 0)
 }
 
+// capacity is what is being rented, and for which demand.
+type capacity struct {
+	pendingRents map[string]*rental
+	rentSeq      int
+	refused      map[bool]time.Time // by spot: no more is to be had until then
+	rentals      pace               // looks at what to rent
+	rentedAt     time.Time          // when the cloud was last asked for machines
+	overdueAt    time.Time          // when tasks were last sent back for having waited too long
+	unplaced     resources          // waiting demand after the last round
+	excess       float64            // what of it (CPUs) nothing that is coming will take
+	roomComing   []coming           // room of machines that are coming and not spoken for
+	prod         arrivals           // of production work
+	forecast     leader.Forecast
+	forecastAt   time.Time
+	since        []given // assignments that are newer than the forecast, or may be
+	drainAt      time.Time
+	drainWork    float64 // CPU seconds before the machines that are there
+	drainCPUs    float64 // what those can give to arrays
+}
+
 // kind is a kind of machine to rent.
 type kind struct {
 	typ  string
--- a/shard/silence.go
+++ b/shard/silence.go
@@ -8,6 +8,16 @@
 	"ravenport/wire"
 )
 
+// hearing is whom the owner hears.
+type hearing struct {
+	rested        time.Time            // silences are counted from here at the earliest
+	isUnreachable bool                 // its machines are out of reach all together
+	siblingsAt    time.Time            // when all live controllers had been heard from
+	gone          map[string]time.Time // machines returned lately
+	censuses      pace                 // looks at which machines are to be returned
+	returnedAt    time.Time            // when idle machines were last returned
+}
+
 // silent says that no report of a machine's own has come for so long that its
 // lease may end, whether or not it answers when it is called.
 func (c *Core) silent(now time.Time, m *machine) bool {
