A leader that followed a revoked one may hand on at once

Cause: a claim after a revocation was marked as a hand-over for a cut, which keeps a leadership for 45 s; a second gray failure within that left it with a leader that nobody could tell anything. Seen on loopback: up to 17 s with 10 of 24 machines idle beside 1,100 waiting tasks, leader since 18 s after a revocation. Change: the mark is made for shards alone; a leadership is never handed back anyway. Result: TestLeaderAfterARevocationHandsOn fails without it.

--- a/member/core.go
+++ b/member/core.go
@@ -228,7 +228,10 @@
 	if missing && now.Sub(c.started) < constants.FirstClaimWait {
 		return Claim{}, false
 	}
-	return c.claimOf(key, c.me, me.incarnation, me.version, c.outlived(now, key)), true
+	// A shard stays away from a revoked owner for a while. A leadership is not handed
+	// back at all, and must not be kept by the next leader should that be cut off, too.
+	cut := key != state.KeyLeader && c.outlived(now, key)
+	return c.claimOf(key, c.me, me.incarnation, me.version, cut), true
 }
 
 // candidate says whether a controller may claim terms.
--- a/member/revocation_test.go
+++ b/member/revocation_test.go
@@ -235,3 +235,34 @@
 		}
 	}
 }
+
+// A leader that took over from a revoked one hands on at once if it is cut off itself,
+// and not to the revoked one.
+func TestLeaderAfterARevocationHandsOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := detecting(now, 3*time.Second)
+	s.set(now, state.KeyLeader, &state.Term{Node: "n-1", Incarnation: 2, Number: 4})
+	if !s.revoke(now, 2, state.Revocation{Node: "n-1", Incarnation: 2}, make([]time.Duration, 3)) {
+		t.Fatal("not revoked")
+	}
+	for at := time.Duration(0); at < 10*time.Second; at += 50 * time.Millisecond {
+		for _, i := range []int{0, 2} {
+			for _, cl := range s.cores[i].Step(now.Add(at), s.inc[i], true) {
+				s.try(now.Add(at), cl)
+			}
+		}
+	}
+	leader, _ := s.cores[0].Holder(state.KeyLeader)
+	for i, k := range three {
+		if k.Name != leader {
+			continue
+		}
+		cl, ok := s.cores[i].HandOn(now.Add(12*time.Second), state.KeyLeader)
+		if !ok || cl.To == "n-1" || cl.To == leader {
+			t.Errorf("%s leads and hands on to %q", leader, cl.To)
+		}
+	}
+	if leader == "n-1" || leader == "" {
+		t.Errorf("%q leads", leader)
+	}
+}
