Loopback: fleets of one process have addresses of their own; census counts assignments

Cause: the stand-ins of a fleet serve until the process ends, so a second test with a fleet found the ports taken (seen in the first run of the whole package). Change: each fleet after the first takes a site that no flag names. The census tells tasks in no assignment and changes of the state service.

--- a/internal/loopback/census_test.go
+++ b/internal/loopback/census_test.go
@@ -26,6 +26,9 @@
 	where    string        // which one that is
 	owners   map[string]string
 	leader   string
+
+	unassigned int    // tasks of arrays in no assignment
+	revision   uint64 // changes of the state service so far
 }
 
 // census counts, second by second and from the workers' side alone, what runs, what
@@ -76,6 +79,7 @@
 func (f *fleet) count(c *census, l *load, now time.Time) censusRow {
 	row := censusRow{owners: map[string]string{}, waiting: l.accepted()*f.tasks - f.record.arrayTasksBegun(f.isArray)}
 	row.leader = f.store.leads()
+	row.unassigned, row.revision = f.store.unassigned()
 	unserved := map[string]bool{}
 	for _, zone := range f.zones {
 		name, _ := f.store.holder(zone)
@@ -187,9 +191,9 @@
 		}
 	}
 	var text strings.Builder
-	fmt.Fprintln(&text, "second waiting cpus machines with_room longest_s machine owners leader")
+	fmt.Fprintln(&text, "second waiting unassigned changes cpus machines with_room longest_s machine owners leader")
 	for _, r := range rows {
-		fmt.Fprintf(&text, "%6.0f %7d %4.0f %8d %9d %9.0f %s %v %s\n", r.at.Seconds(), r.waiting, r.cpus, r.machines, r.withRoom, r.longest.Seconds(), r.where, r.owners, r.leader)
+		fmt.Fprintf(&text, "%6.0f %7d %10d %7d %4.0f %8d %9d %9.0f %s %v %s\n", r.at.Seconds(), r.waiting, r.unassigned, r.revision, r.cpus, r.machines, r.withRoom, r.longest.Seconds(), r.where, r.owners, r.leader)
 	}
 	if err := os.WriteFile(filepath.Join(to, "census.txt"), []byte(text.String()), 0o600); err != nil {
 		t.Error(err)
--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -81,6 +81,16 @@
 // its own.
 var site = flag.Int("loopback.site", 0, "which of the machine's deployments this is, 0 to 9")
 
+// fleets is how many fleets this process has started: stand-ins serve until it ends, so
+// each fleet has addresses of its own, those of a site that no flag names.
+var fleets int
+
+// sitesNamed is how many sites the flag can name.
+const sitesNamed = 10
+
+// siteNow is the site of the latest fleet.
+func siteNow() int { return *site + sitesNamed*(fleets-1) }
+
 // Ports of a site: the stand-ins', and the first of the controllers'.
 const (
 	firstPort = 23700
@@ -92,14 +102,14 @@
 )
 
 func localAddress(port int) string {
-	return fmt.Sprintf("127.0.0.1:%d", firstPort+*site*sitePorts+port)
+	return fmt.Sprintf("127.0.0.1:%d", firstPort+siteNow()*sitePorts+port)
 }
 
 func storeAddr() string            { return localAddress(storePort) }
 func cloudAddr() string            { return localAddress(cloudPort) }
 func frontAddress(node int) string { return localAddress(frontPort + node) }
 func peerAddress(node int) string  { return localAddress(peerPort + node) }
-func machineAddress(n int) string  { return fmt.Sprintf("127.%d.%d.%d:9000", 1+*site, n/250, n%250+1) }
+func machineAddress(n int) string  { return fmt.Sprintf("127.%d.%d.%d:9000", 1+siteNow(), n/250, n%250+1) }
 
 // fleet is the world around the controllers.
 type fleet struct {
@@ -161,6 +171,7 @@
 
 // newFleet builds the program and starts everything.
 func newFleet(b testing.TB, d deployment) *fleet {
+	fleets++
 	r := newRecord()
 	f := &fleet{deployment: d, store: newStore(r), record: r, runTime: map[string]time.Duration{}, clients: map[string]*httpwire.Client{}, cutOff: make([]atomic.Bool, d.controllers())}
 	f.cloud = newCloud(d.zones, d.machines, func(m *machine) { go m.run(f) })
--- a/internal/loopback/store_test.go
+++ b/internal/loopback/store_test.go
@@ -119,6 +119,30 @@
 	return node
 }
 
+// unassigned counts the tasks of arrays that are in no assignment, and tells the
+// revision.
+func (s *store) unassigned() (tasks int, revision uint64) {
+	s.mu.Lock()
+	values := map[string]json.RawMessage{}
+	for key, e := range s.keys {
+		if strings.HasPrefix(key, state.KeyJob("")) {
+			values[key] = e.value
+		}
+	}
+	revision = s.revision
+	s.mu.Unlock()
+	for key, value := range values {
+		record, err := state.Decode(key, value)
+		if err != nil {
+			panic(err) // the controllers' own record
+		}
+		if j := record.(*state.Job); j.End == "" && !j.Spec.IsService() {
+			tasks += state.TasksIn(j.Unassigned())
+		}
+	}
+	return tasks, revision
+}
+
 func (s *store) holderOf(key string) (node string, term uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
