--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -109,7 +109,9 @@
 func cloudAddr() string            { return localAddress(cloudPort) }
 func frontAddress(node int) string { return localAddress(frontPort + node) }
 func peerAddress(node int) string  { return localAddress(peerPort + node) }
-func machineAddress(n int) string  { return fmt.Sprintf("127.%d.%d.%d:9000", 1+siteNow(), n/250, n%250+1) }
+func machineAddress(n int) string {
+	return fmt.Sprintf("127.%d.%d.%d:9000", 1+siteNow(), n/250, n%250+1)
+}
 
 // fleet is the world around the controllers.
 type fleet struct {
