--- a/shard/bestfit.go
+++ b/shard/bestfit.go
@@ -69,7 +69,7 @@
 			score += constants.ScoreOrdinary
 		}
 	}
-	if m.draining {
+	if m.draining || m.leavesNext {
 		score += constants.ScoreDraining
 	}
 	if m.forGangs && !s.IsGang() {
--- a/shard/draining.go
+++ b/shard/draining.go
@@ -139,6 +139,9 @@
 	d.turn++
 	c.settleMoves(now)
 	c.liftCordons()
+	for _, m := range c.fleet {
+		m.leavesNext = false
+	}
 	if c.rebuilt && !c.isUnreachable {
 		for _, number := range d.numbers() {
 			c.advanceDrain(now, number, d.drains[number])
@@ -264,6 +267,9 @@
 // what runs on them, and records how far the drain has come.
 func (c *Core) advanceDrain(now time.Time, number int, s *drain.Steps) {
 	machines := c.selected(&s.Record().Selection)
+	for _, m := range machines {
+		m.leavesNext = s.Record().State == state.DrainRunning
+	}
 	byName := make(map[string]*machine, len(machines))
 	candidates := make([]drain.Candidate, 0, len(machines))
 	for _, m := range machines {
--- a/shard/model.go
+++ b/shard/model.go
@@ -151,6 +151,7 @@
 	returning    bool
 	closing      closing
 	cordon       *cordon // it takes no new task; nil: it may
+	leavesNext   bool    // a drain that runs takes it in: what comes here would move once more
 	draining     bool    // its tasks move elsewhere; it takes new ones last
 	spareSince   time.Time
 	avoidUntil   time.Time
--- a/shard/moving.go
+++ b/shard/moving.go
@@ -87,8 +87,10 @@
 	return ""
 }
 
-// roomToMove is a machine with room for a task, beside what is on its way there.
+// roomToMove is a machine with room for a task, beside what is on its way there: one that
+// stays, unless none can be rented.
 func (c *Core) roomToMove(now time.Time, s *wire.Submission) *machine {
+	_, _, rentable := c.pick(now, s)
 	promised := map[*machine]resources{}
 	for t, m := range c.draining.moves {
 		if t.hold == nil || t.hold.stop {
@@ -96,7 +98,7 @@
 		}
 	}
 	return c.bestFit(now, s, func(m *machine) bool {
-		return need(s).fits(c.free(m).minus(promised[m]))
+		return !(rentable && m.leavesNext) && need(s).fits(c.free(m).minus(promised[m]))
 	})
 }
 
