--- a/node/standin_draining_test.go
+++ b/node/standin_draining_test.go
@@ -285,6 +285,9 @@
 	time.Sleep(15 * time.Second)
 	old := w.present()
 	number := w.startDrain(t, state.Selection{})
+	if s.unguard != nil { // what owners tell each other takes longer, as under load
+		w.do(func() { w.slow = 800 * time.Millisecond })
+	}
 	if s.hurt != nil {
 		s.hurt(t, w, number)
 	}
