--- a/node/draining_test.go
+++ b/node/draining_test.go
@@ -334,22 +334,10 @@
 func TestDrainBesideOneWithout(t *testing.T) {
 	quietLogs(t)
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorldOf(4, []string{"a", "b", "c"}, 3, magnoliaTimes)
-		w.late, w.tame = 0, true
-		for k := range w.capacity {
-			w.capacity[k] = 10
-		}
-		w.drainTo(drainSettings)
-		w.nodes[1].set.Draining = nil
-		for _, n := range w.nodes {
-			n.start()
-		}
-		go w.expireLeases()
+		w := drainWorld(4, "")
 		defer w.shut()
-		time.Sleep(5 * time.Second)
-		w.replicas(t, 6, 3)
-		w.watchDisruption(2)
-		time.Sleep(15 * time.Second)
+		w.nodes[1].set.Draining = nil
+		w.beginDrains(t)
 		if _, err := (simPeer{w.nodes[0], w.nodes[1]}).Drain(context.Background(), peer.DrainRequest{Op: peer.OpStatus}); err != peer.ErrNoDrains {
 			t.Errorf("it answers: %v", err)
 		}
--- a/node/standin_draining_test.go
+++ b/node/standin_draining_test.go
@@ -264,25 +264,39 @@
 	unguard func(*shard.DrainingConfig)
 }
 
-// play drains a deployment that is at work and returns what rules were broken.
-func (s drainScenario) play(t *testing.T, seed uint64) []string {
+// drainWorld is a deployment of three shards that keeps room to drain machines. Its
+// controllers are not started yet.
+func drainWorld(seed uint64, more string) *world {
 	w := newWorldOf(seed, []string{"a", "b", "c"}, 3, magnoliaTimes)
 	w.late, w.tame = 0, true
-	w.lostAnswers, w.lateWrites, w.repeats = 0.01, 0.01, 0.01
 	for k := range w.capacity {
 		w.capacity[k] = 10
 	}
-	w.drainTo(drainSettings + s.settings)
+	w.drainTo(drainSettings + more)
+	return w
+}
+
+// beginDrains starts the controllers, has 18 replicas run, and judges stops from then on.
+func (w *world) beginDrains(t *testing.T) {
+	t.Helper()
 	for _, n := range w.nodes {
-		n.unguardDrains = s.unguard
 		n.start()
 	}
 	go w.expireLeases()
-	defer w.shut()
 	time.Sleep(5 * time.Second)
 	w.replicas(t, 6, 3)
 	w.watchDisruption(2)
 	time.Sleep(15 * time.Second)
+}
+
+// play drains a deployment that is at work and returns what rules were broken.
+func (s drainScenario) play(t *testing.T, seed uint64) []string {
+	w := drainWorld(seed, s.settings)
+	defer w.shut()
+	for _, n := range w.nodes {
+		n.unguardDrains = s.unguard
+	}
+	w.beginDrains(t)
 	old := w.present()
 	number := w.startDrain(t, state.Selection{})
 	if s.unguard != nil { // what owners tell each other takes longer, as under load
