Drains leave tasks alone that are not up but may come up

Cause: a task that is not up counts as unavailable already, so a drain stopped it without asking the account. Change: a task that runs is never stopped before it has proved itself; one that does not run yet only once the time for replacements has passed since the cordon. Measured: TestDrainLeavesAloneWhatMayComeUp fails without the change (3 not up at a stop, 1 may be).

--- a/shard/draining_test.go
+++ b/shard/draining_test.go
@@ -70,3 +70,36 @@
 		t.Error("a second one is moved before the first has proved itself")
 	}
 }
+
+// A drain leaves tasks alone that are about to come up, and moves them within the budget
+// once they have: what an owner has just heard of counts as unavailable, but may have run
+// for long. Guards against a takeover after which a machine's tasks were stopped all at once.
+func TestDrainLeavesAloneWhatMayComeUp(t *testing.T) {
+	r := newRig(nil)
+	j := r.withAccount()
+	r.up("m-2")
+	for _, task := range j.tasks { // as if each had just been heard of, while it was fetched
+		task.hold.runSince = r.now
+	}
+	spread := state.Drain{Number: 1, State: state.DrainRunning, Proven: true, Selection: state.Selection{Machines: []string{"m-0", "m-1"}}}
+	r.Apply(r.now, state.Change{Key: state.KeyDrain(1), Version: r.version, Record: &spread})
+	moved := map[*task]bool{}
+	for range 240 {
+		r.serve(250 * time.Millisecond)
+		notUp := 0
+		for _, task := range j.tasks {
+			if !r.isUp(r.now, task) {
+				notUp++
+			}
+		}
+		for task := range r.draining.moves {
+			if !moved[task] && notUp > 1 {
+				t.Fatalf("a task is stopped while %d are not up, of which one may be", notUp)
+			}
+			moved[task] = true
+		}
+	}
+	if len(moved) != len(j.tasks) {
+		t.Errorf("%d of %d tasks were moved", len(moved), len(j.tasks))
+	}
+}
--- a/shard/moving.go
+++ b/shard/moving.go
@@ -65,6 +65,9 @@
 	s := &t.job.rec.Spec
 	keys := c.budgetsOf(t.job)
 	isUp := c.isUp(now, t)
+	if !isUp && c.mayComeUp(now, t.hold) {
+		return "a task of " + s.ID + " is not up yet"
+	}
 	if refused := d.ledger.Check(now, keys); refused != nil && isUp {
 		return refused.Error()
 	}
@@ -87,6 +90,13 @@
 	return ""
 }
 
+// mayComeUp says whether an attempt that is not up is left alone to become so. To stop it
+// would take nothing more down as the owner counts, but would keep its task down for
+// longer, and after a takeover it may have run for long without the owner's knowledge.
+func (c *Core) mayComeUp(now time.Time, h *hold) bool {
+	return h.state == wire.TaskRunning || now.Sub(h.m.cordon.since) < c.draining.cfg.Policy.ReplaceWithin
+}
+
 // roomToMove is a machine with room for a task, beside what is on its way there: one that
 // stays, unless none can be rented.
 func (c *Core) roomToMove(now time.Time, s *wire.Submission) *machine {
