Drains: promised room is summed once a step; coming room is given away in one place

Need: roomToMove built its map of promised room for each of up to 32 looks a step, Ledger.Write and Written made the same record, takesComing repeated beyondComing. Change: one map a step, Ledger.record, capacity.takeComing. Tests of shard and disruption pass; no behaviour changes but that drains, too, take spot room first.

--- a/disruption/ledger.go
+++ b/disruption/ledger.go
@@ -264,10 +264,6 @@
 	if mine.record != nil && mine.record.Term == l.cfg.Term && maps.Equal(next, l.written) && len(compared) == 0 {
 		return nil, nil
 	}
-	record := state.Claim{Shard: l.cfg.Shard, Term: l.cfg.Term, Down: map[string]int{}}
-	for k, n := range next {
-		record.Down[k.String()] = n
-	}
 	key := state.KeyClaim(l.cfg.Shard)
 	conditions := []wire.Condition{{Key: key, Version: mine.version}}
 	if len(compared) > 0 {
@@ -283,7 +279,16 @@
 	if !urgent {
 		l.nextWrite = now.Add(constants.ClaimGapIdle)
 	}
-	return []wire.Change{{Put: key, Value: state.Encode(record)}}, conditions
+	return []wire.Change{{Put: key, Value: state.Encode(l.record(next))}}, conditions
+}
+
+// record is this term's claim of so much.
+func (l *Ledger) record(down Counts) *state.Claim {
+	r := &state.Claim{Shard: l.cfg.Shard, Term: l.cfg.Term, Down: map[string]int{}}
+	for k, n := range down {
+		r.Down[k.String()] = n
+	}
+	return r
 }
 
 // target is what the claim should be, and for which budgets it is raised for stops to
@@ -322,11 +327,7 @@
 	if revision < l.claims[l.cfg.Shard].version {
 		return
 	}
-	record := &state.Claim{Shard: l.cfg.Shard, Term: l.cfg.Term, Down: map[string]int{}}
-	for k, n := range sent {
-		record.Down[k.String()] = n
-	}
-	l.claims[l.cfg.Shard] = claim{record, revision}
+	l.claims[l.cfg.Shard] = claim{l.record(sent), revision}
 	l.written = sent
 	for _, k := range compared {
 		l.granted[k] = sent[k]
--- a/shard/draining.go
+++ b/shard/draining.go
@@ -27,15 +27,16 @@
 type draining struct {
 	cfg      DrainingConfig
 	ledger   *disruption.Ledger
-	drains   map[int]*drain.Steps // those that are not over, by number
-	damaged  map[int]bool         // drains whose record cannot be read
-	moves    map[*task]*move      // tasks that were stopped and are not up again
-	surge    []*task              // that may be moved and find no room
-	headroom disruption.Counts    // how many more of those the budgets allow
-	waits    map[int]string       // by drain: why it waits
-	steps    pace                 // counts and goes on with drains
-	looks    int                  // for machines with room, in this step
-	turn     int                  // counts steps: each begins with another machine
+	drains   map[int]*drain.Steps   // those that are not over, by number
+	damaged  map[int]bool           // drains whose record cannot be read
+	moves    map[*task]*move        // tasks that were stopped and are not up again
+	promised map[*machine]resources // room for those, as this step keeps it
+	surge    []*task                // that may be moved and find no room
+	headroom disruption.Counts      // how many more of those the budgets allow
+	waits    map[int]string         // by drain: why it waits
+	steps    pace                   // counts and goes on with drains
+	looks    int                    // for machines with room, in this step
+	turn     int                    // counts steps: each begins with another machine
 }
 
 // move is a service's task on its way to another machine.
@@ -138,6 +139,7 @@
 	d.surge, d.headroom, d.looks = d.surge[:0], disruption.Counts{}, 0
 	d.turn++
 	c.settleMoves(now)
+	d.promised = c.promised()
 	c.liftCordons()
 	for _, m := range c.fleet {
 		m.leavesNext = false
--- a/shard/moving.go
+++ b/shard/moving.go
@@ -74,7 +74,7 @@
 	if d.looks++; d.looks > constants.DrainLooks {
 		return "others are looked at first"
 	}
-	to := c.roomToMove(now, s)
+	to := c.roomToMove(now, s, d.promised)
 	if to == nil {
 		c.askForRoom(now, t, keys)
 		return "no machine has room for a task of " + s.ID
@@ -87,6 +87,7 @@
 	slog.Info("draining: task moves", "task", t.hold.key.task, "from", t.hold.m.name, "room_on", to.name, "drain", number)
 	c.stopHold(t.hold)
 	d.moves[t] = &move{drain: number, to: to, needs: need(s), since: now}
+	d.promised[to] = d.promised[to].plus(need(s))
 	return ""
 }
 
@@ -97,16 +98,21 @@
 	return h.state == wire.TaskRunning || now.Sub(h.m.cordon.since) < c.draining.cfg.Policy.ReplaceWithin
 }
 
-// roomToMove is a machine with room for a task, beside what is on its way there: one that
-// stays, unless none can be rented.
-func (c *Core) roomToMove(now time.Time, s *wire.Submission) *machine {
-	_, _, rentable := c.pick(now, s)
+// promised is the room on machines that tasks on their way there are to get.
+func (c *Core) promised() map[*machine]resources {
 	promised := map[*machine]resources{}
 	for t, m := range c.draining.moves {
 		if t.hold == nil || t.hold.stop {
 			promised[m.to] = promised[m.to].plus(m.needs)
 		}
 	}
+	return promised
+}
+
+// roomToMove is a machine with room for a task, beside what is promised to others: one
+// that stays, unless none can be rented.
+func (c *Core) roomToMove(now time.Time, s *wire.Submission, promised map[*machine]resources) *machine {
+	_, _, rentable := c.pick(now, s)
 	return c.bestFit(now, s, func(m *machine) bool {
 		return !(rentable && m.leavesNext) && need(s).fits(c.free(m).minus(promised[m]))
 	})
@@ -137,7 +143,7 @@
 	}
 	for _, t := range c.draining.surge {
 		s := &t.job.rec.Spec
-		if c.takesComing(s) {
+		if c.takeComing(s, 1) == 1 {
 			continue
 		}
 		typ, spot, ok := c.pick(now, s)
@@ -149,18 +155,6 @@
 	}
 }
 
-// takesComing gives a task room that is coming, if any fits it.
-func (c *Core) takesComing(s *wire.Submission) bool {
-	for i := range c.roomComing {
-		b := &c.roomComing[i]
-		if need(s).fits(b.free) && allowed(s, b.typ, b.spot) {
-			b.free = b.free.minus(need(s))
-			return true
-		}
-	}
-	return false
-}
-
 // mayConsolidate asks the account whether a service's task may be moved to do without
 // its machine.
 func (c *Core) mayConsolidate(now time.Time, t *task) bool {
@@ -170,6 +164,7 @@
 // PlanDrain says what a drain would do in this shard.
 func (c *Core) PlanDrain(now time.Time, s *state.Selection) drain.ShardPlan {
 	p := drain.ShardPlan{Shard: c.cfg.Shard, Moves: map[string]int{}, Usage: c.Usage(now)}
+	promised := c.promised()
 	for _, m := range c.selected(s) {
 		p.Machines++
 		if c.sumsOf(m).live == 0 {
@@ -178,7 +173,7 @@
 		}
 		for _, h := range m.holds {
 			if t := c.taskOf(h); t != nil && t.hold == h && !h.exited() {
-				c.planMove(now, &p, t, m)
+				c.planMove(now, &p, t, promised)
 			}
 		}
 	}
@@ -190,7 +185,7 @@
 }
 
 // planMove adds what is known of one task's move.
-func (c *Core) planMove(now time.Time, p *drain.ShardPlan, t *task, m *machine) {
+func (c *Core) planMove(now time.Time, p *drain.ShardPlan, t *task, promised map[*machine]resources) {
 	s := &t.job.rec.Spec
 	if !s.IsService() {
 		p.Arrays++
@@ -205,12 +200,12 @@
 	}
 	obstacle := func(why string, permanent bool) {
 		if len(p.Obstacles) < constants.DrainNames {
-			p.Obstacles = append(p.Obstacles, drain.Obstacle{Job: s.ID, Machine: m.name, Why: why, Permanent: permanent})
+			p.Obstacles = append(p.Obstacles, drain.Obstacle{Job: s.ID, Machine: t.hold.m.name, Why: why, Permanent: permanent})
 		}
 	}
 	if refused := c.draining.ledger.Check(now, keys); refused != nil && refused.Reason == disruption.Never {
 		obstacle(refused.Error(), true)
-	} else if _, _, rentable := c.pick(now, s); !rentable && c.roomToMove(now, s) == nil {
+	} else if _, _, rentable := c.pick(now, s); !rentable && c.roomToMove(now, s, promised) == nil {
 		obstacle("no machine has room for it, and none can be rented now", false)
 	}
 }
--- a/shard/rent.go
+++ b/shard/rent.go
@@ -129,28 +129,35 @@
 	c.request(now, r.want)
 }
 
-// beyondComing gives a job's ready tasks the room that is coming, spot room first since
-// ordinary room is all that some may use, and returns those that it does not take.
+// beyondComing gives a job's ready tasks the room that is coming and returns those that
+// it does not take.
 func (c *Core) beyondComing(now time.Time, j *job) []*task {
 	s := &j.rec.Spec
-	n := need(s)
 	tasks := c.appendReady(c.scratch[:0], now, j)
 	c.scratch = tasks
-	c.unplaced = c.unplaced.plus(n.times(len(tasks)))
+	c.unplaced = c.unplaced.plus(need(s).times(len(tasks)))
+	return tasks[c.takeComing(s, len(tasks)):]
+}
+
+// takeComing gives so many tasks of a job room that is coming, spot room first since
+// ordinary room is all that some may use, and returns how many it takes.
+func (c *capacity) takeComing(s *wire.Submission, tasks int) int {
+	n := need(s)
+	left := tasks
 	for _, spot := range []bool{true, false} {
 		for i := range c.roomComing {
-			if len(tasks) == 0 {
-				return nil
+			if left == 0 {
+				return tasks
 			}
 			b := &c.roomComing[i]
 			if b.spot == spot && n.fits(b.free) && allowed(s, b.typ, b.spot) {
-				k := min(len(tasks), b.free.holdsOf(n))
+				k := min(left, b.free.holdsOf(n))
 				b.free = b.free.minus(n.times(k))
-				tasks = tasks[k:]
+				left -= k
 			}
 		}
 	}
-	return tasks
+	return tasks - left
 }
 
 // rentFor rents for a job's tasks that nothing coming takes, or sends them back.
