Drains are played through a spot wave, a late failure, a raised budget, a late cancel

Change: a wave of spot machines with services on them is taken back with a notice, a replacement fails just after its step closed, the budget is raised meanwhile, the drain is cancelled with its last machine closed. Each asserts that it came about.

--- a/node/draining_test.go
+++ b/node/draining_test.go
@@ -190,6 +190,49 @@
 			w.command(t, peer.OpCancel, number)
 			w.until(t, "what was closed is returned", time.Minute, func() bool { return w.closedMachines() == 0 })
 		}},
+		{name: "cancelled at its very last step", ends: state.DrainCancelled, either: true, hurt: func(t *testing.T, w *world, number int) {
+			old := w.present()
+			isOld := func(name string) bool { return old[name] }
+			w.until(t, "the last machine is closed", 12*time.Minute, func() bool { return w.left(old) == 1 && w.closedOf(isOld) == 1 })
+			if problem := w.drains(t, peer.DrainRequest{Op: peer.OpCancel, Number: number}).Problem; problem != nil && w.drainRecord(number).State == state.DrainRunning {
+				t.Errorf("cancelling: %v", problem)
+			}
+			w.until(t, "what was closed is returned", time.Minute, func() bool { return w.closedOf(isOld) == 0 && w.left(old) == 0 })
+			w.until(t, "nothing stays cordoned", time.Minute, func() bool { return w.cordonedMachines(t, number) == 0 })
+		}},
+		{name: "a replacement turns unhealthy just after its step closed", hurt: func(t *testing.T, w *world, _ int) {
+			old := w.present()
+			w.until(t, "a machine is replaced", 6*time.Minute, func() bool { return w.moved().Replaced > 0 && w.left(old) < len(old) })
+			failed := w.moved().Failed
+			w.do(func() { w.lookAtServices() })
+			w.failNewest()
+			w.until(t, "the failure is seen", time.Minute, func() bool { return w.moved().Failed > failed })
+		}},
+		{name: "a wave of spot machines is taken back", spot: true, hurt: func(t *testing.T, w *world, number int) {
+			midway(t, w)
+			failed := w.moved().Failed
+			if n := w.takeSpotBack(10 * time.Second); n < 3 {
+				t.Errorf("the wave takes %d machines", n)
+			}
+			w.until(t, "the drain waits for the budget", time.Minute, func() bool {
+				return slices.ContainsFunc(w.view(t, number).Shards, func(p drain.Progress) bool { return strings.Contains(p.Waits, "used up") })
+			})
+			w.until(t, "the wave takes tasks down", time.Minute, func() bool { return w.moved().Failed > failed+2 })
+		}},
+		{name: "the budget is raised while it runs", hurt: func(t *testing.T, w *world, _ int) {
+			midway(t, w)
+			if worst := w.moved().Worst; worst > 2 {
+				t.Errorf("%d were down by choice before", worst)
+			}
+			w.do(func() { w.disruption.SetMost(4) })
+			for _, n := range w.nodes {
+				n.kill()
+				n.set.Draining = n.parseDraining(strings.Replace(drainSettings, "* = 2", "* = 4", 1))
+				time.Sleep(3 * time.Second)
+				n.start()
+			}
+			w.until(t, "the new budget is used", 6*time.Minute, func() bool { return w.moved().Worst > 2 })
+		}},
 		{name: "machines that never boot", ends: state.DrainStopped, idle: true, hurt: func(t *testing.T, w *world, number int) {
 			w.do(func() { w.upIn = 1000 * time.Hour })
 		}},
--- a/node/standin_draining_test.go
+++ b/node/standin_draining_test.go
@@ -222,7 +222,7 @@
 	t.Helper()
 	for i := range jobs {
 		j := &simJob{spec: wire.Submission{ID: fmt.Sprintf("run-%06d", 900+i), Class: "s", Team: "free", Kind: wire.KindService, Priority: wire.PriorityProduction,
-			Tasks: tasks, CPUs: 4, MemoryGB: 1, Image: "i", ImageGB: 1, Spread: true}, doneTasks: map[int]bool{}}
+			Tasks: tasks, CPUs: 4, MemoryGB: 1, Image: "i", ImageGB: 1, Spread: true, Spot: w.spotReplicas}, doneTasks: map[int]bool{}}
 		w.do(func() { w.jobs[j.spec.ID] = j })
 		go w.user(j, 0, 0)
 	}
@@ -258,6 +258,10 @@
 	ends state.DrainState
 	// settings are added to those of all plays.
 	settings string
+	// either: it may as well have finished before.
+	either bool
+	// spot: services may run on spot machines.
+	spot bool
 	// idle: nothing need be moved.
 	idle bool
 	// unguard takes away what the budget rests on; the play must then break it.
@@ -293,6 +297,7 @@
 func (s drainScenario) play(t *testing.T, seed uint64) []string {
 	w := drainWorld(seed, s.settings)
 	defer w.shut()
+	w.spotReplicas = s.spot
 	for _, n := range w.nodes {
 		n.unguardDrains = s.unguard
 	}
@@ -314,7 +319,7 @@
 		if n := w.left(old); n > 0 {
 			t.Errorf("%d of %d machines are still there", n, len(old))
 		}
-	} else {
+	} else if !s.either || w.drainRecord(number).State != state.DrainFinished {
 		w.drainEnds(t, number, s.ends, 12*time.Minute)
 	}
 	w.until(t, "all replicas run again", 3*time.Minute, func() bool { return w.replicasUp() == 18 })
@@ -360,6 +365,11 @@
 
 // closedMachines counts machines that are durably closed.
 func (w *world) closedMachines() int {
+	return w.closedOf(func(string) bool { return true })
+}
+
+// closedOf counts those of some machines that are durably closed.
+func (w *world) closedOf(some func(name string) bool) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n := 0
@@ -367,7 +377,7 @@
 		record, err := state.Decode(key, e.value)
 		if page, ok := record.(*state.Page); ok && err == nil {
 			for _, m := range page.Machines() {
-				if m.Closed {
+				if m.Closed && some(m.Name) {
 					n++
 				}
 			}
@@ -387,3 +397,46 @@
 		}
 	}
 }
+
+// takeSpotBack tells all spot machines that run something that they are taken back
+// after a notice, and returns how many those are.
+func (w *world) takeSpotBack(notice time.Duration) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for name, m := range w.machines {
+		if !m.spot || len(m.held) == 0 {
+			continue
+		}
+		n++
+		m.takenBack, m.changed = time.Now().Add(notice), true
+		time.AfterFunc(notice, func() { w.do(func() { w.remove(name) }) })
+	}
+	return n
+}
+
+// failNewest has the service's task that began to run last end with an error.
+func (w *world) failNewest() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var newest *simTask
+	var on *simWorker
+	for _, m := range w.machines {
+		for _, x := range m.held {
+			if x.state == wire.TaskRunning && (newest == nil || x.since.After(newest.since)) {
+				newest, on = x, m
+			}
+		}
+	}
+	newest.state, newest.cause, newest.next = wire.TaskExited, wire.CauseError, time.Time{}
+	on.changed = true
+}
+
+// cordonedMachines counts the machines that the controllers show as cordoned for a drain.
+func (w *world) cordonedMachines(t *testing.T, number int) int {
+	n := 0
+	for _, p := range w.view(t, number).Shards {
+		n += len(p.Cordoned)
+	}
+	return n
+}
--- a/node/standin_test.go
+++ b/node/standin_test.go
@@ -94,8 +94,9 @@
 	keepCopies bool           // all reports are kept, to come again
 	copies     []*wire.Report // those kept
 
-	disruption *disruptioncheck.Check // nil: stops are not judged
-	faulty     map[string]bool        // machines that are not in it end every task with an error; nil: none does
+	disruption   *disruptioncheck.Check // nil: stops are not judged
+	spotReplicas bool                   // services may run on spot machines
+	faulty       map[string]bool        // machines that are not in it end every task with an error; nil: none does
 
 	seen map[string]int // what came about, for scenarios to ask after
 }
--- a/node/standin_worker_test.go
+++ b/node/standin_worker_test.go
@@ -33,6 +33,7 @@
 	held        map[string]*simTask
 	changed     bool
 	unheard     []time.Time // when a direct command to it had no answer
+	takenBack   time.Time   // when its provider takes it back, of which it tells; zero: never
 }
 
 type simTask struct {
@@ -48,6 +49,10 @@
 func (m *simWorker) report() *wire.Report {
 	m.seq++
 	r := &wire.Report{Machine: m.name, Addr: m.name, Type: "box", Zone: m.zone, Spot: m.spot, Session: m.session, Seq: m.seq, Token: m.token}
+	if !m.takenBack.IsZero() {
+		left := max(0, time.Until(m.takenBack).Seconds())
+		r.NoticeS = &left
+	}
 	for _, t := range m.held {
 		r.Tasks = append(r.Tasks, wire.TaskStatus{Task: t.name, Attempt: t.attempt, State: t.state, Cause: t.cause, Saved: t.kept})
 	}
@@ -379,7 +384,7 @@
 				continue
 			}
 			job, _, _ := wire.SplitTask(c.Task)
-			if t.state == wire.TaskRunning {
+			if t.state == wire.TaskRunning && m.takenBack.IsZero() {
 				m.w.stopped(t.name)
 			}
 			if j := m.w.jobs[job]; j.spec.IsGang() {
