--- a/internal/loopback/drain_test.go
+++ b/internal/loopback/drain_test.go
@@ -222,12 +222,7 @@
 			time.AfterFunc(life, func() { f.restart(node) })
 		}},
 		{"a machine is lost with what runs on it", 4 * life, func() {
-			for _, m := range f.cloud.present() {
-				if cpus, up := m.load(f); up && cpus > 0 {
-					f.cloud.giveBack([]string{m.name})
-					return
-				}
-			}
+			f.cloud.giveBack([]string{f.machineOfAService()})
 		}},
 		{"an owner is paused past its lease", 5 * life, func() {
 			c := f.controllers[owner("b")]
@@ -264,6 +259,18 @@
 	}
 }
 
+// machineOfAService is a machine on which a task of a service runs.
+func (f *fleet) machineOfAService() string {
+	f.record.mu.Lock()
+	defer f.record.mu.Unlock()
+	for task, stays := range f.record.stays {
+		if last := stays[len(stays)-1]; last.to.IsZero() && f.record.judges(task) {
+			return last.machine
+		}
+	}
+	return ""
+}
+
 // servicesUp counts the tasks of services that are on a machine.
 func (f *fleet) servicesUp() int {
 	f.record.mu.Lock()
