Arrays and gangs have budgets: of interruptions, a gang counting as one

Change: disruption.interruptions.TEAM[/CLASS], a number. Counted are arrays' tasks and gangs that ran and do not, until they have proved themselves again; the same claims carry them. A new owner takes as many of those that wait as the last one claimed. Found by its check on the workers' side: a task that was stopped and sent on to another shard before the next look did not count (2 of 1 down); it does at once now.

--- a/disruption/budget.go
+++ b/disruption/budget.go
@@ -18,23 +18,41 @@
 type Key struct {
 	Team  string
 	Class string // empty: all classes of the team
+	// Interruptions: the budget is of tasks of arrays that ran and do not run any more
+	// before they are done, and of gangs, each as one. Else it is of services' tasks that
+	// are unavailable.
+	Interruptions bool
 }
 
+// InterruptionsPrefix stands before the team in the name of a budget of interruptions.
+const InterruptionsPrefix = "interruptions:"
+
 func (k Key) String() string {
-	if k.Class == "" {
-		return k.Team
+	name := k.Team
+	if k.Class != "" {
+		name += "/" + k.Class
+	}
+	if k.Interruptions {
+		return InterruptionsPrefix + name
 	}
-	return k.Team + "/" + k.Class
+	return name
 }
 
 // ParseKey reads what String wrote.
 func ParseKey(s string) Key {
-	team, class, _ := strings.Cut(s, "/")
-	return Key{team, class}
+	name, isInterruptions := strings.CutPrefix(s, InterruptionsPrefix)
+	team, class, _ := strings.Cut(name, "/")
+	return Key{team, class, isInterruptions}
 }
 
-// compare orders keys by team and class.
+// compare orders keys by team and class, those of services first.
 func (k Key) compare(other Key) int {
+	if k.Interruptions != other.Interruptions {
+		if other.Interruptions {
+			return -1
+		}
+		return 1
+	}
 	return cmp.Or(strings.Compare(k.Team, other.Team), strings.Compare(k.Class, other.Class))
 }
 
@@ -89,8 +107,9 @@
 // Budgets are the budgets that are set. The zero value sets none.
 type Budgets struct {
 	set map[Key]Amount
-	// others, if there is one, holds for each team that has no budget of its own.
-	others *Amount
+	// others and otherInterruptions, if there are any, hold for each team that has no
+	// budget of the kind of its own.
+	others, otherInterruptions *Amount
 }
 
 // Set adds a budget.
@@ -101,19 +120,21 @@
 	b.set[k] = a
 }
 
-// SetOthers sets the budget of each team that has none of its own.
+// SetOthers sets the budget of services of each team that has none of its own.
 func (b *Budgets) SetOthers(a Amount) { b.others = &a }
 
-// Empty says that there is no budget at all.
-func (b Budgets) Empty() bool { return len(b.set) == 0 && b.others == nil }
+// SetOtherInterruptions sets the budget of interruptions of each team that has none of
+// its own.
+func (b *Budgets) SetOtherInterruptions(a Amount) { b.otherInterruptions = &a }
 
-// Of lists the budgets that a task counts against, and is empty if it is free.
-func (b Budgets) Of(team, class string) []Key {
+// Of lists the budgets that a task of a service, or else of an array or a gang, counts
+// against, and is empty if it is free.
+func (b Budgets) Of(team, class string, isService bool) []Key {
 	var keys []Key
-	if k := (Key{Team: team}); b.has(k) {
+	if k := (Key{Team: team, Interruptions: !isService}); b.has(k) {
 		keys = append(keys, k)
 	}
-	if k := (Key{team, class}); class != "" && b.has(k) {
+	if k := (Key{team, class, !isService}); class != "" && b.has(k) {
 		keys = append(keys, k)
 	}
 	return keys
@@ -129,8 +150,12 @@
 	if a, ok := b.set[k]; ok {
 		return a, true
 	}
-	if k.Class == "" && b.others != nil {
-		return *b.others, true
+	others := b.others
+	if k.Interruptions {
+		others = b.otherInterruptions
+	}
+	if k.Class == "" && others != nil {
+		return *others, true
 	}
 	return Amount{}, false
 }
--- a/disruption/ledger.go
+++ b/disruption/ledger.go
@@ -143,8 +143,13 @@
 	l.down, l.ready = down, ready
 }
 
-// KeysOf lists the budgets that a task of a job counts against.
-func (l *Ledger) KeysOf(team, class string) []Key { return l.cfg.Budgets.Of(team, class) }
+// KeysOf lists the budgets that the tasks of a job count against.
+func (l *Ledger) KeysOf(s *wire.Submission) []Key {
+	return l.cfg.Budgets.Of(s.Team, s.Class, s.IsService())
+}
+
+// Inherited is what earlier owners of the shard claimed of a budget.
+func (l *Ledger) Inherited(k Key) int { return l.floor[k] }
 
 // limit is how many tasks a budget lets be unavailable.
 func (l *Ledger) limit(k Key) int {
@@ -236,7 +241,7 @@
 			return &Refusal{Reason: Writing, Budget: k}
 		}
 	}
-	l.down.add(keys, 1)
+	l.down.Add(keys, 1)
 	return nil
 }
 
@@ -247,7 +252,7 @@
 			return
 		}
 	}
-	l.wanted.add(keys, 1)
+	l.wanted.Add(keys, 1)
 }
 
 // Write returns the transaction's changes and conditions for a claim that is to be
--- a/disruption/ledger_test.go
+++ b/disruption/ledger_test.go
@@ -152,14 +152,14 @@
 func (m *model) step(o *modelOwner) {
 	m.deliver(o, o.read+m.pick(len(m.log)-o.read+1))
 	down := Counts{}
-	keys := o.ledger.KeysOf(modelTeam, "c")
+	keys := o.ledger.KeysOf(&wire.Submission{Team: modelTeam, Class: "c", Kind: wire.KindService})
 	var up []int
 	for i := range m.tasks {
 		t := &m.tasks[i]
 		switch {
 		case o.views[i] != o.shard:
 		case t.shard != o.shard || o.stopping[i] || !m.isUp(t):
-			down.add(keys, 1)
+			down.Add(keys, 1)
 		default:
 			up = append(up, i)
 		}
--- a/disruption/population.go
+++ b/disruption/population.go
@@ -10,8 +10,8 @@
 // Counts are numbers of tasks by budget.
 type Counts map[Key]int
 
-// add adds n to each of some keys.
-func (c Counts) add(keys []Key, n int) {
+// Add adds n to each of some keys.
+func (c Counts) Add(keys []Key, n int) {
 	for _, k := range keys {
 		if c[k] += n; c[k] == 0 {
 			delete(c, k)
@@ -33,9 +33,10 @@
 	tasks int
 }
 
-// population follows, from the records of all jobs, how many tasks should be up, and
-// how many of those no shard looks after. Tasks that were just given to a shard count
-// as the latter for a while longer, until its owner can have claimed them.
+// population follows, from the records of all jobs, how many tasks there are, and how many
+// of those that should be up no shard looks after: services', as others may wait. Tasks
+// that were just given to a shard count as the latter for a while longer, until its owner
+// can have claimed them.
 type population struct {
 	budgets    Budgets
 	jobs       map[string]member
@@ -52,16 +53,22 @@
 func (p *population) apply(now time.Time, j *state.Job) {
 	was, known := p.jobs[j.ID]
 	var is member
-	if j.End == "" && j.Spec.IsService() {
-		is = member{keys: was.keys, tasks: j.Spec.Tasks, unassigned: state.TasksIn(j.Unassigned())}
+	if j.End == "" {
+		is = member{keys: was.keys, tasks: j.Spec.Tasks}
 		if !known {
-			is.keys = p.budgets.Of(j.Spec.Team, j.Spec.Class)
+			is.keys = p.budgets.Of(j.Spec.Team, j.Spec.Class, j.Spec.IsService())
+		}
+		switch {
+		case j.Spec.IsService():
+			is.unassigned = state.TasksIn(j.Unassigned())
+		case j.Spec.IsGang():
+			is.tasks = 1
 		}
 	}
-	p.all.add(was.keys, -was.tasks)
-	p.unassigned.add(was.keys, -was.unassigned)
-	p.all.add(is.keys, is.tasks)
-	p.unassigned.add(is.keys, is.unassigned)
+	p.all.Add(was.keys, -was.tasks)
+	p.unassigned.Add(was.keys, -was.unassigned)
+	p.all.Add(is.keys, is.tasks)
+	p.unassigned.Add(is.keys, is.unassigned)
 	if given := was.unassigned - is.unassigned; given > 0 && is.tasks > 0 {
 		p.inTransit = append(p.inTransit, transit{now.Add(constants.ClaimTransit), is.keys, given})
 	}
--- a/node/draining_test.go
+++ b/node/draining_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"ravenport/drain"
+	"ravenport/internal/disruptioncheck"
 	"ravenport/peer"
 	"ravenport/shard"
 	"ravenport/state"
@@ -167,6 +168,29 @@
 			w.drainEnds(t, number, state.DrainFinished, 12*time.Minute)
 			w.allDone(t, 6*time.Minute, append(lot, gang, second))
 		}},
+		{name: "arrays and gangs within their budget", settings: "disruption.interruptions.* = 1\n", hurt: func(t *testing.T, w *world, first int) {
+			w.drainEnds(t, first, state.DrainFinished, 12*time.Minute)
+			w.do(func() {
+				w.interruptions = disruptioncheck.New(1, w.nodes[0].set.Draining.Policy.Stable, w.times.lease()+30*time.Second)
+				w.haveRun = map[string]bool{}
+			})
+			go w.playGangs()
+			work := []*simJob{w.newArray("run-000200", 6, 2, 240), w.newArray("run-000201", 3, 2, 240)}
+			work[1].spec.Kind, work[1].spec.CheckpointS, work[1].spec.SaveS, work[1].spec.Spot = wire.KindGang, 4, 1, false
+			for _, j := range work { // of the services' team and priority, so that none is preempted for them
+				j.spec.Team, j.spec.Priority = "free", wire.PriorityProduction
+				go w.user(j, 0, 0)
+			}
+			w.until(t, "they run", 2*time.Minute, func() bool { return w.unitsRun() == 7 })
+			second := w.startDrain(t, state.Selection{})
+			w.until(t, "one was interrupted", 6*time.Minute, func() bool { return w.interrupted().Stops > 0 })
+			term := w.term("a")
+			w.nodes[w.owner("a")].restart(5 * time.Second)
+			w.until(t, "another owner", time.Minute, func() bool { return w.term("a") > term })
+			w.until(t, "others were interrupted", 8*time.Minute, func() bool { return w.interrupted().Replaced > 2 })
+			w.drainEnds(t, second, state.DrainFinished, 12*time.Minute)
+			w.allDone(t, 15*time.Minute, work)
+		}},
 		{name: "outside of its window, then in it", settings: "drain.window.rule = FREQ=DAILY;BYHOUR=0;BYMINUTE=3\ndrain.window.minutes = 60\n", hurt: func(t *testing.T, w *world, number int) {
 			opens := time.Date(2000, 1, 1, 0, 3, 0, 0, time.UTC)
 			for time.Now().Before(opens) {
@@ -204,7 +228,7 @@
 			old := w.present()
 			w.until(t, "a machine is replaced", 6*time.Minute, func() bool { return w.moved().Replaced > 0 && w.left(old) < len(old) })
 			failed := w.moved().Failed
-			w.do(func() { w.lookAtServices() })
+			w.do(w.lookAtTasks)
 			w.failNewest()
 			w.until(t, "the failure is seen", time.Minute, func() bool { return w.moved().Failed > failed })
 		}},
--- a/node/standin_draining_test.go
+++ b/node/standin_draining_test.go
@@ -26,14 +26,14 @@
 			case <-w.stop:
 				return
 			case <-time.After(100 * time.Millisecond):
-				w.do(w.lookAtServices)
+				w.do(w.lookAtTasks)
 			}
 		}
 	}()
 }
 
-// lookAtServices tells the check which tasks run. The caller holds the lock.
-func (w *world) lookAtServices() {
+// lookAtTasks tells the checks which tasks run. The caller holds the lock.
+func (w *world) lookAtTasks() {
 	running := map[string]bool{}
 	for _, m := range w.machines {
 		for _, x := range m.held {
@@ -43,7 +43,11 @@
 		}
 	}
 	for id, j := range w.jobs {
-		if !j.spec.IsService() || !j.accepted {
+		if !j.accepted {
+			continue
+		}
+		if !j.spec.IsService() {
+			w.lookAtInterruptions(j, running)
 			continue
 		}
 		for i := range j.spec.Tasks {
@@ -60,14 +64,57 @@
 	}
 }
 
-// stopped judges the stop of a running task of a service. The caller holds the lock.
+// lookAtInterruptions tells the check which tasks of an array, or whether a gang, runs
+// that ran before. The caller holds the lock.
+func (w *world) lookAtInterruptions(j *simJob, running map[string]bool) {
+	if w.interruptions == nil {
+		return
+	}
+	runs, over := map[string]bool{}, map[string]bool{}
+	for i := range j.spec.Tasks {
+		name := wire.TaskName(j.spec.ID, i)
+		unit := w.unitOf(j, name)
+		was, known := runs[unit]
+		runs[unit] = running[name] && (was || !known)
+		over[unit] = over[unit] || j.doneTasks[i] || j.asked
+	}
+	for unit := range runs {
+		switch {
+		case over[unit]:
+			w.interruptions.Forget(unit)
+		case runs[unit]:
+			w.interruptions.SawUp(unit, time.Now())
+			w.haveRun[unit] = true
+		case w.haveRun[unit]:
+			w.interruptions.SawDown(unit, time.Now())
+		}
+	}
+}
+
+// unitOf is what a budget counts as one: a task of an array, or a gang.
+func (w *world) unitOf(j *simJob, task string) string {
+	if j.spec.IsGang() {
+		return j.spec.ID
+	}
+	return task
+}
+
+// stopped judges the stop of a running task. The caller holds the lock.
 func (w *world) stopped(task string) {
 	id, _, _ := wire.SplitTask(task)
-	if j := w.jobs[id]; w.disruption == nil || !j.spec.IsService() || j.asked || !j.accepted {
+	j := w.jobs[id]
+	if w.disruption == nil || j.asked || !j.accepted {
 		return
 	}
-	w.lookAtServices()
-	if err := w.disruption.Stop(task, time.Now()); err != nil {
+	w.lookAtTasks()
+	check, unit := w.disruption, task
+	if !j.spec.IsService() {
+		check, unit = w.interruptions, w.unitOf(j, task)
+	}
+	if check == nil {
+		return
+	}
+	if err := check.Stop(unit, time.Now()); err != nil {
 		w.broke("budget", "%v", err)
 	}
 }
@@ -79,6 +126,20 @@
 	return w.disruption.Figures()
 }
 
+// interrupted is what was seen of voluntary stops of arrays' tasks and gangs.
+func (w *world) interrupted() disruptioncheck.Figures {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.interruptions.Figures()
+}
+
+// unitsRun counts the arrays' tasks and the gangs that have ever run.
+func (w *world) unitsRun() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.haveRun)
+}
+
 // drainTo switches draining on at all controllers, under these settings.
 func (w *world) drainTo(text string) {
 	for _, n := range w.nodes {
--- a/node/standin_test.go
+++ b/node/standin_test.go
@@ -94,9 +94,11 @@
 	keepCopies bool           // all reports are kept, to come again
 	copies     []*wire.Report // those kept
 
-	disruption   *disruptioncheck.Check // nil: stops are not judged
-	spotReplicas bool                   // services may run on spot machines
-	faulty       map[string]bool        // machines that are not in it end every task with an error; nil: none does
+	disruption    *disruptioncheck.Check // nil: stops are not judged
+	interruptions *disruptioncheck.Check // judges those of arrays and gangs; nil: nothing does
+	haveRun       map[string]bool        // units that interruptions has seen run
+	spotReplicas  bool                   // services may run on spot machines
+	faulty        map[string]bool        // machines that are not in it end every task with an error; nil: none does
 
 	seen map[string]int // what came about, for scenarios to ask after
 }
--- a/node/standin_worker_test.go
+++ b/node/standin_worker_test.go
@@ -295,7 +295,7 @@
 	w.starts++
 	j.starts++
 	if w.disruption != nil {
-		w.lookAtServices()
+		w.lookAtTasks()
 	}
 	if !j.cancelled.IsZero() {
 		w.seen["starts after a confirmed cancellation"]++
--- a/settings/draining.go
+++ b/settings/draining.go
@@ -19,15 +19,16 @@
 // Draining holds the settings of drains and of the budgets of disruption; see
 // docs/operators-draining.md.
 type Draining struct {
-	Budgets disruption.Budgets // disruption.budget.TEAM, disruption.budget.TEAM/CLASS
+	Budgets disruption.Budgets // disruption.budget.TEAM[/CLASS], disruption.interruptions.TEAM[/CLASS]
 	Policy  drain.Policy       // with drain.window.rule, .zone and .minutes
 }
 
-// budgetPrefix stands before a team, or a team and a class; anyTeam is for each team
-// that is not named.
+// The prefixes stand before a team, or a team and a class; anyTeam is for each team that
+// is not named.
 const (
-	budgetPrefix = "disruption.budget."
-	anyTeam      = "*"
+	budgetPrefix        = "disruption.budget."
+	interruptionsPrefix = "disruption.interruptions."
+	anyTeam             = "*"
 )
 
 // Bounds of the settings of drains.
@@ -116,19 +117,28 @@
 func (s *Settings) readBudgets(p *properties.Properties, d *Draining) error {
 	for _, key := range p.Keys() {
 		name, isBudget := strings.CutPrefix(key, budgetPrefix)
+		setOthers := d.Budgets.SetOthers
+		var isInterruptions bool
 		if !isBudget {
-			continue
+			if name, isInterruptions = strings.CutPrefix(key, interruptionsPrefix); !isInterruptions {
+				continue
+			}
+			setOthers = d.Budgets.SetOtherInterruptions
 		}
 		text, _ := p.Get(key)
 		amount, err := disruption.ParseAmount(strings.TrimSpace(text))
 		if err != nil {
 			return &Error{key, err.Error()}
 		}
+		if isInterruptions && amount.IsShare {
+			return &Error{key, "must be a number: a share is of services, whose tasks should all be up"}
+		}
 		if name == anyTeam {
-			d.Budgets.SetOthers(amount)
+			setOthers(amount)
 			continue
 		}
 		k := disruption.ParseKey(name)
+		k.Interruptions = isInterruptions
 		if !slices.ContainsFunc(s.Params.Teams, func(t Team) bool { return t.Name == k.Team }) {
 			return &Error{key, fmt.Sprintf("there is no team %q", k.Team)}
 		}
@@ -149,7 +159,7 @@
 		bytes += len(k.String()) + claimNumber
 	}
 	for _, t := range s.Params.Teams {
-		bytes += len(t.Name) + claimNumber
+		bytes += 2*len(t.Name) + len(disruption.InterruptionsPrefix) + 2*claimNumber // of services, and of interruptions
 	}
 	if most := int(limits.ValueKB * 1024); bytes > most {
 		return &Error{budgetPrefix + "…", fmt.Sprintf("%d budgets take %d bytes of the state service, which has %d for a value", len(d.Budgets.Keys()), bytes, most)}
--- a/settings/draining_test.go
+++ b/settings/draining_test.go
@@ -16,7 +16,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := s.LoadDraining("../deploy/draining.properties"); err != nil || len(s.Draining.Budgets.Of("t", "train")) != 1 {
+	if err := s.LoadDraining("../deploy/draining.properties"); err != nil || len(s.Draining.Budgets.Of("t", "train", true)) != 1 {
 		t.Fatalf("%+v, %v", s.Draining, err)
 	}
 	shipped, err := os.ReadFile("../deploy/draining.properties")
@@ -24,7 +24,7 @@
 		t.Fatal(err)
 	}
 	d, err := s.ParseDraining([]byte("disruption.budget.t = 25%\ndisruption.budget.t/train = 2\ndrain.other = x"))
-	if want := []disruption.Key{{Team: "t"}, {Team: "t", Class: "train"}}; err != nil || len(d.Budgets.Of("t", "train")) != len(want) || len(d.Budgets.Of("x", "train")) != 0 {
+	if want := []disruption.Key{{Team: "t"}, {Team: "t", Class: "train"}}; err != nil || len(d.Budgets.Of("t", "train", true)) != len(want) || len(d.Budgets.Of("x", "train", true)) != 0 {
 		t.Errorf("%+v, %v", d, err)
 	}
 	for field, line := range map[string]string{
--- a/shard/draining.go
+++ b/shard/draining.go
@@ -37,6 +37,9 @@
 	steps    pace                   // counts and goes on with drains
 	looks    int                    // for machines with room, in this step
 	turn     int                    // counts steps: each begins with another machine
+
+	interruptions interruptions
+	inherited     bool // those that earlier owners claimed are among them
 }
 
 // move is a service's task on its way to another machine.
@@ -58,7 +61,8 @@
 func (c *Core) StartDraining(now time.Time, cfg DrainingConfig, jobs map[string]*state.Job, records []state.Change) {
 	c.draining = &draining{
 		cfg: cfg, drains: map[int]*drain.Steps{}, damaged: map[int]bool{}, moves: map[*task]*move{}, waits: map[int]string{},
-		ledger: disruption.NewLedger(disruption.Config{Shard: c.cfg.Shard, Shards: cfg.Shards, Term: c.term, Budgets: cfg.Budgets, Stable: cfg.Policy.Stable, Hasty: cfg.Hasty}),
+		interruptions: newInterruptions(cfg.Policy.ReplaceWithin),
+		ledger:        disruption.NewLedger(disruption.Config{Shard: c.cfg.Shard, Shards: cfg.Shards, Term: c.term, Budgets: cfg.Budgets, Stable: cfg.Policy.Stable, Hasty: cfg.Hasty}),
 	}
 	for _, j := range jobs {
 		c.draining.ledger.ApplyJob(now, j)
@@ -154,18 +158,19 @@
 	}
 }
 
-// isUp says whether a task of a service runs and has proved itself.
+// isUp says whether a task runs and has proved itself.
 func (c *Core) isUp(now time.Time, t *task) bool {
 	h := t.hold
-	if h == nil || h.stop || h.state != wire.TaskRunning || c.silent(now, h.m) {
+	if !c.runs(now, t) {
 		return false
 	}
 	return h.adopted || c.draining.cfg.HastyProof || now.Sub(h.runSince) >= c.draining.cfg.Policy.Stable
 }
 
-// unavailable counts the shard's tasks of services that should be up and are not.
+// unavailable counts the shard's tasks of services that should be up and are not, and the
+// arrays' tasks and gangs that were interrupted.
 func (c *Core) unavailable(now time.Time) disruption.Counts {
-	down := disruption.Counts{}
+	down := c.lookAtInterruptions(now)
 	for _, j := range c.jobs {
 		if j.rec.End != "" || !j.rec.Spec.IsService() {
 			continue
@@ -176,11 +181,8 @@
 				n++
 			}
 		}
-		if n == 0 {
-			continue
-		}
-		for _, k := range c.budgetsOf(j) {
-			down[k] += n
+		if n > 0 {
+			down.Add(c.budgetsOf(j), n)
 		}
 	}
 	return down
@@ -188,7 +190,7 @@
 
 // budgetsOf lists the budgets that a job's tasks count against.
 func (c *Core) budgetsOf(j *job) []disruption.Key {
-	return c.draining.ledger.KeysOf(j.rec.Spec.Team, j.rec.Spec.Class)
+	return c.draining.ledger.KeysOf(&j.rec.Spec)
 }
 
 // settleMoves looks which moved tasks are up again, and which never came up.
--- a/shard/draining_test.go
+++ b/shard/draining_test.go
@@ -103,3 +103,115 @@
 		t.Errorf("%d of %d tasks were moved", len(moved), len(j.tasks))
 	}
 }
+
+// What a budget of interruptions counts: nothing that only waits, what ran and does not
+// any more until it has proved itself again, what was sent on meanwhile for some time, and
+// of what an earlier owner claimed as many as wait.
+func TestInterruptionsThatCount(t *testing.T) {
+	now := time.Unix(1000, 0)
+	keys := []disruption.Key{{Team: "t", Interruptions: true}}
+	j := &job{rec: &state.Job{ID: "run-1"}}
+	s := newInterruptions(time.Minute)
+	for _, step := range []struct {
+		name       string
+		here       bool
+		runs, isUp bool
+		stopped    bool // it is told to stop after it was looked at
+		after      time.Duration
+		want       int
+	}{
+		{name: "waits", here: true},
+		{name: "begins", here: true, runs: true},
+		{name: "is up", here: true, runs: true, isUp: true},
+		{name: "is interrupted", here: true, want: 1},
+		{name: "waits again", here: true, want: 1},
+		{name: "runs again", here: true, runs: true, want: 1},
+		{name: "is up again", here: true, runs: true, isUp: true},
+		{name: "is interrupted again", here: true, want: 1},
+		{name: "was sent on", after: 59 * time.Second, want: 1},
+		{name: "was sent on for long", after: 2 * time.Second},
+		{name: "another one begins", here: true, runs: true, isUp: true, stopped: true, want: 1},
+		{name: "was sent on before it was seen to end", want: 1},
+	} {
+		now = now.Add(time.Second + step.after)
+		if step.here {
+			s.look(now, unit{j, 0}, keys, step.runs, step.isUp)
+		}
+		if step.stopped {
+			s.units[unit{j, 0}].stop()
+		}
+		if got := s.count(now)[keys[0]]; got != step.want {
+			t.Fatalf("%s: %d count, %d should", step.name, got, step.want)
+		}
+	}
+}
+
+// A drain interrupts one task of an array, or one gang, at a time where the budget says so.
+func TestDrainKeepsToInterruptions(t *testing.T) {
+	for _, kind := range []string{wire.KindArray, wire.KindGang} {
+		r := newRig(nil)
+		var budgets disruption.Budgets
+		budgets.SetOtherInterruptions(disruption.Amount{Tasks: 1})
+		cfg := DrainingConfig{Shards: []string{"a"}, Budgets: budgets, Policy: drain.Policy{Stable: 5 * time.Second, ReplaceWithin: time.Minute, FailuresMost: 2, Parallel: 100}}
+		r.StartDraining(r.now, cfg, nil, nil)
+		r.up("m-0")
+		r.up("m-1")
+		for _, id := range []string{"run-1", "run-2"} {
+			spec := wire.Submission{ID: id, Team: "t", Class: "c", Kind: kind, Priority: wire.PriorityNormal, Tasks: 2, CPUs: 2, MemoryGB: 1, Image: "i", EstimateS: 600}
+			r.submit(&state.Job{ID: spec.ID, Spec: spec, Assignments: []state.Assignment{{From: 0, To: 2, Shard: "a", Keep: true}}})
+		}
+		r.serve(15 * time.Second)
+		r.up("m-2")
+		units := map[unit]bool{}
+		for _, j := range r.jobs {
+			for _, task := range j.tasks {
+				if !r.isUp(r.now, task) {
+					t.Fatalf("%s: %s does not run", kind, j.rec.ID)
+				}
+				units[unitOf(task)] = true
+			}
+		}
+		record := state.Drain{Number: 1, State: state.DrainRunning, Proven: true, Selection: state.Selection{Machines: []string{"m-0", "m-1"}}}
+		r.Apply(r.now, state.Change{Key: state.KeyDrain(1), Version: r.version, Record: &record})
+		interrupted := map[unit]bool{}
+		for range 300 {
+			r.serve(250 * time.Millisecond)
+			n := 0
+			for u, i := range r.draining.interruptions.units {
+				if i.interrupted {
+					n++
+					interrupted[u] = true
+				}
+			}
+			if n > 1 {
+				t.Fatalf("%s: %d are interrupted, one may be", kind, n)
+			}
+		}
+		if len(interrupted) != len(units) {
+			t.Errorf("%s: %d of %d were interrupted, each must be to move", kind, len(interrupted), len(units))
+		}
+	}
+}
+
+// Which tasks were interrupted is not stored: a new owner takes as many of those that wait
+// as the claim of the last one says, until they run again.
+func TestNextOwnerCountsInterruptions(t *testing.T) {
+	spec := wire.Submission{ID: "run-1", Team: "t", Class: "c", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: 3, CPUs: 2, MemoryGB: 1, Image: "i", EstimateS: 600}
+	j := &state.Job{ID: spec.ID, Spec: spec, Assignments: []state.Assignment{{From: 0, To: 3, Shard: "a", Keep: true}}}
+	r := newRig(map[string]*state.Job{j.ID: j})
+	var budgets disruption.Budgets
+	budgets.SetOtherInterruptions(disruption.Amount{Tasks: 2})
+	key := disruption.Key{Team: "t", Interruptions: true}
+	last := state.Claim{Shard: "a", Term: r.term - 1, Down: map[string]int{key.String(): 2}}
+	cfg := DrainingConfig{Shards: []string{"a"}, Budgets: budgets, Policy: drain.Policy{Stable: 5 * time.Second, ReplaceWithin: time.Minute, FailuresMost: 2}}
+	r.StartDraining(r.now, cfg, map[string]*state.Job{j.ID: j}, []state.Change{{Key: state.KeyClaim("a"), Version: 90, Record: &last}})
+	r.write(r.wait(time.Second))
+	if n := r.unavailable(r.now)[key]; n != 2 {
+		t.Errorf("%d of 3 that wait count, 2 were claimed", n)
+	}
+	r.up("m-0")
+	r.serve(15 * time.Second)
+	if n := r.unavailable(r.now)[key]; n != 0 {
+		t.Errorf("%d count though all run", n)
+	}
+}
--- /dev/null
+++ b/shard/interruptions.go
@@ -0,0 +1,177 @@
+package shard
+
+import (
+	"time"
+
+	"ravenport/disruption"
+)
+
+// unit is what a budget of interruptions counts as one: a task of an array, or a gang.
+type unit struct {
+	job   *job
+	index int
+}
+
+// wholeGang is the index of the unit that is a gang.
+const wholeGang = -1
+
+// interruption is what is known of one unit.
+type interruption struct {
+	keys        []disruption.Key
+	began       bool // it runs, or did when it was last looked at
+	interrupted bool // it ran, and has not proved itself again since
+	lookedAt    time.Time
+}
+
+// stop takes in that the unit is told to stop, at once: it may be sent on to another
+// shard before it is looked at again.
+func (i *interruption) stop() { i.began, i.interrupted = false, true }
+
+// interruptions is the owner's state of arrays and gangs that budgets count. Those may
+// wait for long before they begin, so a unit counts only from when it ran and does not any
+// more until it runs again and has proved itself, or its job ends. One that is sent on to
+// another shard meanwhile counts for some time more.
+type interruptions struct {
+	units  map[unit]*interruption
+	linger time.Duration // for how long one that was sent on counts
+}
+
+func newInterruptions(linger time.Duration) interruptions {
+	return interruptions{units: map[unit]*interruption{}, linger: linger}
+}
+
+// look takes in whether a unit runs now, and whether it has proved itself.
+func (s *interruptions) look(now time.Time, u unit, keys []disruption.Key, runs, isUp bool) {
+	i := s.units[u]
+	if i == nil {
+		i = &interruption{keys: keys}
+		s.units[u] = i
+	}
+	i.lookedAt = now
+	switch {
+	case runs:
+		i.began = true
+		i.interrupted = i.interrupted && !isUp
+	case i.began:
+		i.began, i.interrupted = false, true
+	}
+}
+
+// inherit takes a unit that waits for one that an earlier owner saw interrupted.
+func (s *interruptions) inherit(u unit) { s.units[u].interrupted = true }
+
+// done forgets a unit that is done.
+func (s *interruptions) done(u unit) { delete(s.units, u) }
+
+// count says how many units are interrupted, once all that are here were looked at.
+func (s *interruptions) count(now time.Time) disruption.Counts {
+	out := disruption.Counts{}
+	for u, i := range s.units {
+		isHere := i.lookedAt.Equal(now)
+		if !isHere && (!i.interrupted || u.job.rec.End != "" || now.Sub(i.lookedAt) > s.linger) {
+			delete(s.units, u)
+			continue
+		}
+		if i.interrupted {
+			out.Add(i.keys, 1)
+		}
+	}
+	return out
+}
+
+// unitOf is the unit that a task is, or is part of.
+func unitOf(t *task) unit {
+	if t.job.gang != nil {
+		return unit{t.job, wholeGang}
+	}
+	return unit{t.job, t.index}
+}
+
+// lookAtInterruptions looks at all arrays and gangs that budgets count.
+func (c *Core) lookAtInterruptions(now time.Time) disruption.Counts {
+	s := &c.draining.interruptions
+	for _, j := range c.jobs {
+		if j.rec.End != "" || j.rec.Spec.IsService() {
+			continue
+		}
+		keys := c.budgetsOf(j)
+		if len(keys) == 0 {
+			continue
+		}
+		if j.gang != nil {
+			c.lookAtGang(now, j, keys)
+			continue
+		}
+		for _, t := range j.tasks {
+			if t.done {
+				s.done(unitOf(t))
+				continue
+			}
+			s.look(now, unitOf(t), keys, c.runs(now, t), c.isUp(now, t))
+		}
+	}
+	if c.rebuilt && !c.draining.inherited {
+		c.draining.inherited = true
+		c.inheritInterruptions()
+	}
+	return s.count(now)
+}
+
+// lookAtGang looks at a gang, which runs if all its tasks here do.
+func (c *Core) lookAtGang(now time.Time, j *job, keys []disruption.Key) {
+	whole := unit{j, wholeGang}
+	if j.gang.done {
+		c.draining.interruptions.done(whole)
+		return
+	}
+	runs, isUp := true, true
+	for _, t := range j.tasks {
+		runs = runs && c.runs(now, t)
+		isUp = isUp && c.isUp(now, t)
+	}
+	c.draining.interruptions.look(now, whole, keys, runs, isUp)
+}
+
+// inheritInterruptions takes as many units that wait as earlier owners claimed for those
+// that were interrupted: which ones those are is not stored.
+func (c *Core) inheritInterruptions() {
+	s := &c.draining.interruptions
+	taken := disruption.Counts{}
+	for u, i := range s.units {
+		if i.began {
+			continue
+		}
+		for _, k := range i.keys {
+			if taken[k] < c.draining.ledger.Inherited(k) {
+				s.inherit(u)
+				taken.Add(i.keys, 1)
+				break
+			}
+		}
+	}
+}
+
+// runs says whether a task runs, as far as is known, and is not told to stop.
+func (c *Core) runs(now time.Time, t *task) bool {
+	h := t.hold
+	return h != nil && !h.stop && h.isRunning() && !c.silent(now, h.m)
+}
+
+// interrupt asks the account whether a task of an array, or the gang that it is in, may be
+// interrupted, and says why not.
+func (c *Core) interrupt(now time.Time, t *task) string {
+	i := c.draining.interruptions.units[unitOf(t)]
+	switch {
+	case i == nil:
+		return "" // no budget counts it
+	case i.interrupted && c.mayComeUp(now, t.hold):
+		return "a task of " + t.job.rec.ID + " is not up yet"
+	case !i.began:
+		return "" // nothing that ran is lost
+	}
+	if refused := c.draining.ledger.Stop(now, i.keys); refused != nil {
+		return refused.Error()
+	}
+	i.stop()
+	return ""
+}
--- a/shard/model.go
+++ b/shard/model.go
@@ -117,6 +117,8 @@
 
 func (h *hold) exited() bool { return h.state == wire.TaskExited }
 
+func (h *hold) isRunning() bool { return h.state == wire.TaskRunning }
+
 // machine is what the owner knows of one machine.
 type machine struct {
 	name, addr string
--- a/shard/moving.go
+++ b/shard/moving.go
@@ -39,16 +39,21 @@
 }
 
 // endOrStop lets a task of an array or a gang end by itself for a while, and then has it
-// save or stop; a gang does so whole.
+// save or stop if its budgets allow it; a gang does so whole.
 func (c *Core) endOrStop(now time.Time, t *task, h *hold, wait func(string)) {
-	switch {
-	case now.Sub(h.m.cordon.since) < c.draining.cfg.Policy.ArrayWait:
+	if now.Sub(h.m.cordon.since) < c.draining.cfg.Policy.ArrayWait {
 		wait("tasks of arrays or gangs get time to end")
-	case t.job.gang != nil:
+		return
+	}
+	if why := c.interrupt(now, t); why != "" {
+		wait(why)
+		return
+	}
+	if t.job.gang != nil {
 		c.stopGang(t.job, "its machine is drained")
-	default:
-		c.stopHold(h)
+		return
 	}
+	c.stopHold(h)
 }
 
 // stopHold has an attempt stopped; its task starts again where there is room.
@@ -95,7 +100,7 @@
 // would take nothing more down as the owner counts, but would keep its task down for
 // longer, and after a takeover it may have run for long without the owner's knowledge.
 func (c *Core) mayComeUp(now time.Time, h *hold) bool {
-	return h.state == wire.TaskRunning || now.Sub(h.m.cordon.since) < c.draining.cfg.Policy.ReplaceWithin
+	return h.isRunning() || now.Sub(h.m.cordon.since) < c.draining.cfg.Policy.ReplaceWithin
 }
 
 // promised is the room on machines that tasks on their way there are to get.
