A drain file without a budget is refused; the loopback test's files are per controller

The test wrote all controllers' settings to one path, and truncated it as the controller before was reading. An operator's tooling can do the same. Change: files named after their controller in the test; settings without any disruption.budget are refused, 'disruption.budget.* = unlimited' says that there is none. Measured: TestDrainingSettings (empty file, file cut before its budgets) fails without.

--- a/internal/loopback/drain_test.go
+++ b/internal/loopback/drain_test.go
@@ -45,9 +45,11 @@
 		d.period, d.leaseS, d.cancelS, d.leaseLife, d.properties = 3*time.Second, 26, 56, 3500*time.Millisecond, ""
 		d.draining = "drain.parallel.percent = 34\n"
 	}
-	if !*drainNaive {
-		d.draining += "disruption.budget.* = " + *drainBudget + "\n"
+	budget := *drainBudget
+	if *drainNaive {
+		budget = "unlimited"
 	}
+	d.draining += "disruption.budget.* = " + budget + "\n"
 	return d
 }
 
--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -220,7 +220,8 @@
 	}()
 }
 
-// configure writes a controller's settings files.
+// configure writes a controller's settings files. Each has its own: the one before may be
+// reading its files at this moment.
 func (f *fleet) configure(b testing.TB, dir string, i int) *controller {
 	write := func(name, text string) string {
 		path := filepath.Join(dir, name)
@@ -233,7 +234,7 @@
 	c.settings = write(c.name+".toml", f.settings(i, f.deployment.controllers()))
 	c.arguments = []string{"--config", c.settings}
 	if f.properties != "" {
-		c.arguments = append(c.arguments, "--properties", write("operators.properties", f.properties))
+		c.arguments = append(c.arguments, "--properties", write(c.name+".properties", f.properties))
 	}
 	if i == 0 && f.earlier != "" {
 		c.program = f.earlier
@@ -242,7 +243,7 @@
 		c.arguments = append(c.arguments, "--failure-detection", write(c.name+".detection", f.detection+"\ndetection.history.path = "+history+"\n"))
 	}
 	if f.draining != "" {
-		c.arguments = append(c.arguments, "--draining", write("draining.properties", f.draining))
+		c.arguments = append(c.arguments, "--draining", write(c.name+".draining", f.draining))
 	}
 	if f.linked {
 		log, err := os.Create(filepath.Join(dir, c.name+".log"))
--- a/settings/draining.go
+++ b/settings/draining.go
@@ -29,6 +29,7 @@
 	budgetPrefix        = "disruption.budget."
 	interruptionsPrefix = "disruption.interruptions."
 	anyTeam             = "*"
+	unlimited           = "unlimited" // in place of a number: no budget
 )
 
 // Bounds of the settings of drains.
@@ -113,8 +114,10 @@
 	return schedule, nil
 }
 
-// readBudgets reads the budgets.
+// readBudgets reads the budgets. A file without any is refused: it may have been read
+// while it was written, and drains would take everything down at once.
 func (s *Settings) readBudgets(p *properties.Properties, d *Draining) error {
+	isNamed := false
 	for _, key := range p.Keys() {
 		name, isBudget := strings.CutPrefix(key, budgetPrefix)
 		setOthers := d.Budgets.SetOthers
@@ -125,7 +128,11 @@
 			}
 			setOthers = d.Budgets.SetOtherInterruptions
 		}
+		isNamed = isNamed || isBudget
 		text, _ := p.Get(key)
+		if strings.TrimSpace(text) == unlimited && name == anyTeam {
+			continue
+		}
 		amount, err := disruption.ParseAmount(strings.TrimSpace(text))
 		if err != nil {
 			return &Error{key, err.Error()}
@@ -147,6 +154,9 @@
 		}
 		d.Budgets.Set(k, amount)
 	}
+	if !isNamed {
+		return &Error{budgetPrefix + anyTeam, "must be set, to " + unlimited + " if there is to be no budget"}
+	}
 	return nil
 }
 
--- a/settings/draining_test.go
+++ b/settings/draining_test.go
@@ -28,24 +28,34 @@
 		t.Errorf("%+v, %v", d, err)
 	}
 	for field, line := range map[string]string{
-		"disruption.budget.nobody": "disruption.budget.nobody = 1",
-		"disruption.budget.t/new":  "disruption.budget.t/new = 1",
-		"disruption.budget.t":      "disruption.budget.t = 101%",
-		"disruption.budget.*":      "disruption.budget.* = -1",
-		"disruption.stable.ms":     "disruption.stable.ms = soon",
-		"drain.replace.within.ms":  "drain.replace.within.ms = 5000",
-		"drain.failures.most":      "drain.failures.most = 0",
-		"drain.parallel.percent":   "drain.parallel.percent = 1000",
-		"drain.window.rule":        "drain.window.rule = FREQ=YEARLY;BYMONTH=2;BYMONTHDAY=30\ndrain.window.minutes = 60",
-		"drain.window.zone":        "drain.window.rule = FREQ=DAILY\ndrain.window.minutes = 60\ndrain.window.zone = Mars/Olympus",
-		"drain.window.minutes":     "drain.window.rule = FREQ=DAILY",
+		"disruption.budget.nobody":   "disruption.budget.nobody = 1",
+		"disruption.budget.t/new":    "disruption.budget.t/new = 1",
+		"disruption.budget.t":        "disruption.budget.t = 101%",
+		"disruption.budget.*":        "disruption.budget.* = -1",
+		"disruption.interruptions.t": "disruption.interruptions.t = 5%",
+		"disruption.interruptions.x": "disruption.interruptions.x = 5",
+		"disruption.stable.ms":       "disruption.stable.ms = soon",
+		"drain.replace.within.ms":    "drain.replace.within.ms = 5000",
+		"drain.failures.most":        "drain.failures.most = 0",
+		"drain.parallel.percent":     "drain.parallel.percent = 1000",
+		"drain.window.rule":          "drain.window.rule = FREQ=YEARLY;BYMONTH=2;BYMONTHDAY=30\ndrain.window.minutes = 60",
+		"drain.window.zone":          "drain.window.rule = FREQ=DAILY\ndrain.window.minutes = 60\ndrain.window.zone = Mars/Olympus",
+		"drain.window.minutes":       "drain.window.rule = FREQ=DAILY",
 	} {
 		var bad *Error
 		if _, err := s.ParseDraining(append(shipped, "\n"+line...)); !errors.As(err, &bad) || bad.Field != field {
 			t.Errorf("%s: %v", line, err)
 		}
 	}
+	if d, err := s.ParseDraining([]byte("disruption.budget.* = unlimited\ndisruption.interruptions.t = 2")); err != nil || len(d.Budgets.Of("t", "train", true)) != 0 || len(d.Budgets.Of("t", "train", false)) != 1 {
+		t.Errorf("%+v, %v", d, err)
+	}
 	var bad *Error
+	for _, cut := range []string{"", "disruption.stable.ms = 2000\ndisruption.interruptions.* = 1"} {
+		if _, err := s.ParseDraining([]byte(cut)); !errors.As(err, &bad) || bad.Field != "disruption.budget.*" {
+			t.Errorf("a file without a budget of services: %v", err)
+		}
+	}
 	if err := s.LoadDraining("not there"); !errors.As(err, &bad) {
 		t.Errorf("%v", err)
 	}
