--- a/internal/loopback/cloud_test.go
+++ b/internal/loopback/cloud_test.go
@@ -29,6 +29,9 @@
 	start    func(*machine)
 	lease    time.Duration
 	record   *record
+
+	bootless, sick int    // of the next machines: so many never boot, or fail all their tasks
+	lastReturn     string // zone of the last machine that a controller returned
 }
 
 func newCloud(zones []string, machines int, start func(*machine)) *cloud {
@@ -52,6 +55,7 @@
 			answer(r, 400, wire.Problem{Error: err.Error()})
 			return
 		}
+		c.noteReturn(names.Machines)
 		c.giveBack(names.Machines)
 		answer(r, 200, struct{}{})
 	case wire.PathMachines:
@@ -96,10 +100,30 @@
 	m.lease, m.record = c.lease, c.record
 	c.names = append(c.names, m.name)
 	c.workers[m.name] = m
+	switch {
+	case c.bootless > 0:
+		c.bootless--
+		m.bootless = true
+		return m.name
+	case c.sick > 0:
+		c.sick--
+		m.sick = true
+	}
 	time.AfterFunc(time.Duration(machineType.BootS*float64(time.Second)), func() { c.start(m) })
 	return m.name
 }
 
+// noteReturn notes where a controller returns machines.
+func (c *cloud) noteReturn(names []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, name := range names {
+		if m := c.workers[name]; m != nil {
+			c.lastReturn = m.zone
+		}
+	}
+}
+
 func (c *cloud) giveBack(names []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -135,8 +159,12 @@
 			page.More = true
 			break
 		}
+		shows := wire.MachineRunning
+		if m.bootless {
+			shows = wire.MachineBooting
+		}
 		page.Machines = append(page.Machines, wire.CloudMachine{Name: m.name, Addr: m.addr, Type: machineType.Name, Zone: m.zone,
-			Spot: m.spot, State: wire.MachineRunning, AgeS: time.Since(m.born).Seconds()})
+			Spot: m.spot, State: shows, AgeS: time.Since(m.born).Seconds()})
 	}
 	answer(r, 200, page)
 }
--- a/internal/loopback/drain_test.go
+++ b/internal/loopback/drain_test.go
@@ -9,7 +9,6 @@
 	"path/filepath"
 	"slices"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -124,26 +123,20 @@
 // command line, while controllers and machines fail. Judged by what the workers see, no
 // voluntary stop takes more than the budget, no task runs twice and none is lost.
 func TestDrainOfRealProcesses(t *testing.T) {
-	d := drainDeployment()
-	f := newFleet(t, d)
-	most, stable := 1<<30, 2*time.Second
-	if !*drainNaive {
-		if _, err := fmt.Sscan(*drainBudget, &most); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if *drainSlow {
-		stable = 10 * time.Second
-	}
-	f.record.judgeStops(disruptioncheck.New(most, stable, time.Duration(d.leaseS)*time.Second+20*time.Second), func(task string) bool { return !f.isArray(task) })
+	f := newFleet(t, drainDeployment())
+	stable := f.watchDrains(t)
 	jobs := f.load(t)
-	replicas := d.services * d.replicas
+	replicas := f.services * f.replicas
 	f.untilUp(t, replicas, time.Minute)
 	time.Sleep(2 * stable)
 	f.refusals(t)
 	before := f.figures()
 	for round := range *drainRounds {
-		r := f.replaceFleet(t)
+		var failures []drainFailure
+		if !*drainQuiet {
+			failures = f.drainFailures()
+		}
+		r := f.replaceFleet(t, failures)
 		t.Logf("round %d: %+v", round, r)
 		f.untilUp(t, replicas, time.Minute)
 		if !r.waited && !*drainNaive {
@@ -162,35 +155,55 @@
 	f.keepEvidence(t, nil)
 }
 
+// watchDrains has stops judged from now on, and returns for how long a task must have run.
+func (f *fleet) watchDrains(t *testing.T) time.Duration {
+	t.Helper()
+	most, stable := 1<<30, 2*time.Second
+	if !*drainNaive {
+		if _, err := fmt.Sscan(*drainBudget, &most); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if *drainSlow {
+		stable = 10 * time.Second
+	}
+	known := time.Duration(f.leaseS)*time.Second + 20*time.Second
+	f.record.judgeStops(disruptioncheck.New(most, stable, known), func(task string) bool { return !f.isArray(task) })
+	return stable
+}
+
 // replaceFleet drains all machines that there are, while things fail.
-func (f *fleet) replaceFleet(t *testing.T) drainRound {
+func (f *fleet) replaceFleet(t *testing.T, failures []drainFailure) drainRound {
 	t.Helper()
 	old := map[string]bool{}
 	for _, m := range f.cloud.present() {
 		old[m.name] = true
 	}
 	r := drainRound{machines: len(old)}
+	before := f.figures()
 	number, began := f.startDrain(t), time.Now()
-	failures := f.drainFailures()
-	for sample := time.Now(); ; {
-		v := f.view(t, number)
-		r.waited = r.waited || slices.ContainsFunc(v.Shards, func(p drain.Progress) bool { return strings.Contains(p.Waits, "used up") })
+	for sample, look := time.Now(), time.Now(); ; time.Sleep(pollPoint) {
+		if len(failures) > 0 && failures[0].due(number, time.Since(began), before) {
+			t.Logf("%s", failures[0].name)
+			failures[0].hurt()
+			failures = failures[1:]
+		}
 		for now := time.Now(); !sample.After(now); sample = sample.Add(time.Second) {
 			down := f.services*f.replicas - f.servicesUp()
 			r.downMost, r.downSum = max(r.downMost, down), r.downSum+down
 		}
+		if time.Now().Before(look) {
+			continue
+		}
+		look = time.Now().Add(100 * time.Millisecond)
+		v := f.view(t, number)
+		r.waited = r.waited || slices.ContainsFunc(v.Shards, func(p drain.Progress) bool { return strings.Contains(p.Waits, "used up") })
 		if v.State == state.DrainFinished {
 			break
 		}
 		if time.Since(began) > 10*time.Minute || v.State == state.DrainStopped {
 			t.Fatalf("the drain does not come to its end: %+v", v)
 		}
-		if len(failures) > 0 && !*drainQuiet && time.Since(began) > failures[0].after {
-			t.Logf("%s", failures[0].name)
-			failures[0].hurt()
-			failures = failures[1:]
-		}
-		time.Sleep(100 * time.Millisecond)
 	}
 	r.took = time.Since(began)
 	for _, m := range f.cloud.present() {
@@ -198,45 +211,34 @@
 			t.Errorf("%s is still there", m.name)
 		}
 	}
-	if len(failures) > 0 && !*drainQuiet {
+	if len(failures) > 0 {
 		t.Errorf("it ended before %s", failures[0].name)
 	}
 	return r
 }
 
-// drainFailure is something that fails so long after a drain's start.
+// drainFailure is something that fails in the middle of a drain.
 type drainFailure struct {
-	name  string
-	after time.Duration
-	hurt  func()
+	name string
+	// due says whether it is time for it, so long after the drain's start, and since the
+	// figures were taken.
+	due  func(number int, since time.Duration, before disruptioncheck.Figures) bool
+	hurt func()
+}
+
+// after is due so long after a drain's start.
+func after(d time.Duration) func(int, time.Duration, disruptioncheck.Figures) bool {
+	return func(_ int, since time.Duration, _ disruptioncheck.Figures) bool { return since > d }
 }
 
+// drainFailures are the failures of each replacement of the fleet.
 func (f *fleet) drainFailures() []drainFailure {
 	life := f.leaseLife
-	owner := func(zone string) int {
-		name, _ := f.store.holder(zone)
-		return max(0, f.index(name))
-	}
 	return []drainFailure{
-		{"an owner is killed", life, func() {
-			node := owner("a")
-			f.controllers[node].kill()
-			time.AfterFunc(life, func() { f.restart(node) })
-		}},
-		{"a machine is lost with what runs on it", 4 * life, func() {
-			f.cloud.giveBack([]string{f.machineOfAService()})
-		}},
-		{"an owner is paused past its lease", 5 * life, func() {
-			c := f.controllers[owner("b")]
-			c.stopped.Store(true)
-			_ = c.process.Process.Signal(syscall.SIGSTOP)
-			time.AfterFunc(2*life, func() { _ = c.process.Process.Signal(syscall.SIGCONT); c.stopped.Store(false) })
-		}},
-		{"an owner is cut from the state service", 9 * life, func() {
-			link := f.links.store[owner("c")]
-			link.cut(true)
-			time.AfterFunc(2*life, func() { link.cut(false) })
-		}},
+		{"an owner is killed", after(life), func() { f.killForLeaseLife(f.ownerOf("a")) }},
+		{"a machine is lost with what runs on it", after(4 * life), func() { f.cloud.giveBack([]string{f.machineOfAService()}) }},
+		{"an owner is paused past its lease", after(5 * life), func() { f.pauseForLong(f.ownerOf("b")) }},
+		{"an owner is cut from the state service", after(9 * life), func() { f.cutForLong(f.ownerOf("c")) }},
 	}
 }
 
--- a/internal/loopback/machine_test.go
+++ b/internal/loopback/machine_test.go
@@ -29,6 +29,8 @@
 	name, addr, zone string
 	spot             bool
 	born             time.Time
+	bootless, sick   bool      // it never comes up; every task that starts on it fails
+	takenBack        time.Time // when its provider takes it back, of which it tells; zero: never
 	stop             chan struct{}
 	ended            atomic.Bool
 
@@ -172,6 +174,10 @@
 	m.advance()
 	m.seq++
 	r := wire.Report{Machine: m.name, Addr: m.addr, Type: machineType.Name, Zone: m.zone, Spot: m.spot, Session: m.session, Seq: m.seq, Token: m.token, Tasks: []wire.TaskStatus{}}
+	if !m.takenBack.IsZero() {
+		left := max(0, time.Until(m.takenBack).Seconds())
+		r.NoticeS = &left
+	}
 	for _, t := range m.tasks {
 		r.Tasks = append(r.Tasks, t.TaskStatus)
 	}
@@ -225,10 +231,13 @@
 			f.starts.Add(1)
 			t := &task{next: time.Now().Add(imageFetch), runs: f.runsFor(c.Task)}
 			t.Task, t.Attempt, t.State = c.Task, c.Attempt, wire.TaskFetching
+			if m.sick {
+				t.State, t.Cause, t.next = wire.TaskExited, wire.CauseError, time.Time{}
+			}
 			m.tasks = append(m.tasks, t)
 			m.notice()
 		case c.Op == wire.OpStop && at >= 0 && m.tasks[at].State != wire.TaskExited:
-			m.record.stops(c.Task, m.name, m.tasks[at].State == wire.TaskRunning)
+			m.record.stops(c.Task, m.name, m.tasks[at].State == wire.TaskRunning && m.takenBack.IsZero())
 			m.tasks[at].State, m.tasks[at].Cause, m.tasks[at].next = wire.TaskExited, wire.CauseStopped, time.Time{}
 			m.notice()
 		case c.Op == wire.OpForget && at >= 0:
--- a/internal/loopback/record_test.go
+++ b/internal/loopback/record_test.go
@@ -31,6 +31,8 @@
 	// services judges stops of the tasks that isService is true for; nil: nothing does.
 	services  *disruptioncheck.Check
 	isService func(task string) bool
+	lastStop  string // machine on which a judged task was told to stop last
+	lastStart string // machine on which one began to run last
 }
 
 func newRecord() *record {
@@ -50,6 +52,7 @@
 	}
 	r.stays[task] = append(r.stays[task], &stay{machine: machine, from: now})
 	if r.judges(task) {
+		r.lastStart = machine
 		r.services.SawUp(task, now)
 	}
 }
@@ -61,6 +64,7 @@
 func (r *record) stops(task, machine string, running bool) {
 	r.mu.Lock()
 	if r.judges(task) && running {
+		r.lastStop = machine
 		if err := r.services.Stop(task, time.Now()); err != nil {
 			r.broken = append(r.broken, "budget: "+err.Error())
 		}
