--- a/shard/assignments.go
+++ b/shard/assignments.go
@@ -102,7 +102,7 @@
 
 // waitsForOthers says whether what is over waits a little longer for the job's other
 // assignments here.
-func (c *Core) waitsForOthers(now time.Time, id string, j *job, f finish) bool {
+func (s *closings) waitsForOthers(now time.Time, id string, j *job, f finish) bool {
 	if !(f.over || f.some) || !f.open || f.leaving || j.rec.End != "" {
 		return false
 	}
@@ -112,7 +112,7 @@
 	if !now.Before(j.closeAt) {
 		return false
 	}
-	c.toClose[id] = j
+	s.toClose[id] = j
 	return true
 }
 
@@ -157,9 +157,9 @@
 }
 
 // assignmentOver says whether every task of an assignment is over.
-func (c *Core) assignmentOver(j *job, ch *state.Assignment) bool {
+func (known *knowledge) assignmentOver(j *job, ch *state.Assignment) bool {
 	for k := ch.From; k < ch.To; k++ {
-		if !c.taskOver(j, k) {
+		if !known.taskOver(j, k) {
 			return false
 		}
 	}
@@ -168,7 +168,7 @@
 
 // taskOver says whether a task is done or, for a job that ended, need not be, and is
 // surely on no machine.
-func (c *Core) taskOver(j *job, k int) bool {
+func (known *knowledge) taskOver(j *job, k int) bool {
 	t := j.tasks[k]
 	ended := j.rec.End != ""
 	switch {
@@ -179,7 +179,7 @@
 	case !ended && !t.done:
 		return false
 	}
-	return !c.somewhere(j.rec.ID, k)
+	return !known.somewhere(j.rec.ID, k)
 }
 
 // closeDone closes the done tasks of open assignments here by themselves, unless the
--- a/shard/bestfit.go
+++ b/shard/bestfit.go
@@ -25,15 +25,15 @@
 // for the job's next, until it is full. Machines that hold the image already
 // come first, and spot machines before ordinary ones where both are allowed:
 // ordinary room is the only room for those that may not use spot.
-func (c *Core) candidates(s *wire.Submission, n resources, r *round) []*machine {
+func (k *knowledge) candidates(s *wire.Submission, n resources, r *round) []*machine {
 	type cand struct {
 		m     *machine
 		score float64
 	}
 	var cs []cand
 	for _, m := range r.room {
-		if free := c.free(m); n.fits(free) && allowed(s, m.typeName, m.spot) && (m.keptFor == nil || m.keptFor.rec.ID == s.ID) && (!m.forGangs || s.Whole()) {
-			cs = append(cs, cand{m, c.score(s, n, m, free)})
+		if free := k.free(m); n.fits(free) && allowed(s, m.typeName, m.spot) && (m.keptFor == nil || m.keptFor.rec.ID == s.ID) && (!m.forGangs || s.Whole()) {
+			cs = append(cs, cand{m, k.score(s, n, m, free)})
 		}
 	}
 	slices.SortFunc(cs, func(a, b cand) int {
@@ -55,7 +55,7 @@
 }
 
 // score ranks a machine with room for a job's task; less is better.
-func (c *Core) score(s *wire.Submission, n resources, m *machine, free resources) float64 {
+func (k *knowledge) score(s *wire.Submission, n resources, m *machine, free resources) float64 {
 	score := m.left(free.minus(n))
 	if !m.images[s.Image] {
 		score += constants.ScoreCold
@@ -63,7 +63,7 @@
 	if s.Spot && !m.spot {
 		// Ordinary machines with services stay whatever happens, so their
 		// gaps cost nothing; an empty one had better stay empty.
-		if c.sumsOf(m).services > 0 {
+		if k.sumsOf(m).services > 0 {
 			score -= constants.ScoreShared
 		} else {
 			score += constants.ScoreOrdinary
--- a/shard/closing.go
+++ b/shard/closing.go
@@ -9,24 +9,24 @@
 }
 
 // close has a machine's page name it as closed.
-func (c *Core) close(m *machine) {
+func (b *pageBook) close(m *machine) {
 	m.closing.decided = true
-	c.enrol(m)
+	b.enrol(m)
 }
 
 // noteClosed takes in that a durable page names a machine as closed. Whoever reads it
 // goes on with the return that an earlier owner decided.
-func (c *Core) noteClosed(m *machine) {
+func (p *placement) noteClosed(m *machine) {
 	m.closing.decided, m.closing.stored = true, true
 	m.returning = true
-	c.dirty = true
+	p.dirty = true
 }
 
 // closedToReturn lists up to so many machines that are durably closed, and for whose
 // return the cloud was not asked yet.
-func (c *Core) closedToReturn(most int) []string {
+func (k *knowledge) closedToReturn(most int) []string {
 	var names []string
-	for _, m := range c.fleet {
+	for _, m := range k.fleet {
 		if len(names) >= most {
 			break
 		}
--- a/shard/core.go
+++ b/shard/core.go
@@ -39,17 +39,11 @@
 // that a step asks in turn. A method of a state's own type changes nothing but that state;
 // Core's methods bring several together.
 type Core struct {
-	cfg       Config
-	term      uint64
-	termVer   uint64
-	claimed   time.Time
-	authority time.Time // may act until then
-	deposed   bool
-	numbers   numbers
 	stepped   time.Time // when the last step was made
 	slowSteps pace      // looks at the whole fleet
 	actions   []Action  // gathered since the last step
 
+	ownership
 	knowledge
 	calls
 	placement
@@ -63,6 +57,18 @@
 	draining *draining // nil: drains and disruption budgets are off
 }
 
+// ownership is whose shard it is: the deployment, the owner's term, and until when the
+// owner may act under it.
+type ownership struct {
+	cfg       Config
+	term      uint64
+	termVer   uint64
+	claimed   time.Time
+	authority time.Time // may act until then
+	deposed   bool
+	numbers   numbers
+}
+
 type rental struct {
 	req wire.RentRequest
 	at  time.Time
@@ -86,10 +92,12 @@
 // inventory are as of that revision.
 func New(cfg Config, term, termVersion uint64, now time.Time, types []wire.MachineType,
 	jobs map[string]*state.Job, versions map[string]uint64, inventory map[string]*state.Page, inventoryVersions map[string]uint64) *Core {
-	c := &Core{cfg: cfg, term: term, numbers: newNumbers(term), termVer: termVersion, claimed: now,
-		knowledge: newKnowledge(), placement: newPlacement(cfg.Budget), closings: closings{toClose: map[string]*job{}}, pageBook: pageBook{pages: map[int]*page{}},
+	c := &Core{
+		ownership: ownership{cfg: cfg, term: term, numbers: newNumbers(term), termVer: termVersion, claimed: now},
+		knowledge: newKnowledge(), placement: newPlacement(cfg.Budget), closings: closings{toClose: map[string]*job{}}, pageBook: pageBook{entriesMost: cfg.Sizes.Next * constants.PageFill / 100, pages: map[int]*page{}},
 		capacity:     capacity{pendingRents: map[string]*rental{}, refused: map[bool]time.Time{}},
-		gangReserves: gangReserves{shapes: map[string]gangShape{}}, hearing: hearing{gone: map[string]time.Time{}}, figures: figures{others: map[string]other{}, pushDirty: true}}
+		gangReserves: gangReserves{shapes: map[string]gangShape{}}, hearing: hearing{period: cfg.Report, leaseLasts: cfg.LeaseEnd, began: now, gone: map[string]time.Time{}}, figures: figures{others: map[string]other{}, pushDirty: true},
+	}
 	c.SetTypes(types)
 	// Pages split off a large one have higher numbers: a machine found on both
 	// stays on its new page.
@@ -133,38 +141,38 @@
 
 // SetRoundClock has a round's time taken by another clock than the machine's, which
 // a busy machine would make run differently every time.
-func (c *Core) SetRoundClock(clock func() time.Time) { c.clock = clock }
+func (p *placement) SetRoundClock(clock func() time.Time) { p.clock = clock }
 
 // SetAuthority says until when the owner may answer workers and start tasks.
-func (c *Core) SetAuthority(until time.Time) { c.authority = until }
+func (o *ownership) SetAuthority(until time.Time) { o.authority = until }
 
-func (c *Core) may(now time.Time) bool {
-	return !c.deposed && !c.numbers.out() && now.Before(c.authority)
+func (o *ownership) may(now time.Time) bool {
+	return !o.deposed && !o.numbers.out() && now.Before(o.authority)
 }
 
 // extendsLeases says whether the owner still answers reports though its authority has
 // ended, whether or not another one is known to have begun: a zone that is cut off
 // has nobody else, and its machines would end what they run. It gives no commands
 // then, and does not keep a machine that has seen a later token.
-func (c *Core) extendsLeases(now time.Time) bool {
-	extension := time.Duration(float64(c.cfg.LeaseExtension)*(1-constants.ClockDrift)) - constants.AuthorityMargin
-	return !c.authority.IsZero() && now.Before(c.authority.Add(extension))
+func (o *ownership) extendsLeases(now time.Time) bool {
+	extension := time.Duration(float64(o.cfg.LeaseExtension)*(1-constants.ClockDrift)) - constants.AuthorityMargin
+	return !o.authority.IsZero() && now.Before(o.authority.Add(extension))
 }
 
 // leaseEnd is when the lease of a machine has surely ended that is answered now.
 // Until it shows a token of this term the owner before may be lease extension it.
-func (c *Core) leaseEnd(now time.Time, m *machine) time.Time {
-	extendedUntil := c.claimed.Add(time.Duration(float64(c.cfg.LeaseExtension)*(1+constants.ClockDrift)) + constants.AuthorityMargin)
-	if !m.verified(c.term) && extendedUntil.After(now) {
+func (o *ownership) leaseEnd(now time.Time, m *machine) time.Time {
+	extendedUntil := o.claimed.Add(time.Duration(float64(o.cfg.LeaseExtension)*(1+constants.ClockDrift)) + constants.AuthorityMargin)
+	if !m.verified(o.term) && extendedUntil.After(now) {
 		now = extendedUntil
 	}
-	return now.Add(c.cfg.LeaseEnd)
+	return now.Add(o.cfg.LeaseEnd)
 }
 
 // token is what the owner's answers and commands to a machine carry: its term,
 // and below it a count of its own for the machine, which makes what it sent
 // there before harmless without a new term.
-func (c *Core) token(m *machine) uint64 { return c.term<<constants.EpochBits | m.epoch }
+func (o *ownership) token(m *machine) uint64 { return o.term<<constants.EpochBits | m.epoch }
 
 func (k *knowledge) machine(name string) *machine {
 	m := k.machines[name]
@@ -271,13 +279,8 @@
 	}})
 }
 
-// periods is a number of report periods.
-func (c *Core) periods(n float64) time.Duration {
-	return time.Duration(n * float64(c.cfg.Report))
-}
-
 // SetPacks says that no process of the version before can come any more.
-func (c *Core) SetPacks() { c.cfg.Sizes.Packs = true }
+func (o *ownership) SetPacks() { o.cfg.Sizes.Packs = true }
 
 // Invalid takes note that the state service found fault with a write: smaller
 // ones follow.
@@ -320,6 +323,6 @@
 			c.check(j)
 		}
 	default:
-		c.drainCommitted(now, kind, rest, revision)
+		c.draining.drainCommitted(now, kind, rest, revision)
 	}
 }
--- a/shard/direct.go
+++ b/shard/direct.go
@@ -31,7 +31,7 @@
 	queue := c.commandQueue
 	c.commandQueue = c.commandQueue[:0]
 	for _, m := range queue {
-		if m.wantCommand && c.reachable(now, m) && !c.unclear(now, m) && c.roomForCall() {
+		if m.wantCommand && m.reachable(now) && !c.unclear(now, m) && c.roomForCall() {
 			c.sendOrders(now, m)
 		}
 		if m.commandQueued = m.wantCommand; m.wantCommand {
@@ -49,7 +49,7 @@
 func (c *Core) ask(now time.Time) {
 	asked := 0
 	for _, m := range c.fleet {
-		if !c.reachable(now, m) {
+		if !m.reachable(now) {
 			continue
 		}
 		question := c.unclear(now, m)
@@ -69,7 +69,7 @@
 }
 
 // reachable says whether a machine may be called now.
-func (c *Core) reachable(now time.Time, m *machine) bool {
+func (m *machine) reachable(now time.Time) bool {
 	return !m.inFlight && !m.returning && m.addr != "" && !now.Before(m.nextDirect)
 }
 
@@ -131,12 +131,12 @@
 }
 
 // overdue says whether a machine has a decided start without effect.
-func (c *Core) overdue(now time.Time, m *machine) bool {
-	if c.sumsOf(m).sent == 0 {
+func (k *knowledge) overdue(now time.Time, m *machine) bool {
+	if k.sumsOf(m).sent == 0 {
 		return false // as nearly always: this is asked of every machine in every slow step
 	}
 	for _, h := range m.holds {
-		if h.state == stateSent && now.Sub(h.sentAt) > constants.RepeatCommand && c.wanted(h) {
+		if h.state == stateSent && now.Sub(h.sentAt) > constants.RepeatCommand && k.wanted(h) {
 			return true
 		}
 	}
--- a/shard/draining.go
+++ b/shard/draining.go
@@ -143,7 +143,7 @@
 	d.surge, d.headroom, d.looks = d.surge[:0], disruption.Counts{}, 0
 	d.turn++
 	c.settleMoves(now)
-	d.promised = c.promised()
+	d.promised = c.draining.roomPromised()
 	c.liftCordons()
 	for _, m := range c.fleet {
 		m.leavesNext = false
@@ -182,15 +182,15 @@
 			}
 		}
 		if n > 0 {
-			down.Add(c.budgetsOf(j), n)
+			down.Add(c.draining.budgetsOf(j), n)
 		}
 	}
 	return down
 }
 
 // budgetsOf lists the budgets that a job's tasks count against.
-func (c *Core) budgetsOf(j *job) []disruption.Key {
-	return c.draining.ledger.KeysOf(&j.rec.Spec)
+func (d *draining) budgetsOf(j *job) []disruption.Key {
+	return d.ledger.KeysOf(&j.rec.Spec)
 }
 
 // settleMoves looks which moved tasks are up again, and which never came up.
@@ -213,12 +213,12 @@
 }
 
 // moveFailed notes that a moved task ended with an error before it was up.
-func (c *Core) moveFailed(t *task, machine string) {
-	if c.draining == nil {
+func (d *draining) moveFailed(t *task, machine string) {
+	if d == nil {
 		return
 	}
-	if m := c.draining.moves[t]; m != nil {
-		if steps := c.draining.drains[m.drain]; steps != nil {
+	if m := d.moves[t]; m != nil {
+		if steps := d.drains[m.drain]; steps != nil {
 			steps.Failed("a task of " + t.job.rec.ID + " failed on " + machine)
 		}
 	}
@@ -252,8 +252,8 @@
 }
 
 // selectable is a machine as a selection looks at it.
-func (c *Core) selectable(m *machine) drain.Machine {
-	return drain.Machine{Name: m.name, Zone: c.cfg.Shard, Type: m.typeName, Spot: m.spot}
+func (o *ownership) selectable(m *machine) drain.Machine {
+	return drain.Machine{Name: m.name, Zone: o.cfg.Shard, Type: m.typeName, Spot: m.spot}
 }
 
 // selected lists the machines that a drain takes in and that are still there.
@@ -292,7 +292,7 @@
 			c.empty(now, m, number)
 		}
 	}
-	if record, version := s.Write(c.settled(number)); record != nil {
+	if record, version := s.Write(c.draining.settled(number)); record != nil {
 		key := state.KeyDrain(number)
 		c.commit(commitDrain+"/"+strconv.Itoa(number), []wire.Change{{Put: key, Value: state.Encode(record)}}, wire.Condition{Key: key, Version: version})
 	}
@@ -312,8 +312,8 @@
 }
 
 // settled says whether no task that a drain moved is on its way.
-func (c *Core) settled(number int) bool {
-	for _, m := range c.draining.moves {
+func (d *draining) settled(number int) bool {
+	for _, m := range d.moves {
 		if m.drain == number {
 			return false
 		}
@@ -328,13 +328,13 @@
 )
 
 // drainCommitted takes in what came of a transaction of a drain or a claim.
-func (c *Core) drainCommitted(now time.Time, kind, rest string, revision uint64) {
+func (d *draining) drainCommitted(now time.Time, kind, rest string, revision uint64) {
 	switch kind {
 	case commitClaim:
-		c.draining.ledger.Written(now, revision)
+		d.ledger.Written(now, revision)
 	case commitDrain:
 		number, _ := strconv.Atoi(rest) // as it was written by advanceDrain
-		if s := c.draining.drains[number]; s != nil {
+		if s := d.drains[number]; s != nil {
 			s.Written(revision != 0)
 		}
 	}
@@ -377,11 +377,11 @@
 }
 
 // drained notes that a cordoned machine is gone for good.
-func (c *Core) drained(m *machine) {
-	if m.cordon == nil || c.draining == nil {
+func (d *draining) drained(m *machine) {
+	if m.cordon == nil || d == nil {
 		return
 	}
-	if s := c.draining.drains[m.cordon.drain]; s != nil {
+	if s := d.drains[m.cordon.drain]; s != nil {
 		s.Replaced()
 	}
 }
--- a/shard/draining_test.go
+++ b/shard/draining_test.go
@@ -50,23 +50,23 @@
 	r := newRig(nil)
 	j := r.withAccount()
 	first, second := j.tasks[0], j.tasks[1]
-	if r.mayConsolidate(r.now, first) {
+	if r.draining.mayConsolidate(r.now, first) {
 		t.Fatal("moved without a claim")
 	}
 	moved := false
 	for i := 0; i < 40 && !moved; i++ {
 		r.serve(250 * time.Millisecond) // the wish is written, if there is room for it
-		moved = r.mayConsolidate(r.now, first)
+		moved = r.draining.mayConsolidate(r.now, first)
 	}
 	if !moved {
 		t.Fatal("never moved, though no other task is down")
 	}
-	if r.mayConsolidate(r.now, second) {
+	if r.draining.mayConsolidate(r.now, second) {
 		t.Error("a second one is moved beside the first")
 	}
 	r.stopHold(first.hold)
 	r.serve(2 * time.Second)
-	if r.mayConsolidate(r.now, second) {
+	if r.draining.mayConsolidate(r.now, second) {
 		t.Error("a second one is moved before the first has proved itself")
 	}
 }
--- a/shard/elsewhere.go
+++ b/shard/elsewhere.go
@@ -29,33 +29,33 @@
 
 // elsewhere says whether another shard is known to have room for one more of a
 // job's tasks, after so many.
-func (c *Core) elsewhere(now time.Time, rec *state.Job, after int) bool {
+func (f *figures) elsewhere(now time.Time, rec *state.Job, after int) bool {
 	// Others see the same room.
-	return c.roomElsewhere(now, rec) > (after+1)*max(1, len(c.others))
+	return f.roomElsewhere(now, rec) > (after+1)*max(1, len(f.others))
 }
 
 // roomElsewhere is for how many more of a job's tasks other shards are known to have
 // room.
-func (c *Core) roomElsewhere(now time.Time, rec *state.Job) int {
+func (f *figures) roomElsewhere(now time.Time, rec *state.Job) int {
 	s := &rec.Spec
 	n := 0
-	for _, o := range c.others {
+	for _, o := range f.others {
 		if now.Sub(o.at) < constants.StaleAggregate && (s.Zone == "" || s.Zone == o.agg.Shard) {
 			n += o.agg.Takes(s)
 		}
 	}
 	// spread may leave no place for it outside this shard, whatever the room.
 	if s.Spread && s.Tasks > 1 {
-		n = min(n, c.spreadElsewhere(rec))
+		n = min(n, f.spreadElsewhere(rec))
 	}
 	return n
 }
 
 // spreadElsewhere is how many more tasks of a job may be in the other shards,
 // beside those there: at most half of all in each.
-func (c *Core) spreadElsewhere(rec *state.Job) int {
+func (f *figures) spreadElsewhere(rec *state.Job) int {
 	n := 0
-	for name := range c.others {
+	for name := range f.others {
 		left := (rec.Spec.Tasks + 1) / 2
 		for _, ch := range rec.Assignments {
 			if ch.Shard == name && !ch.Closed {
--- a/shard/empty.go
+++ b/shard/empty.go
@@ -149,10 +149,10 @@
 
 // spare says whether all that is on a machine would fit on others with room,
 // services on ordinary ones that hold their image.
-func (c *Core) spare(m *machine, others []*machine) bool {
+func (k *knowledge) spare(m *machine, others []*machine) bool {
 	taken := map[*machine]resources{}
 	for _, h := range m.holds {
-		t := c.taskOf(h)
+		t := k.taskOf(h)
 		if h.exited() || t == nil {
 			continue
 		}
@@ -163,7 +163,7 @@
 			if o == m || o.draining || s.IsService() && !o.images[s.Image] || !allowed(s, o.typeName, o.spot) {
 				continue
 			}
-			free := c.free(o).minus(taken[o])
+			free := k.free(o).minus(taken[o])
 			if h.needs.fits(free) && (to == nil || free.cpus < left || free.cpus == left && o.name < to.name) {
 				to, left = o, free.cpus
 			}
@@ -184,7 +184,7 @@
 		if h.state != wire.TaskRunning || t == nil || t.hold != h || h.stop || !t.job.rec.Spec.IsService() || !h.instant {
 			continue
 		}
-		if to := c.bestFit(now, &t.job.rec.Spec, nil); to != nil && !to.draining && to.images[t.job.rec.Spec.Image] && c.mayConsolidate(now, t) {
+		if to := c.bestFit(now, &t.job.rec.Spec, nil); to != nil && !to.draining && to.images[t.job.rec.Spec.Image] && c.draining.mayConsolidate(now, t) {
 			c.stopHold(h)
 			slog.Debug("moving service", "task", h.key.task, "from", m.name, "to", to.name)
 			return true
--- a/shard/gang.go
+++ b/shard/gang.go
@@ -126,20 +126,20 @@
 }
 
 // stopNow stops an attempt with no time to save.
-func (c *Core) stopNow(h *hold) {
+func (q *calls) stopNow(h *hold) {
 	h.stop, h.instant = true, true
 	h.m.stale = true
-	c.requestCommand(h.m)
+	q.requestCommand(h.m)
 }
 
 // stopGang stops a gang whole, with time to save: all its tasks are told at once.
-func (c *Core) stopGang(j *job, why string) {
+func (q *calls) stopGang(j *job, why string) {
 	slog.Info("gang stops and saves", "job", j.rec.ID, "why", why)
 	for _, t := range j.tasks {
 		if h := t.hold; h != nil && !h.exited() {
 			h.stop = true
 			h.m.stale = true
-			c.requestCommand(h.m)
+			q.requestCommand(h.m)
 		}
 	}
 }
@@ -292,8 +292,8 @@
 }
 
 // takesGang says whether another shard is known to take all of a gang now.
-func (c *Core) takesGang(now time.Time, s *wire.Submission) bool {
-	for _, o := range c.others {
+func (f *figures) takesGang(now time.Time, s *wire.Submission) bool {
+	for _, o := range f.others {
 		if now.Sub(o.at) < constants.StaleAggregate && (s.Zone == "" || s.Zone == o.agg.Shard) && o.agg.Gangs[leader.ShapeOf(s)].Now >= s.Tasks {
 			return true
 		}
--- a/shard/gangreserve.go
+++ b/shard/gangreserve.go
@@ -19,21 +19,21 @@
 
 // noteGang remembers what gangs look like, whichever shard has them: the leader
 // wants to know whether one of that shape would start here.
-func (c *Core) noteGang(now time.Time, rec *state.Job) {
+func (g *gangReserves) noteGang(now time.Time, rec *state.Job) {
 	if !rec.Spec.IsGang() || rec.End != "" {
 		return
 	}
 	key := leader.ShapeOf(&rec.Spec)
-	if _, known := c.shapes[key]; !known && len(c.shapes) >= constants.MaxShapes {
+	if _, known := g.shapes[key]; !known && len(g.shapes) >= constants.MaxShapes {
 		oldest := key
-		for k, sh := range c.shapes {
-			if oldest == key || sh.at.Before(c.shapes[oldest].at) || sh.at.Equal(c.shapes[oldest].at) && k < oldest {
+		for k, sh := range g.shapes {
+			if oldest == key || sh.at.Before(g.shapes[oldest].at) || sh.at.Equal(g.shapes[oldest].at) && k < oldest {
 				oldest = k
 			}
 		}
-		delete(c.shapes, oldest)
+		delete(g.shapes, oldest)
 	}
-	c.shapes[key] = gangShape{rec.Spec, now}
+	g.shapes[key] = gangShape{rec.Spec, now}
 }
 
 type gangShape struct {
@@ -99,9 +99,9 @@
 }
 
 // waitingGangs lists the gangs that are to be started, in the order in which they came.
-func (c *Core) waitingGangs() []*job {
+func (p *placement) waitingGangs() []*job {
 	var waiting []*job
-	for j := range c.waiting {
+	for j := range p.waiting {
 		if g := j.gang; g != nil && !g.done && (g.attempt == 0 || g.failed) {
 			waiting = append(waiting, j)
 		}
--- a/shard/interruptions.go
+++ b/shard/interruptions.go
@@ -94,7 +94,7 @@
 		if j.rec.End != "" || j.rec.Spec.IsService() {
 			continue
 		}
-		keys := c.budgetsOf(j)
+		keys := c.draining.budgetsOf(j)
 		if len(keys) == 0 {
 			continue
 		}
@@ -112,7 +112,7 @@
 	}
 	if c.rebuilt && !c.draining.inherited {
 		c.draining.inherited = true
-		c.inheritInterruptions()
+		c.draining.inheritInterruptions()
 	}
 	return s.count(now)
 }
@@ -134,15 +134,15 @@
 
 // inheritInterruptions takes as many units that wait as earlier owners claimed for those
 // that were interrupted: which ones those are is not stored.
-func (c *Core) inheritInterruptions() {
-	s := &c.draining.interruptions
+func (d *draining) inheritInterruptions() {
+	s := &d.interruptions
 	taken := disruption.Counts{}
 	for u, i := range s.units {
 		if i.began {
 			continue
 		}
 		for _, k := range i.keys {
-			if taken[k] < c.draining.ledger.Inherited(k) {
+			if taken[k] < d.ledger.Inherited(k) {
 				s.inherit(u)
 				taken.Add(i.keys, 1)
 				break
@@ -152,24 +152,24 @@
 }
 
 // runs says whether a task runs, as far as is known, and is not told to stop.
-func (c *Core) runs(now time.Time, t *task) bool {
+func (hear *hearing) runs(now time.Time, t *task) bool {
 	h := t.hold
-	return h != nil && !h.stop && h.isRunning() && !c.silent(now, h.m)
+	return h != nil && !h.stop && h.isRunning() && !hear.silent(now, h.m)
 }
 
 // interrupt asks the account whether a task of an array, or the gang that it is in, may be
 // interrupted, and says why not.
-func (c *Core) interrupt(now time.Time, t *task) string {
-	i := c.draining.interruptions.units[unitOf(t)]
+func (d *draining) interrupt(now time.Time, t *task) string {
+	i := d.interruptions.units[unitOf(t)]
 	switch {
 	case i == nil:
 		return "" // no budget counts it
-	case i.interrupted && c.mayComeUp(now, t.hold):
+	case i.interrupted && d.mayComeUp(now, t.hold):
 		return "a task of " + t.job.rec.ID + " is not up yet"
 	case !i.began:
 		return "" // nothing that ran is lost
 	}
-	if refused := c.draining.ledger.Stop(now, i.keys); refused != nil {
+	if refused := d.ledger.Stop(now, i.keys); refused != nil {
 		return refused.Error()
 	}
 	i.stop()
--- a/shard/inventory.go
+++ b/shard/inventory.go
@@ -17,6 +17,7 @@
 
 // pageBook is the inventory's pages and the write of them that is under way.
 type pageBook struct {
+	entriesMost   int // bytes that the entries of a page may take
 	pages         map[int]*page
 	inventoryBusy bool      // a write of pages is under way
 	inventoryNext time.Time // when the next one may be sent
@@ -88,7 +89,7 @@
 // split moves machines off a page that is larger than a value may be: the version
 // before, with larger limits, may have left it, at any takeover.
 func (c *Core) split(p *page) {
-	most := c.pageBytes()
+	most := c.entriesMost
 	if p.bytes <= most {
 		return
 	}
@@ -120,9 +121,6 @@
 	return true
 }
 
-// pageBytes is what the entries of a page may take.
-func (c *Core) pageBytes() int { return c.cfg.Sizes.Next * constants.PageFill / 100 }
-
 func (b *pageBook) page(n int) *page {
 	p := b.pages[n]
 	if p == nil {
@@ -172,14 +170,14 @@
 func entryBytes(name string) int { return len(name) + constants.InventoryEntryBytes }
 
 // enrol gives a machine a place in the inventory.
-func (c *Core) enrol(m *machine) {
+func (b *pageBook) enrol(m *machine) {
 	if m.page != pageless {
-		c.pages[m.page].dirty = true
+		b.pages[m.page].dirty = true
 		return
 	}
 	for n := 0; ; n++ {
-		p := c.page(n)
-		if len(p.names) == 0 || p.bytes+entryBytes(m.name) <= c.pageBytes() {
+		p := b.page(n)
+		if len(p.names) == 0 || p.bytes+entryBytes(m.name) <= b.entriesMost {
 			m.page = n
 			p.put(m.name)
 			p.dirty = true
@@ -189,10 +187,10 @@
 }
 
 // entries is what a page should hold now.
-func (c *Core) entries(p *page) []state.Machine {
+func (k *knowledge) entries(p *page) []state.Machine {
 	out := []state.Machine{}
 	for name := range p.names {
-		m := c.machines[name]
+		m := k.machines[name]
 		if m == nil || m.leaving {
 			continue
 		}
--- a/shard/jobs.go
+++ b/shard/jobs.go
@@ -88,11 +88,11 @@
 }
 
 // stopAll has the attempts of a job that ended stopped.
-func (c *Core) stopAll(j *job) {
+func (q *calls) stopAll(j *job) {
 	for _, t := range j.tasks {
 		if t.hold != nil && !t.hold.exited() {
 			t.hold.m.stale = true
-			c.requestCommand(t.hold.m)
+			q.requestCommand(t.hold.m)
 		}
 	}
 }
@@ -118,14 +118,14 @@
 // adoptKnown looks for a task that is already known to be on a machine.
 func (c *Core) adoptKnown(t *task) {
 	for _, h := range c.byTask[taskKey{t.job.rec.ID, t.index}] {
-		c.fillHold(h, t.job)
+		h.fill(t.job)
 		c.matchHold(t, h)
 	}
 }
 
 // wanted says whether an attempt is the one its task should have.
-func (c *Core) wanted(h *hold) bool {
-	t := c.taskOf(h)
+func (k *knowledge) wanted(h *hold) bool {
+	t := k.taskOf(h)
 	return t != nil && t.hold == h && !t.done && !h.stop && t.job.rec.End == ""
 }
 
@@ -137,7 +137,8 @@
 	return j.tasks[h.index]
 }
 
-func (c *Core) fillHold(h *hold, j *job) {
+// fill takes in what the job says of its tasks.
+func (h *hold) fill(j *job) {
 	s := &j.rec.Spec
 	h.needs, h.image = need(s), s.Image
 	h.instant = s.CheckpointS == 0
--- a/shard/model.go
+++ b/shard/model.go
@@ -16,6 +16,13 @@
 //   - assignments: what of the jobs' records is over
 //   - direct: commands that go straight to machines
 //
+// Core is composed of one state for each of these, and a method that is a state's own
+// changes nothing else: ownership (whose shard it is, and until when the owner may act),
+// knowledge, pageBook, placement, gangReserves, capacity, consolidation, draining with its
+// interruptions and the ledger of package disruption, hearing, closings, calls and figures.
+// Methods of Core bring several states together; those of a machine, a job, an attempt
+// (hold) and a task change only that.
+//
 // push has the figures for leader, users and operators, action what the actor has to do,
 // pace how often a step is made, numbers the numbers of attempts and tokens.
 package shard
@@ -406,14 +413,14 @@
 func (j *job) recordChanges() bool { return j.writing || j.awaited }
 
 // ready lists a job's waiting tasks that may start now.
-func (c *Core) ready(now time.Time, j *job) []*task { return c.appendReady(nil, now, j) }
+func (k *knowledge) ready(now time.Time, j *job) []*task { return k.appendReady(nil, now, j) }
 
 // appendReady is ready for rounds, which look at one job after the other: the list
 // of the last one makes room for the next.
-func (c *Core) appendReady(out []*task, now time.Time, j *job) []*task {
+func (k *knowledge) appendReady(out []*task, now time.Time, j *job) []*task {
 	for _, t := range j.waiting {
 		// A stray attempt must be gone first.
-		if t.waiting() && !now.Before(t.notBefore) && !c.somewhere(j.rec.ID, t.index) {
+		if t.waiting() && !now.Before(t.notBefore) && !k.somewhere(j.rec.ID, t.index) {
 			out = append(out, t)
 		}
 	}
--- a/shard/moving.go
+++ b/shard/moving.go
@@ -45,7 +45,7 @@
 		wait("tasks of arrays or gangs get time to end")
 		return
 	}
-	if why := c.interrupt(now, t); why != "" {
+	if why := c.draining.interrupt(now, t); why != "" {
 		wait(why)
 		return
 	}
@@ -57,10 +57,10 @@
 }
 
 // stopHold has an attempt stopped; its task starts again where there is room.
-func (c *Core) stopHold(h *hold) {
+func (q *calls) stopHold(h *hold) {
 	h.stop = true
 	h.m.stale = true
-	c.requestCommand(h.m)
+	q.requestCommand(h.m)
 }
 
 // moveService stops a service's task if a machine has room for it and its budgets
@@ -68,9 +68,9 @@
 func (c *Core) moveService(now time.Time, number int, t *task) string {
 	d := c.draining
 	s := &t.job.rec.Spec
-	keys := c.budgetsOf(t.job)
+	keys := c.draining.budgetsOf(t.job)
 	isUp := c.isUp(now, t)
-	if !isUp && c.mayComeUp(now, t.hold) {
+	if !isUp && c.draining.mayComeUp(now, t.hold) {
 		return "a task of " + s.ID + " is not up yet"
 	}
 	if refused := d.ledger.Check(now, keys); refused != nil && isUp {
@@ -81,7 +81,7 @@
 	}
 	to := c.roomToMove(now, s, d.promised)
 	if to == nil {
-		c.askForRoom(now, t, keys)
+		c.draining.askForRoom(now, t, keys)
 		return "no machine has room for a task of " + s.ID
 	}
 	if isUp { // what is down already is counted
@@ -99,14 +99,14 @@
 // mayComeUp says whether an attempt that is not up is left alone to become so. To stop it
 // would take nothing more down as the owner counts, but would keep its task down for
 // longer, and after a takeover it may have run for long without the owner's knowledge.
-func (c *Core) mayComeUp(now time.Time, h *hold) bool {
-	return h.isRunning() || now.Sub(h.m.cordon.since) < c.draining.cfg.Policy.ReplaceWithin
+func (d *draining) mayComeUp(now time.Time, h *hold) bool {
+	return h.isRunning() || now.Sub(h.m.cordon.since) < d.cfg.Policy.ReplaceWithin
 }
 
 // promised is the room on machines that tasks on their way there are to get.
-func (c *Core) promised() map[*machine]resources {
+func (d *draining) roomPromised() map[*machine]resources {
 	promised := map[*machine]resources{}
-	for t, m := range c.draining.moves {
+	for t, m := range d.moves {
 		if t.hold == nil || t.hold.stop {
 			promised[m.to] = promised[m.to].plus(m.needs)
 		}
@@ -125,8 +125,7 @@
 
 // askForRoom has a machine rented for a task that may move and finds no room, for no
 // more tasks than the budgets would let move.
-func (c *Core) askForRoom(now time.Time, t *task, keys []disruption.Key) {
-	d := c.draining
+func (d *draining) askForRoom(now time.Time, t *task, keys []disruption.Key) {
 	if len(d.surge) >= constants.DrainRentals {
 		return
 	}
@@ -162,14 +161,14 @@
 
 // mayConsolidate asks the account whether a service's task may be moved to do without
 // its machine.
-func (c *Core) mayConsolidate(now time.Time, t *task) bool {
-	return c.draining == nil || c.draining.ledger.Stop(now, c.budgetsOf(t.job)) == nil
+func (d *draining) mayConsolidate(now time.Time, t *task) bool {
+	return d == nil || d.ledger.Stop(now, d.budgetsOf(t.job)) == nil
 }
 
 // PlanDrain says what a drain would do in this shard.
 func (c *Core) PlanDrain(now time.Time, s *state.Selection) drain.ShardPlan {
 	p := drain.ShardPlan{Shard: c.cfg.Shard, Moves: map[string]int{}, Usage: c.Usage(now)}
-	promised := c.promised()
+	promised := c.draining.roomPromised()
 	for _, m := range c.selected(s) {
 		p.Machines++
 		if c.sumsOf(m).live == 0 {
@@ -196,7 +195,7 @@
 		p.Arrays++
 		return
 	}
-	keys := c.budgetsOf(t.job)
+	keys := c.draining.budgetsOf(t.job)
 	if len(keys) == 0 {
 		p.Moves[""]++
 	}
--- a/shard/numbers.go
+++ b/shard/numbers.go
@@ -43,9 +43,9 @@
 
 // TermUsedUp says that the owner should be given a new term before this one's numbers
 // run out.
-func (c *Core) TermUsedUp() bool { return c.numbers.low() }
+func (o *ownership) TermUsedUp() bool { return o.numbers.low() }
 
 // SetNumbers has the numbers of the term run out earlier, for tests.
-func (c *Core) SetNumbers(attempts, epochs uint64) {
-	c.numbers.mostAttempts, c.numbers.mostEpochs = attempts, epochs
+func (o *ownership) SetNumbers(attempts, epochs uint64) {
+	o.numbers.mostAttempts, o.numbers.mostEpochs = attempts, epochs
 }
--- a/shard/place.go
+++ b/shard/place.go
@@ -284,7 +284,7 @@
 		key:   holdKey{wire.TaskName(t.job.rec.ID, t.index), attempt},
 		jobID: t.job.rec.ID, index: t.index, m: m, state: stateSent, sentAt: now,
 	}
-	c.fillHold(h, t.job)
+	h.fill(t.job)
 	c.addHold(h)
 	m.idleSince = time.Time{}
 	c.requestCommand(m)
--- a/shard/preempt.go
+++ b/shard/preempt.go
@@ -26,11 +26,11 @@
 }
 
 // yields says whether anything at all might be stopped for a task.
-func (c *Core) yields(claimant *task, r *round) bool {
+func (k *knowledge) yields(claimant *task, r *round) bool {
 	if !r.scanned {
 		r.scanned, r.lowest, r.loose = true, math.MaxInt, map[string]bool{}
-		for _, m := range c.fleet {
-			s := c.sumsOf(m)
+		for _, m := range k.fleet {
+			s := k.sumsOf(m)
 			r.saving = r.saving || s.saving
 			r.lowest = min(r.lowest, s.lowest)
 			for _, team := range s.loose {
@@ -125,10 +125,10 @@
 
 // victims lists what on a machine could be stopped at once for a task, after what
 // is in can, and all the room that makes. A gang is stopped whole or not at all.
-func (c *Core) victims(m *machine, claimant *task, can []*hold) ([]*hold, resources) {
-	most := c.free(m)
+func (k *knowledge) victims(m *machine, claimant *task, can []*hold) ([]*hold, resources) {
+	most := k.free(m)
 	for _, h := range m.holds {
-		if t := c.taskOf(h); h.instant && stoppable(h, t) && t.job.gang == nil && mayStop(t, claimant) {
+		if t := k.taskOf(h); h.instant && stoppable(h, t) && t.job.gang == nil && mayStop(t, claimant) {
 			can = append(can, h)
 			most = most.plus(h.needs)
 		}
--- a/shard/push.go
+++ b/shard/push.go
@@ -86,9 +86,9 @@
 
 // Counts returns the tasks of each job that run here, and those that are done
 // in assignments not closed yet, for display.
-func (c *Core) Counts() state.CountsByJob {
-	out := make(state.CountsByJob, len(c.jobs))
-	for id, j := range c.jobs {
+func (k *knowledge) Counts() state.CountsByJob {
+	out := make(state.CountsByJob, len(k.jobs))
+	for id, j := range k.jobs {
 		var n state.TaskCounts
 		for _, t := range j.tasks {
 			switch {
@@ -158,6 +158,6 @@
 }
 
 // PushGap is the least time between two pushes of a part of this size.
-func (c *Core) PushGap() time.Duration {
-	return constants.PushGap + time.Duration(len(c.fleet))*constants.PushGapMachine
+func (k *knowledge) PushGap() time.Duration {
+	return constants.PushGap + time.Duration(len(k.fleet))*constants.PushGapMachine
 }
--- a/shard/rent.go
+++ b/shard/rent.go
@@ -13,7 +13,7 @@
 )
 
 // bootAge is a machine's age in nominal boot times.
-func (c *Core) bootAge(now time.Time, m *machine) float64 {
+func (m *machine) bootAge(now time.Time) float64 {
 	boot := 60.0
 	if m.typ != nil {
 		boot = max(1, m.typ.BootS)
@@ -31,8 +31,8 @@
 }
 
 // coming says whether a machine that has not come up yet is still counted on.
-func (c *Core) coming(now time.Time, m *machine) bool {
-	return !m.up && !m.inherited && !c.isUnreachable && !m.returning && m.typ != nil && c.bootAge(now, m) < constants.BootUsual
+func (hear *hearing) coming(now time.Time, m *machine) bool {
+	return !m.up && !m.inherited && !hear.isUnreachable && !m.returning && m.typ != nil && m.bootAge(now) < constants.BootUsual
 }
 
 // arriving lists the room of machines that are not up yet or may not take
@@ -283,13 +283,13 @@
 
 // held says whether the done tasks of a job keep others of its team waiting for
 // their limit, as the leader has it.
-func (c *Core) held(now time.Time, j *job) bool {
+func (c *capacity) held(now time.Time, j *job) bool {
 	return j.gang == nil && j.rec.End == "" && now.Sub(c.forecastAt) <= constants.ForecastLife && slices.Contains(c.forecast.Held, j.rec.Spec.Team)
 }
 
 // foreseen is how much work (CPUs) is still to come of what the leader forecast,
 // and a task that stands for it. What was forecast before is as good as nothing.
-func (c *Core) foreseen(now time.Time, spot bool) (*wire.Submission, float64) {
+func (c *capacity) foreseen(now time.Time, spot bool) (*wire.Submission, float64) {
 	s := &wire.Submission{Spot: spot, CPUs: 1}
 	if now.Sub(c.forecastAt) > constants.ForecastLife {
 		c.since = nil
--- a/shard/report.go
+++ b/shard/report.go
@@ -24,7 +24,7 @@
 	// the cloud confirms it: an answer that renews its lease without counting
 	// it would let the owner believe that the lease had ended.
 	m := c.machine(r.Machine)
-	if !c.newer(m, r) {
+	if !m.isNew(r) {
 		return reply, false // late or repeated: nothing in it counts
 	}
 	c.arrive(now, m, r)
@@ -47,8 +47,8 @@
 // heldBack is how many exited attempts the machine's token keeps from being
 // forgotten. Those that it does not, but that wait for their assignment to be closed,
 // would have every answer carry a higher token, which a machine reports at once.
-func (c *Core) heldBack(m *machine) int {
-	if c.sumsOf(m).exited < constants.ExitedRaise {
+func (k *knowledge) heldBack(m *machine) int {
+	if k.sumsOf(m).exited < constants.ExitedRaise {
 		return 0
 	}
 	n := 0
@@ -61,17 +61,18 @@
 }
 
 // outranked stops the owner for good once a machine has seen a later term.
-func (c *Core) outranked(r *wire.Report) {
-	if r.Token>>constants.EpochBits <= c.term {
+func (o *ownership) outranked(r *wire.Report) {
+	if r.Token>>constants.EpochBits <= o.term {
 		return
 	}
-	if !c.deposed {
-		slog.Warn("a machine has seen a higher token", "machine", r.Machine, "token", r.Token, "term", c.term)
+	if !o.deposed {
+		slog.Warn("a machine has seen a higher token", "machine", r.Machine, "token", r.Token, "term", o.term)
 	}
-	c.deposed = true
+	o.deposed = true
 }
 
-func (c *Core) newer(m *machine, r *wire.Report) bool {
+// isNew says whether a report was made after all that are known of the machine.
+func (m *machine) isNew(r *wire.Report) bool {
 	if r.Session < m.minSession {
 		return false
 	}
@@ -102,18 +103,18 @@
 }
 
 // trust confirms a machine: the machine has shown that it hears.
-func (c *Core) trust(m *machine) {
+func (p *placement) trust(m *machine) {
 	m.unconfirmedSince, m.unheeded = time.Time{}, 0
-	c.dirty = true
+	p.dirty = true
 }
 
 // requestConfirmation asks a machine to show that answers or commands reach it.
-func (c *Core) requestConfirmation(now time.Time, m *machine) {
+func (o *ownership) requestConfirmation(now time.Time, m *machine) {
 	if m.unconfirmed() || !m.up {
 		return
 	}
-	c.numbers.raise(m)
-	m.unconfirmedSince, m.confirmingToken, m.unheeded = now, c.token(m), 0
+	o.numbers.raise(m)
+	m.unconfirmedSince, m.confirmingToken, m.unheeded = now, o.token(m), 0
 }
 
 // arrive notes what a report says of the machine itself.
@@ -226,7 +227,7 @@
 			h.directed = c.term<<constants.EpochBits - 1 // a gang's shared number names no term
 		}
 		if j := c.jobs[jobID]; j != nil {
-			c.fillHold(h, j)
+			h.fill(j)
 		}
 		c.addHold(h)
 	}
@@ -294,7 +295,7 @@
 		}
 		wait := time.Second << min(t.fails, 5)
 		t.notBefore = now.Add(min(wait, constants.JobFaultRetry))
-		c.moveFailed(t, h.m.name)
+		c.draining.moveFailed(t, h.m.name)
 	default: // refused for room, or as busy
 		slog.Warn("start refused", "task", h.key.task, "machine", h.m.name, "cause", h.cause)
 		t.notBefore = now.Add(constants.RefusedRetry)
@@ -320,7 +321,7 @@
 		return
 	}
 	c.outranked(r)
-	if r.Machine != name || c.deposed || !c.newer(m, r) {
+	if r.Machine != name || c.deposed || !m.isNew(r) {
 		return
 	}
 	c.arrive(now, m, r)
@@ -405,13 +406,13 @@
 // An attempt started by a direct command must be kept while that command
 // could arrive once more, late: forgotten, it would start again. A done task
 // must be kept until its assignment is closed, or a new owner would run it again.
-func (c *Core) forgettable(h *hold) bool {
+func (k *knowledge) forgettable(h *hold) bool {
 	if h.direct && h.directed >= h.m.token {
 		return false
 	}
 	if h.cause != wire.CauseDone {
 		return true
 	}
-	t := c.taskOf(h)
+	t := k.taskOf(h)
 	return t == nil || t.job.rec.Spec.IsService()
 }
--- a/shard/silence.go
+++ b/shard/silence.go
@@ -10,6 +10,9 @@
 
 // hearing is whom the owner hears.
 type hearing struct {
+	period        time.Duration        // between two reports of a machine
+	leaseLasts    time.Duration        // after the last answer that could count
+	began         time.Time            // when the owner could first have heard anybody
 	rested        time.Time            // silences are counted from here at the earliest
 	isUnreachable bool                 // its machines are out of reach all together
 	siblingsAt    time.Time            // when all live controllers had been heard from
@@ -18,15 +21,20 @@
 	returnedAt    time.Time            // when idle machines were last returned
 }
 
+// periods is a number of report periods.
+func (hear *hearing) periods(n float64) time.Duration {
+	return time.Duration(n * float64(hear.period))
+}
+
 // silent says that no report of a machine's own has come for so long that its
 // lease may end, whether or not it answers when it is called.
-func (c *Core) silent(now time.Time, m *machine) bool {
-	return c.silence(now, m) > c.periods(constants.SilentPeriods)
+func (hear *hearing) silent(now time.Time, m *machine) bool {
+	return hear.silence(now, m) > hear.periods(constants.SilentPeriods)
 }
 
 // overdueReport says that a machine's report is later than any should be.
-func (c *Core) overdueReport(now time.Time, m *machine) bool {
-	return c.silence(now, m) > c.periods(constants.ProbePeriods)
+func (hear *hearing) overdueReport(now time.Time, m *machine) bool {
+	return hear.silence(now, m) > hear.periods(constants.ProbePeriods)
 }
 
 // reportsOn says that an unconfirmed machine has reported since, here or to another
@@ -37,9 +45,9 @@
 
 // silence is for how long no report of a machine has come while it could have:
 // what nobody could hear, or had not yet read, says nothing.
-func (c *Core) silence(now time.Time, m *machine) time.Duration {
-	if c.rested.After(m.heard) {
-		return now.Sub(c.rested)
+func (hear *hearing) silence(now time.Time, m *machine) time.Duration {
+	if hear.rested.After(m.heard) {
+		return now.Sub(hear.rested)
 	}
 	return now.Sub(m.heard)
 }
@@ -120,7 +128,7 @@
 			idle = c.cfg.IdleSpot
 		}
 		switch {
-		case !m.up && !m.inherited && c.bootAge(now, m) > constants.BootPatience:
+		case !m.up && !m.inherited && m.bootAge(now) > constants.BootPatience:
 			why = "did not come up"
 			c.bootFailed(m)
 		case m.cordon != nil && !c.isUnreachable && !c.busy(m) && (m.up && m.verified(c.term) || !m.up && !m.inherited && !m.lapsed):
@@ -169,11 +177,11 @@
 // itself. Two that are both unconfirmed report to others: it is more likely the owner
 // that they cannot reach, which then hands on. What runs there is theirs until their
 // leases have ended.
-func (c *Core) deafOfFew(now time.Time, m *machine, up, heard int) bool {
-	if up > 2 || !c.siblingsHeard(now) {
+func (hear *hearing) deafOfFew(now time.Time, m *machine, up, heard int) bool {
+	if up > 2 || !hear.siblingsHeard(now) {
 		return false
 	}
-	return up == 1 || heard > 0 || now.Sub(m.unconfirmedSince) > c.cfg.LeaseEnd
+	return up == 1 || heard > 0 || now.Sub(m.unconfirmedSince) > hear.leaseLasts
 }
 
 // census is what the owner hears of its machines taken together.
@@ -238,28 +246,28 @@
 // heard by another controller, and all of those are heard and none was. Else it
 // is the owner or the whole shard that is cut off: returning machines then would
 // end everything that runs on them.
-func (c *Core) alone(now time.Time, m *machine, s census) bool {
-	if now.Sub(m.misroutedAt) < c.misroutedMemory() {
+func (hear *hearing) alone(now time.Time, m *machine, s census) bool {
+	if now.Sub(m.misroutedAt) < hear.misroutedMemory() {
 		return false
 	}
 	if m.vanished() {
 		return true
 	}
 	last := m.heard
-	if last.Before(c.claimed) {
-		last = c.claimed
+	if last.Before(hear.began) {
+		last = hear.began
 	}
-	elsewhere := c.periods(constants.LateReport) + constants.NextController + 2*constants.PushEvery
-	return s.hears || s.few && !s.none && c.siblingsHeard(now) && now.Sub(last) > elsewhere
+	elsewhere := hear.periods(constants.LateReport) + constants.NextController + 2*constants.PushEvery
+	return s.hears || s.few && !s.none && hear.siblingsHeard(now) && now.Sub(last) > elsewhere
 }
 
 // siblingsHeard says whether all live controllers were heard from lately.
-func (c *Core) siblingsHeard(now time.Time) bool {
-	return now.Sub(c.siblingsAt) < constants.PushEvery*2
+func (hear *hearing) siblingsHeard(now time.Time) bool {
+	return now.Sub(hear.siblingsAt) < constants.PushEvery*2
 }
 
 // misroutedMemory is how long a report to another controller counts.
-func (c *Core) misroutedMemory() time.Duration { return c.periods(constants.MisroutedPeriods) }
+func (hear *hearing) misroutedMemory() time.Duration { return hear.periods(constants.MisroutedPeriods) }
 
 // CutOff says whether the owner no longer hears its machines, and whether they
 // have been reporting to other controllers: then it is the owner that they
@@ -279,16 +287,16 @@
 }
 
 // Unreachable says whether the shard's machines as a whole count as out of reach.
-func (c *Core) Unreachable() bool { return c.isUnreachable }
+func (hear *hearing) Unreachable() bool { return hear.isUnreachable }
 
 // unreachable says that the shard's machines as a whole are out of reach. Then none are
 // rented, which would be so as well, and the leader sends nothing here that may
 // go elsewhere.
-func (c *Core) unreachable(now time.Time, s census) bool {
+func (hear *hearing) unreachable(now time.Time, s census) bool {
 	// Where all controllers had ended, a worker may come back to this one only
 	// after it has tried the others and its next report is due.
-	return (!s.few && !s.hears || s.none) && now.Sub(c.claimed) > c.periods(constants.LateReport)+constants.NextController &&
-		now.Sub(c.rested) > c.periods(constants.LateReport)
+	return (!s.few && !s.hears || s.none) && now.Sub(hear.began) > hear.periods(constants.LateReport)+constants.NextController &&
+		now.Sub(hear.rested) > hear.periods(constants.LateReport)
 }
 
 // MisroutedReport is a report that a machine made to another controller.
@@ -324,7 +332,7 @@
 		m.returning = true
 		m.leaseUntil = time.Time{}
 		c.gone[name] = now
-		c.drained(m)
+		c.draining.drained(m)
 		if m.addr != "" {
 			c.actions = append(c.actions, Gone{m.addr})
 		}
--- /dev/null
+++ b/shard/states_test.go
@@ -0,0 +1,131 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"ravenport/constants"
+	"ravenport/state"
+	"ravenport/wire"
+)
+
+// Room that is coming is given away once, spot room before ordinary room, and only to
+// tasks that may use it.
+func TestComingRoomIsGivenAwayOnce(t *testing.T) {
+	anywhere := &wire.Submission{CPUs: 2, Spot: true}
+	ordinary := &wire.Submission{CPUs: 2}
+	c := capacity{roomComing: []coming{{free: resources{cpus: 4}, typ: "box"}, {free: resources{cpus: 5}, typ: "box", spot: true}}}
+	for _, step := range []struct {
+		what        *wire.Submission
+		tasks, want int
+	}{{anywhere, 1, 1}, {ordinary, 3, 2}, {anywhere, 3, 1}, {anywhere, 1, 0}} {
+		if got := c.takeComing(step.what, step.tasks); got != step.want {
+			t.Errorf("%d of %d tasks take room, %d should (spot %v)", got, step.tasks, step.want, step.what.Spot)
+		}
+	}
+}
+
+// A silence is counted from the machine's last report, or from when silences began anew;
+// late and silent are so many report periods.
+func TestSilenceBeginsAnew(t *testing.T) {
+	start := time.Unix(1000, 0)
+	hear := hearing{period: 3 * time.Second}
+	m := &machine{heard: start}
+	late := start.Add(hear.periods(constants.SilentPeriods) + time.Millisecond)
+	if !hear.silent(late, m) || !hear.overdueReport(late, m) || hear.silent(late.Add(-time.Millisecond), m) {
+		t.Error("the bound of silence is not where it should be")
+	}
+	hear.rested = late
+	if hear.silent(late, m) || hear.silence(late.Add(time.Second), m) != time.Second {
+		t.Error("a silence goes on through the time in which nobody could be heard")
+	}
+	m.heard = late.Add(2 * time.Second)
+	if hear.silence(late.Add(3*time.Second), m) != time.Second {
+		t.Error("a report since then does not count")
+	}
+}
+
+// Of one or two machines that all are unconfirmed none is deaf while it may be the owner
+// that they do not hear.
+func TestFewMachinesAreNotTakenForDeaf(t *testing.T) {
+	now := time.Unix(1000, 0)
+	hear := hearing{period: 3 * time.Second, leaseLasts: 20 * time.Second, siblingsAt: now}
+	doubted := &machine{unconfirmedSince: now.Add(-10 * time.Second)}
+	forLong := &machine{unconfirmedSince: now.Add(-21 * time.Second)}
+	for _, c := range []struct {
+		m         *machine
+		up, heard int
+		want      bool
+	}{{doubted, 1, 0, true}, {doubted, 2, 1, true}, {doubted, 2, 0, false}, {forLong, 2, 0, true}, {forLong, 3, 0, false}} {
+		if got := hear.deafOfFew(now, c.m, c.up, c.heard); got != c.want {
+			t.Errorf("of %d up, %d heard: deaf %v, not %v", c.up, c.heard, got, c.want)
+		}
+	}
+	if hear.siblingsAt = now.Add(-time.Hour); hear.deafOfFew(now, forLong, 2, 1) {
+		t.Error("deaf though the other controllers were not heard from")
+	}
+}
+
+// Tokens rise with the term, and within it with each count; who saw a later term, or has
+// lost its authority, may not act.
+func TestOwnershipEnds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	o := ownership{term: 5, numbers: newNumbers(5), cfg: Config{Shard: "a", LeaseExtension: 4 * time.Second}}
+	o.SetAuthority(now.Add(time.Second))
+	m := &machine{up: true}
+	first := o.token(m)
+	o.requestConfirmation(now, m)
+	if !o.may(now) || first>>constants.EpochBits != 5 || o.token(m) != first+1 || !m.unconfirmed() {
+		t.Errorf("an owner in its term: may act %v, tokens %d and %d", o.may(now), first, o.token(m))
+	}
+	if o.may(now.Add(time.Second)) || !o.extendsLeases(now.Add(2*time.Second)) || o.extendsLeases(now.Add(6*time.Second)) {
+		t.Error("its authority, or the extension of leases, does not end in time")
+	}
+	o.outranked(&wire.Report{Token: first})
+	if !o.may(now) {
+		t.Error("its own token ends it")
+	}
+	if o.outranked(&wire.Report{Token: 6 << constants.EpochBits}); o.may(now) {
+		t.Error("it goes on after a later term was seen")
+	}
+}
+
+// A machine waits once for a direct command, however often it is asked for; machines are
+// put on pages only as long as their entries fit.
+func TestQueuesAndPagesAreBounded(t *testing.T) {
+	var q calls
+	m := &machine{name: "m-1"}
+	q.requestCommand(m)
+	q.requestCommand(m)
+	if len(q.commandQueue) != 1 {
+		t.Errorf("it waits %d times", len(q.commandQueue))
+	}
+	b := pageBook{pages: map[int]*page{}, entriesMost: 2*entryBytes("m-1") + 1}
+	for _, name := range []string{"m-1", "m-2", "m-3"} {
+		b.enrol(&machine{name: name, page: pageless})
+	}
+	if len(b.pages) != 2 {
+		t.Errorf("three machines are on %d pages, of which each holds two", len(b.pages))
+	}
+}
+
+// An attempt's needs are its job's, and an attempt of another job's task is not wanted.
+func TestKnowledgeOfAttempts(t *testing.T) {
+	k := newKnowledge()
+	j := &job{rec: &state.Job{ID: "run-1", Spec: wire.Submission{ID: "run-1", CPUs: 3, MemoryGB: 2, Image: "i"}}, tasks: map[int]*task{}}
+	k.jobs["run-1"] = j
+	m := k.machine("m-1")
+	h := &hold{key: holdKey{"run-1/0", 7}, jobID: "run-1", m: m}
+	h.fill(j)
+	k.addHold(h)
+	if k.wanted(h) {
+		t.Error("an attempt is wanted of a task that is not here")
+	}
+	j.tasks[0] = &task{job: j, hold: h}
+	if !k.wanted(h) || k.sumsOf(m).used.cpus != 3 {
+		t.Errorf("wanted %v, %v CPUs held", k.wanted(h), k.sumsOf(m).used.cpus)
+	}
+	if h.stop = true; k.wanted(h) {
+		t.Error("an attempt is wanted that is to be stopped")
+	}
+}
