The owner's view of its fleet is one type; 23 more methods are its own

Need: methods that look for places use ownership, knowledge and hearing together. Change: fleetView is those three; 22 methods that touch nothing else are its own, grace is knowledge's. No behaviour changes.

--- a/shard/assignments.go
+++ b/shard/assignments.go
@@ -186,23 +186,23 @@
 // record would take too much room in so many pieces: then it returns false. While an
 // assignment is open, all its tasks count within their team's limit: one that runs on
 // would hold back others.
-func (c *Core) closeDone(j *job, rec *state.Job) bool {
+func (v *fleetView) closeDone(j *job, rec *state.Job) bool {
 	whole := rec.Assignments
 	var split []state.Assignment
 	for _, ch := range whole {
-		if ch.Shard != c.cfg.Shard || ch.Closed {
+		if ch.Shard != v.cfg.Shard || ch.Closed {
 			split = append(split, ch)
 			continue
 		}
 		for k := ch.From; k < ch.To; k++ {
 			piece := ch
-			piece.From, piece.To, piece.Closed = k, k+1, c.taskOver(j, k)
+			piece.From, piece.To, piece.Closed = k, k+1, v.taskOver(j, k)
 			split = append(split, piece)
 		}
 	}
 	rec.Assignments = split
 	rec.Normalize()
-	if len(state.Encode(rec)) > c.cfg.Sizes.Next/2 {
+	if len(state.Encode(rec)) > v.cfg.Sizes.Next/2 {
 		rec.Assignments = whole
 		return false
 	}
--- a/shard/bestfit.go
+++ b/shard/bestfit.go
@@ -9,9 +9,9 @@
 )
 
 // usable says whether new tasks may go to a machine now.
-func (c *Core) usable(now time.Time, m *machine) bool {
-	return m.verified(c.term) && m.durable && m.inventoryAddr == m.addr && m.typ != nil && !m.unconfirmed() &&
-		!m.returning && m.cordon == nil && m.notice.IsZero() && !c.silent(now, m) && !now.Before(m.avoidUntil)
+func (v *fleetView) usable(now time.Time, m *machine) bool {
+	return m.verified(v.term) && m.durable && m.inventoryAddr == m.addr && m.typ != nil && !m.unconfirmed() &&
+		!m.returning && m.cordon == nil && m.notice.IsZero() && !v.silent(now, m) && !now.Before(m.avoidUntil)
 }
 
 // allowed says whether a job's tasks may run on a kind of machine.
@@ -80,19 +80,19 @@
 
 // bestFit is the best candidate for one task of a job, or nil; except leaves out
 // those that it is false for.
-func (c *Core) bestFit(now time.Time, s *wire.Submission, except func(*machine) bool) *machine {
+func (v *fleetView) bestFit(now time.Time, s *wire.Submission, except func(*machine) bool) *machine {
 	n := need(s)
 	var best *machine
 	var least float64
-	for _, m := range c.fleet {
-		if !allowed(s, m.typeName, m.spot) || !c.usable(now, m) {
+	for _, m := range v.fleet {
+		if !allowed(s, m.typeName, m.spot) || !v.usable(now, m) {
 			continue
 		}
-		free := c.free(m)
+		free := v.free(m)
 		if !n.fits(free) || m.keptFor != nil && m.keptFor.rec.ID != s.ID || m.forGangs && !s.Whole() || except != nil && !except(m) {
 			continue
 		}
-		if score := c.score(s, n, m, free); best == nil || score < least || score == least && m.name < best.name {
+		if score := v.score(s, n, m, free); best == nil || score < least || score == least && m.name < best.name {
 			best, least = m, score
 		}
 	}
--- a/shard/core.go
+++ b/shard/core.go
@@ -43,20 +43,26 @@
 	slowSteps pace      // looks at the whole fleet
 	actions   []Action  // gathered since the last step
 
-	ownership
-	knowledge
+	fleetView
 	calls
 	placement
 	closings
 	pageBook
 	capacity
 	gangReserves
-	hearing
 	consolidation
 	figures
 	draining *draining // nil: drains and disruption budgets are off
 }
 
+// fleetView is what places are looked for with: whose shard it is, what is known of its
+// machines and tasks, and which machines are heard.
+type fleetView struct {
+	ownership
+	knowledge
+	hearing
+}
+
 // ownership is whose shard it is: the deployment, the owner's term, and until when the
 // owner may act under it.
 type ownership struct {
@@ -93,10 +99,14 @@
 func New(cfg Config, term, termVersion uint64, now time.Time, types []wire.MachineType,
 	jobs map[string]*state.Job, versions map[string]uint64, inventory map[string]*state.Page, inventoryVersions map[string]uint64) *Core {
 	c := &Core{
-		ownership: ownership{cfg: cfg, term: term, numbers: newNumbers(term), termVer: termVersion, claimed: now},
-		knowledge: newKnowledge(), placement: newPlacement(cfg.Budget), closings: closings{toClose: map[string]*job{}}, pageBook: pageBook{entriesMost: cfg.Sizes.Next * constants.PageFill / 100, pages: map[int]*page{}},
+		fleetView: fleetView{
+			ownership: ownership{cfg: cfg, term: term, numbers: newNumbers(term), termVer: termVersion, claimed: now},
+			knowledge: newKnowledge(),
+			hearing:   hearing{period: cfg.Report, leaseLasts: cfg.LeaseEnd, began: now, gone: map[string]time.Time{}},
+		},
+		placement: newPlacement(cfg.Budget), closings: closings{toClose: map[string]*job{}}, pageBook: pageBook{entriesMost: cfg.Sizes.Next * constants.PageFill / 100, pages: map[int]*page{}},
 		capacity:     capacity{pendingRents: map[string]*rental{}, refused: map[bool]time.Time{}},
-		gangReserves: gangReserves{shapes: map[string]gangShape{}}, hearing: hearing{period: cfg.Report, leaseLasts: cfg.LeaseEnd, began: now, gone: map[string]time.Time{}}, figures: figures{others: map[string]other{}, pushDirty: true},
+		gangReserves: gangReserves{shapes: map[string]gangShape{}}, figures: figures{others: map[string]other{}, pushDirty: true},
 	}
 	c.SetTypes(types)
 	// Pages split off a large one have higher numbers: a machine found on both
--- a/shard/direct.go
+++ b/shard/direct.go
@@ -84,8 +84,8 @@
 
 // unclear says whether a machine must be asked what is on it before it can be told
 // anything: it is questionable, or wanted while its session is not known yet.
-func (c *Core) unclear(now time.Time, m *machine) bool {
-	return m.session == 0 && m.wantCommand || c.questionable(now, m)
+func (v *fleetView) unclear(now time.Time, m *machine) bool {
+	return m.session == 0 && m.wantCommand || v.questionable(now, m)
 }
 
 // sendOrders sends a machine what it should do, if there is anything.
@@ -116,10 +116,10 @@
 // what is on it, once it had the time to report by itself, one that missed its
 // report whether it still is there, one whose lease ended unheard whether it is
 // back, and an unconfirmed one whether it hears.
-func (c *Core) questionable(now time.Time, m *machine) bool {
+func (v *fleetView) questionable(now time.Time, m *machine) bool {
 	switch {
-	case m.inherited && !m.verified(c.term):
-		return len(c.fleet) <= constants.AsksAStep || now.Sub(c.claimed) > constants.TakeoverAsk
+	case m.inherited && !m.verified(v.term):
+		return len(v.fleet) <= constants.AsksAStep || now.Sub(v.claimed) > constants.TakeoverAsk
 	case m.lapsed:
 		return true
 	case !m.up:
@@ -127,7 +127,7 @@
 	case m.unconfirmed():
 		return true
 	}
-	return c.overdueReport(now, m)
+	return v.overdueReport(now, m)
 }
 
 // overdue says whether a machine has a decided start without effect.
--- a/shard/draining.go
+++ b/shard/draining.go
@@ -257,10 +257,10 @@
 }
 
 // selected lists the machines that a drain takes in and that are still there.
-func (c *Core) selected(s *state.Selection) []*machine {
+func (v *fleetView) selected(s *state.Selection) []*machine {
 	var out []*machine
-	for _, m := range c.fleet {
-		if !m.leaving && drain.Matches(s, c.selectable(m)) {
+	for _, m := range v.fleet {
+		if !m.leaving && drain.Matches(s, v.selectable(m)) {
 			out = append(out, m)
 		}
 	}
--- a/shard/empty.go
+++ b/shard/empty.go
@@ -32,7 +32,7 @@
 			if t.job.gang != nil {
 				// It saves whole, at the last moment at which all can be told, or
 				// is left to end by itself.
-				if !h.instant && left <= h.grace(c)+c.cfg.GangPeer+constants.NoticeMargin {
+				if !h.instant && left <= c.grace(h)+c.cfg.GangPeer+constants.NoticeMargin {
 					c.stopGang(t.job, "a machine will be taken back")
 				}
 				continue
@@ -42,7 +42,7 @@
 				ends -= now.Sub(h.runSince)
 			}
 			switch {
-			case !h.instant && left > h.grace(c)+constants.NoticeMargin:
+			case !h.instant && left > c.grace(h)+constants.NoticeMargin:
 				continue // it saves at the last moment
 			case !h.instant:
 			case !s.IsService() && float64(ends) < constants.NoticeDoubt*float64(left):
@@ -134,13 +134,13 @@
 // withRoom lists the machines that could take something, as few of a busy shard can.
 // Guards against a look at the whole shard for each task that might move: with
 // hundreds of machines that stood in the way of everything else for 10 ms.
-func (c *Core) withRoom(now time.Time) []*machine {
+func (v *fleetView) withRoom(now time.Time) []*machine {
 	var list []*machine
-	for _, m := range c.fleet {
-		if !c.usable(now, m) {
+	for _, m := range v.fleet {
+		if !v.usable(now, m) {
 			continue
 		}
-		if free := c.free(m); free.cpus > slack && free.mem > slack {
+		if free := v.free(m); free.cpus > slack && free.mem > slack {
 			list = append(list, m)
 		}
 	}
--- a/shard/gangfit.go
+++ b/shard/gangfit.go
@@ -22,15 +22,15 @@
 // the most, so that few machines have to fetch the image. Machines that hold it
 // are enough where all fit on them. One that lists a task of the attempt, refused
 // to an earlier owner, would do nothing on another start.
-func (c *Core) gangPlaces(now time.Time, s *wire.Submission, tasks int, attempt uint64) []*machine {
+func (v *fleetView) gangPlaces(now time.Time, s *wire.Submission, tasks int, attempt uint64) []*machine {
 	n := need(s)
 	var warm, all []bundle
 	warmRoom, allRoom := 0, 0
-	for _, m := range c.fleet {
-		if !allowed(s, m.typeName, m.spot) || !c.usable(now, m) || m.keptFor != nil && m.keptFor.rec.ID != s.ID {
+	for _, m := range v.fleet {
+		if !allowed(s, m.typeName, m.spot) || !v.usable(now, m) || m.keptFor != nil && m.keptFor.rec.ID != s.ID {
 			continue
 		}
-		k := c.free(m).holdsOf(n)
+		k := v.free(m).holdsOf(n)
 		if k == 0 || slices.ContainsFunc(m.holds, func(h *hold) bool { return h.key.attempt == attempt && h.jobID == s.ID }) {
 			continue
 		}
@@ -45,7 +45,7 @@
 	switch {
 	case warmRoom >= tasks:
 		return pack(warm, tasks)
-	case allRoom >= tasks && c.missesByFetch(s):
+	case allRoom >= tasks && v.missesByFetch(s):
 		// It is late whatever is done: it brings the image to as many of the kept
 		// machines as it can, for those that come after it.
 		return scatter(all, tasks)
@@ -57,9 +57,9 @@
 
 // missesByFetch says whether a gang that has to fetch its image may well miss its
 // class's aim on starting by that alone: the slowest of its machines counts.
-func (c *Core) missesByFetch(s *wire.Submission) bool {
-	within := c.cfg.Order.StartWithin(s.Class)
-	for _, t := range c.types {
+func (v *fleetView) missesByFetch(s *wire.Submission) bool {
+	within := v.cfg.Order.StartWithin(s.Class)
+	for _, t := range v.types {
 		if t.FetchGBPerS > 0 && allowed(s, t.Name, false) && within > 0 && s.ImageGB/t.FetchGBPerS*constants.FetchSlow < within.Seconds() {
 			return false
 		}
@@ -109,12 +109,12 @@
 }
 
 // slots is how many tasks of a job there is room for now.
-func (c *Core) slots(now time.Time, s *wire.Submission) int {
+func (v *fleetView) slots(now time.Time, s *wire.Submission) int {
 	n := need(s)
 	slots := 0
-	for _, m := range c.fleet {
-		if allowed(s, m.typeName, m.spot) && c.usable(now, m) {
-			slots += c.free(m).holdsOf(n)
+	for _, m := range v.fleet {
+		if allowed(s, m.typeName, m.spot) && v.usable(now, m) {
+			slots += v.free(m).holdsOf(n)
 		}
 	}
 	return slots
@@ -157,16 +157,16 @@
 
 // gangRoom says whether all of a gang's tasks would find room if what has to
 // yield to them were stopped. Nothing is stopped for a part of a gang.
-func (c *Core) gangRoom(now time.Time, tasks []*task, r *round) bool {
-	if !c.yields(tasks[0], r) {
+func (v *fleetView) gangRoom(now time.Time, tasks []*task, r *round) bool {
+	if !v.yields(tasks[0], r) {
 		return false
 	}
 	s := &tasks[0].job.rec.Spec
 	n := need(s)
 	room := 0
-	for _, m := range c.fleet {
-		if allowed(s, m.typeName, m.spot) && c.usable(now, m) {
-			_, most := c.victims(m, tasks[0], nil)
+	for _, m := range v.fleet {
+		if allowed(s, m.typeName, m.spot) && v.usable(now, m) {
+			_, most := v.victims(m, tasks[0], nil)
 			if room += most.holdsOf(n); room >= len(tasks) {
 				return true
 			}
@@ -177,17 +177,17 @@
 
 // roomFor is a machine for one task of a gang that is known to find room: free
 // and with the image, else one on which others have to yield.
-func (c *Core) roomFor(now time.Time, t *task, r *round) *machine {
+func (v *fleetView) roomFor(now time.Time, t *task, r *round) *machine {
 	s := &t.job.rec.Spec
-	fit := c.bestFit(now, s, nil)
+	fit := v.bestFit(now, s, nil)
 	if fit != nil && fit.images[s.Image] {
 		return fit
 	}
-	if m := c.preempt(now, t, true, r); m != nil {
+	if m := v.preempt(now, t, true, r); m != nil {
 		return m
 	}
 	if fit != nil {
 		return fit
 	}
-	return c.preempt(now, t, false, r)
+	return v.preempt(now, t, false, r)
 }
--- a/shard/place.go
+++ b/shard/place.go
@@ -79,8 +79,8 @@
 	return d
 }
 
-func (c *Core) newRound(now time.Time) *round {
-	return &round{full: map[demand][]resources{}, stuck: map[demand][]resources{}, room: c.withRoom(now)}
+func (v *fleetView) newRound(now time.Time) *round {
+	return &round{full: map[demand][]resources{}, stuck: map[demand][]resources{}, room: v.withRoom(now)}
 }
 
 // queue lists the jobs with waiting tasks in their order, each with its place.
@@ -198,7 +198,7 @@
 // collect keeps the room that falls free on a machine for a job that has long
 // found none: its tasks may be larger than what others leave, and smaller ones
 // would take every gap before one was large enough.
-func (c *Core) collect(now time.Time, j *job, r *round) {
+func (v *fleetView) collect(now time.Time, j *job, r *round) {
 	if r.crowded {
 		return // hundreds of jobs may be waiting after a shard has lost all
 	}
@@ -207,7 +207,7 @@
 	var best *machine
 	var most float64
 	kept := 0
-	for _, m := range c.fleet {
+	for _, m := range v.fleet {
 		if m.keptFor != nil {
 			if m.keptFor == j {
 				return
@@ -215,16 +215,16 @@
 			kept++
 			continue
 		}
-		if !allowed(s, m.typeName, m.spot) || !n.fits(m.capacity) || !c.usable(now, m) {
+		if !allowed(s, m.typeName, m.spot) || !n.fits(m.capacity) || !v.usable(now, m) {
 			continue
 		}
 		// Where the least must still fall free, arrays count as good as gone.
-		room := m.left(c.free(m))
-		if room += c.sumsOf(m).arrays / max(m.capacity.cpus, 1); best == nil || room > most || room == most && m.name < best.name {
+		room := m.left(v.free(m))
+		if room += v.sumsOf(m).arrays / max(m.capacity.cpus, 1); best == nil || room > most || room == most && m.name < best.name {
 			best, most = m, room
 		}
 	}
-	if r.crowded = kept > len(c.fleet)/constants.MachinesACollect; best == nil || r.crowded {
+	if r.crowded = kept > len(v.fleet)/constants.MachinesACollect; best == nil || r.crowded {
 		return
 	}
 	slog.Info("keeping room for a job that waits", "job", s.ID, "machine", best.name)
--- a/shard/preempt.go
+++ b/shard/preempt.go
@@ -48,7 +48,7 @@
 // preempt makes room on a machine by stopping work that has to yield: the
 // machine on which the least is lost; with warm, only one that holds the
 // image. It returns nil where none can be made.
-func (c *Core) preempt(now time.Time, claimant *task, warm bool, r *round) *machine {
+func (v *fleetView) preempt(now time.Time, claimant *task, warm bool, r *round) *machine {
 	s := &claimant.job.rec.Spec
 	n := need(s)
 	d := demandOf(s)
@@ -62,20 +62,20 @@
 	if r.known(r.stuck, d, n) {
 		return nil
 	}
-	if !c.yields(claimant, r) {
+	if !v.yields(claimant, r) {
 		r.stuck[d] = append(r.stuck[d], resources{})
 		return nil
 	}
 	var best *machine
 	var bestVictims, can []*hold
 	bestCost := math.Inf(1)
-	for _, m := range c.fleet {
-		if !allowed(s, m.typeName, m.spot) || warm && !m.images[s.Image] || !c.usable(now, m) {
+	for _, m := range v.fleet {
+		if !allowed(s, m.typeName, m.spot) || warm && !m.images[s.Image] || !v.usable(now, m) {
 			continue
 		}
-		free := c.free(m)
+		free := v.free(m)
 		var most resources
-		can, most = c.victims(m, claimant, can[:0])
+		can, most = v.victims(m, claimant, can[:0])
 		if len(can) == 0 || !n.fits(most) {
 			continue
 		}
@@ -92,7 +92,7 @@
 			h := can[victims]
 			free = free.plus(h.needs)
 			cost += h.needs.cpus * (1 + now.Sub(h.sentAt).Seconds())
-			if c.endangers(now, h) {
+			if v.endangers(now, h) {
 				cost += h.needs.cpus * constants.CostMissed
 			}
 			victims++
@@ -138,8 +138,8 @@
 
 // endangers says whether a job that would have met an objective on finishing
 // would miss it if this task of it began anew.
-func (c *Core) endangers(now time.Time, h *hold) bool {
-	rec := c.jobs[h.jobID].rec
+func (v *fleetView) endangers(now time.Time, h *hold) bool {
+	rec := v.jobs[h.jobID].rec
 	began := h.sentAt
 	if !h.runSince.IsZero() {
 		began = h.runSince
@@ -147,7 +147,7 @@
 	whole := time.Duration(rec.Spec.EstimateS * float64(time.Second))
 	age := time.Duration(now.UnixMilli()-rec.AcceptedMS) * time.Millisecond
 	left := max(whole-now.Sub(began), constants.LeastLeft)
-	return c.cfg.Order.Meets(rec.Spec.Class, age+left) > c.cfg.Order.Meets(rec.Spec.Class, age+whole)
+	return v.cfg.Order.Meets(rec.Spec.Class, age+left) > v.cfg.Order.Meets(rec.Spec.Class, age+whole)
 }
 
 // askToSave makes room for a task where only work that can save stands in its
@@ -186,7 +186,7 @@
 	wait := time.Duration(0)
 	var freed resources
 	for _, h := range best {
-		wait = max(wait, h.grace(c)+c.together(h))
+		wait = max(wait, c.grace(h)+c.together(h))
 		if t := c.taskOf(h); t.job.gang != nil {
 			if !h.stop {
 				c.stopGang(t.job, "makes room")
--- a/shard/report.go
+++ b/shard/report.go
@@ -343,37 +343,37 @@
 
 // orders lists what a machine should do: stops, then forgets, then starts, so
 // that room is free when a start needs it.
-func (c *Core) orders(now time.Time, m *machine, beat bool) []wire.Command {
+func (v *fleetView) orders(now time.Time, m *machine, beat bool) []wire.Command {
 	out := []wire.Command{}
 	var starts []wire.Command
 	for _, h := range m.holds {
 		switch {
 		case h.exited():
-			if beat && c.forgettable(h) {
+			if beat && v.forgettable(h) {
 				out = append(out, wire.Command{Op: wire.OpForget, Task: h.key.task, Attempt: h.key.attempt})
 			}
-		case !c.wanted(h):
+		case !v.wanted(h):
 			// A saving task is left to finish unless its time is up.
 			// A gang's tasks save together, and show it only by their exits: until
 			// their time is up they are told the same again, should they have missed it.
-			together := c.together(h)
-			if h.state == wire.TaskSaving && now.Sub(h.told) < h.grace(c)+together {
+			together := v.together(h)
+			if h.state == wire.TaskSaving && now.Sub(h.told) < v.grace(h)+together {
 				continue
 			}
 			g := 0.0
 			if h.told.IsZero() {
 				h.told = now
-				g = h.grace(c).Seconds()
-			} else if together > 0 && now.Sub(h.told) < h.grace(c)+together {
-				g = h.grace(c).Seconds()
+				g = v.grace(h).Seconds()
+			} else if together > 0 && now.Sub(h.told) < v.grace(h)+together {
+				g = v.grace(h).Seconds()
 			}
 			out = append(out, wire.Command{Op: wire.OpStop, Task: h.key.task, Attempt: h.key.attempt, GraceS: &g})
-		case h.state == stateSent && m.verified(c.term):
+		case h.state == stateSent && m.verified(v.term):
 			if beat {
 				h.sentSeq = m.seq
 			} else {
 				h.direct = true
-				h.directed = max(h.directed, c.token(m))
+				h.directed = max(h.directed, v.token(m))
 			}
 			h.sentAt = now
 			starts = append(starts, wire.Command{Op: wire.OpStart, Task: h.key.task, Attempt: h.key.attempt})
@@ -385,8 +385,8 @@
 
 // grace is the time a stopped attempt gets to save: its saving time, if it
 // can save and something may come of it.
-func (h *hold) grace(c *Core) time.Duration {
-	t := c.taskOf(h)
+func (k *knowledge) grace(h *hold) time.Duration {
+	t := k.taskOf(h)
 	if h.instant || t == nil || t.job.rec.End != "" {
 		return 0
 	}
@@ -395,11 +395,11 @@
 
 // together is how much longer an attempt takes to save because a gang's tasks
 // wait for each other.
-func (c *Core) together(h *hold) time.Duration {
-	if j := c.jobs[h.jobID]; j == nil || j.gang == nil || h.instant || j.rec.End != "" {
+func (v *fleetView) together(h *hold) time.Duration {
+	if j := v.jobs[h.jobID]; j == nil || j.gang == nil || h.instant || j.rec.End != "" {
 		return 0
 	}
-	return c.cfg.GangPeer
+	return v.cfg.GangPeer
 }
 
 // forgettable says whether an exited attempt may be forgotten by its machine.
--- a/shard/silence.go
+++ b/shard/silence.go
@@ -54,9 +54,9 @@
 
 // rest begins all silences anew: the owner stood still, or its machines were out
 // of reach all together and come back one after the other.
-func (c *Core) rest(now time.Time) {
-	c.rested = now
-	for _, m := range c.fleet {
+func (v *fleetView) rest(now time.Time) {
+	v.rested = now
+	for _, m := range v.fleet {
 		m.unanswered, m.unheeded = 0, 0
 	}
 }
@@ -199,15 +199,15 @@
 // nobody. Right after a cut most machines were heard not long ago, so of many
 // it is asked how many of the reports that were due in the last moment have
 // come; of few, that would often be none.
-func (c *Core) census(now time.Time) census {
+func (v *fleetView) census(now time.Time) census {
 	var s census
 	recent, fresh := 0, 0
-	for _, m := range c.fleet {
+	for _, m := range v.fleet {
 		if m.returning || m.vanished() || !m.up && !m.inherited && !m.lapsed {
 			continue
 		}
 		s.known++
-		if now.Sub(m.misroutedAt) < c.misroutedMemory() {
+		if now.Sub(m.misroutedAt) < v.misroutedMemory() {
 			s.seen++
 		}
 		if !m.up {
@@ -215,14 +215,14 @@
 		}
 		s.up++
 		silence := now.Sub(m.heard)
-		if silence < c.periods(constants.HearingPeriods) {
+		if silence < v.periods(constants.HearingPeriods) {
 			recent++
 		}
 		// Until it shows a token of this term, what came of it may be a late copy.
-		if silence <= c.periods(constants.ProbePeriods) && m.verified(c.term) {
+		if silence <= v.periods(constants.ProbePeriods) && m.verified(v.term) {
 			fresh++
 		}
-		if c.silent(now, m) {
+		if v.silent(now, m) {
 			s.quiet++
 		}
 	}
@@ -273,12 +273,12 @@
 // have been reporting to other controllers: then it is the owner that they
 // cannot reach. Of many machines it is enough that hardly any report comes and
 // a fair share is heard elsewhere: their leases run out while one waits.
-func (c *Core) CutOff(now time.Time) (silent, misroutedReports bool) {
-	s := c.census(now)
+func (v *fleetView) CutOff(now time.Time) (silent, misroutedReports bool) {
+	s := v.census(now)
 	if s.few {
 		return s.quiet*2 > s.known, s.seen*2 > s.known
 	}
-	if now.Sub(c.claimed) < c.periods(constants.LateReport) {
+	if now.Sub(v.claimed) < v.periods(constants.LateReport) {
 		return false, false // not all can have come yet
 	}
 	misroutedReports = s.seen*constants.HearingShare > s.known
@@ -309,14 +309,14 @@
 // MisroutedReports takes in which machines reported to another controller. A report that
 // is no newer than the machine's last one here may be a late copy and says
 // nothing.
-func (c *Core) MisroutedReports(now time.Time, list []MisroutedReport, all bool) {
+func (v *fleetView) MisroutedReports(now time.Time, list []MisroutedReport, all bool) {
 	for _, s := range list {
-		if m := c.machines[s.Machine]; m != nil && (s.Session > m.lastSession || s.Session == m.lastSession && s.Seq > m.lastSequence) {
+		if m := v.machines[s.Machine]; m != nil && (s.Session > m.lastSession || s.Session == m.lastSession && s.Seq > m.lastSequence) {
 			m.misroutedAt = now
 		}
 	}
 	if all {
-		c.siblingsAt = now
+		v.siblingsAt = now
 	}
 }
 
