Methods of the owner's states are handed the view of the fleet: 33 less of Core's

Need: a function's receiver and arguments should say what it may change. Change: unexported methods that touch one state and the fleetView are the state's, and are handed the view. No behaviour changes. Measured: tests of shard pass.

--- a/shard/assignments.go
+++ b/shard/assignments.go
@@ -35,7 +35,7 @@
 // leave. Assignments that are over wait a little for the job's others here: a change
 // of the record for each would cost more than all else.
 func (c *Core) closeJob(now time.Time, id string, j *job) {
-	f := c.finished(now, j)
+	f := c.finished(&c.fleetView, now, j)
 	if !f.over && !f.leaving && !f.some {
 		return
 	}
@@ -54,7 +54,7 @@
 		return
 	}
 	if f.leaving {
-		if rec = c.releaseLeaving(j, rec, f.over); rec == nil {
+		if rec = c.releaseLeaving(&c.fleetView, j, rec, f.over); rec == nil {
 			return
 		}
 	} else {
@@ -75,21 +75,21 @@
 }
 
 // finished looks at a job's assignments here.
-func (c *Core) finished(now time.Time, j *job) finish {
+func (c *capacity) finished(v *fleetView, now time.Time, j *job) finish {
 	var f finish
 	held := c.held(now, j)
 	for i := range j.rec.Assignments {
 		ch := &j.rec.Assignments[i]
-		if ch.Shard != c.cfg.Shard || ch.Closed {
+		if ch.Shard != v.cfg.Shard || ch.Closed {
 			continue
 		}
-		if c.assignmentOver(j, ch) {
+		if v.assignmentOver(j, ch) {
 			f.over = true
 			continue
 		}
 		f.open = true
 		for k := ch.From; held && !f.some && k < ch.To; k++ {
-			f.some = c.taskOver(j, k)
+			f.some = v.taskOver(j, k)
 		}
 	}
 	if j.rec.End == "" {
@@ -119,7 +119,7 @@
 // releaseLeaving takes the tasks that leave out of a record's assignments. Where their
 // gaps would outgrow the state service's values, they stay, and only what closed is
 // returned; nil if nothing did.
-func (c *Core) releaseLeaving(j *job, rec *state.Job, closed bool) *state.Job {
+func (p *placement) releaseLeaving(v *fleetView, j *job, rec *state.Job, closed bool) *state.Job {
 	staying := rec.Clone()
 	for k, t := range j.tasks {
 		if t.leaving {
@@ -128,13 +128,13 @@
 	}
 	rec.Normalize()
 	plain := len(state.Encode(rec))
-	if plain <= c.cfg.Sizes.Next*9/10 || plain <= len(state.Encode(j.rec)) {
+	if plain <= v.cfg.Sizes.Next*9/10 || plain <= len(state.Encode(j.rec)) {
 		return rec
 	}
 	for _, t := range j.tasks {
 		t.leaving = false
 	}
-	c.touch(j)
+	p.touch(j)
 	if !closed {
 		return nil
 	}
--- a/shard/core.go
+++ b/shard/core.go
@@ -194,13 +194,13 @@
 	return m
 }
 
-func (c *Core) removeMachine(m *machine) {
-	delete(c.machines, m.name)
-	c.landed(m)
+func (v *fleetView) removeMachine(q *calls, m *machine) {
+	delete(v.machines, m.name)
+	q.landed(m)
 	m.wantCommand = false // its place in the queue goes with the next step
-	for i, o := range c.fleet {
+	for i, o := range v.fleet {
 		if o == m {
-			c.fleet = append(c.fleet[:i], c.fleet[i+1:]...)
+			v.fleet = append(v.fleet[:i], v.fleet[i+1:]...)
 			break
 		}
 	}
@@ -265,8 +265,8 @@
 			c.rent(now)
 		}
 		if slow {
-			c.letGo(now)
-			c.leaveNoticed(now)
+			c.letGo(&c.fleetView, now)
+			c.leaveNoticed(&c.fleetView, now)
 			c.consolidate(now)
 		}
 		c.drain(now)
@@ -313,7 +313,7 @@
 	// Pages are of 90% of a value at most, so nine tenths of it are a smaller one.
 	c.cfg.Sizes.Next = max(constants.LeastValue, min(c.cfg.Sizes.Next, largest)*constants.PageFill/100)
 	for _, p := range c.pages {
-		c.split(p)
+		c.split(&c.fleetView, p)
 	}
 }
 
--- a/shard/direct.go
+++ b/shard/direct.go
@@ -31,7 +31,7 @@
 	queue := c.commandQueue
 	c.commandQueue = c.commandQueue[:0]
 	for _, m := range queue {
-		if m.wantCommand && m.reachable(now) && !c.unclear(now, m) && c.roomForCall() {
+		if m.wantCommand && m.reachable(now) && !c.unclear(now, m) && c.roomForCall(&c.fleetView) {
 			c.sendOrders(now, m)
 		}
 		if m.commandQueued = m.wantCommand; m.wantCommand {
@@ -56,7 +56,7 @@
 		if !question && !c.overdue(now, m) {
 			continue
 		}
-		if !c.roomForCall() {
+		if !c.roomForCall(&c.fleetView) {
 			return
 		}
 		if !question {
@@ -74,12 +74,12 @@
 }
 
 // roomForCall says whether one more direct command may be under way.
-func (c *Core) roomForCall() bool {
-	most := c.cfg.Calls
-	if c.isUnreachable {
+func (q *calls) roomForCall(v *fleetView) bool {
+	most := v.cfg.Calls
+	if v.isUnreachable {
 		most = min(most, constants.UnreachableCalls)
 	}
-	return c.inFlight < most
+	return q.inFlight < most
 }
 
 // unclear says whether a machine must be asked what is on it before it can be told
--- a/shard/draining.go
+++ b/shard/draining.go
@@ -139,10 +139,10 @@
 	if d == nil || !d.steps.due(now, constants.DrainEvery) {
 		return
 	}
-	d.ledger.Observe(now, c.unavailable(now), c.rebuilt)
+	d.ledger.Observe(now, c.draining.unavailable(&c.fleetView, now), c.rebuilt)
 	d.surge, d.headroom, d.looks = d.surge[:0], disruption.Counts{}, 0
 	d.turn++
-	c.settleMoves(now)
+	c.draining.settleMoves(&c.fleetView, now)
 	d.promised = c.draining.roomPromised()
 	c.liftCordons()
 	for _, m := range c.fleet {
@@ -159,30 +159,30 @@
 }
 
 // isUp says whether a task runs and has proved itself.
-func (c *Core) isUp(now time.Time, t *task) bool {
+func (d *draining) isUp(v *fleetView, now time.Time, t *task) bool {
 	h := t.hold
-	if !c.runs(now, t) {
+	if !v.runs(now, t) {
 		return false
 	}
-	return h.adopted || c.draining.cfg.HastyProof || now.Sub(h.runSince) >= c.draining.cfg.Policy.Stable
+	return h.adopted || d.cfg.HastyProof || now.Sub(h.runSince) >= d.cfg.Policy.Stable
 }
 
 // unavailable counts the shard's tasks of services that should be up and are not, and the
 // arrays' tasks and gangs that were interrupted.
-func (c *Core) unavailable(now time.Time) disruption.Counts {
-	down := c.lookAtInterruptions(now)
-	for _, j := range c.jobs {
+func (d *draining) unavailable(v *fleetView, now time.Time) disruption.Counts {
+	down := d.lookAtInterruptions(v, now)
+	for _, j := range v.jobs {
 		if j.rec.End != "" || !j.rec.Spec.IsService() {
 			continue
 		}
 		n := 0
 		for _, t := range j.tasks {
-			if !c.isUp(now, t) {
+			if !d.isUp(v, now, t) {
 				n++
 			}
 		}
 		if n > 0 {
-			down.Add(c.draining.budgetsOf(j), n)
+			down.Add(d.budgetsOf(j), n)
 		}
 	}
 	return down
@@ -194,14 +194,14 @@
 }
 
 // settleMoves looks which moved tasks are up again, and which never came up.
-func (c *Core) settleMoves(now time.Time) {
-	d := c.draining
+func (drains *draining) settleMoves(v *fleetView, now time.Time) {
+	d := drains
 	for t, m := range d.moves {
 		steps := d.drains[m.drain]
 		switch {
-		case c.jobs[t.job.rec.ID] != t.job || t.job.tasks[t.index] != t || t.job.rec.End != "":
+		case v.jobs[t.job.rec.ID] != t.job || t.job.tasks[t.index] != t || t.job.rec.End != "":
 			delete(d.moves, t) // it ended, or another shard looks after it
-		case c.isUp(now, t):
+		case drains.isUp(v, now, t):
 			delete(d.moves, t)
 		case now.Sub(m.since) > d.cfg.Policy.ReplaceWithin:
 			delete(d.moves, t)
@@ -226,12 +226,12 @@
 
 // bootFailed notes that a machine did not come up: while a drain runs, replacements may
 // be among those.
-func (c *Core) bootFailed(m *machine) {
-	if c.draining == nil {
+func (d *draining) bootFailed(v *fleetView, m *machine) {
+	if d == nil {
 		return
 	}
-	for _, steps := range c.draining.drains {
-		if steps.Acts() && !drain.Matches(&steps.Record().Selection, c.selectable(m)) {
+	for _, steps := range d.drains {
+		if steps.Acts() && !drain.Matches(&steps.Record().Selection, v.selectable(m)) {
 			steps.Failed(m.name + " did not come up")
 		}
 	}
@@ -347,20 +347,20 @@
 	}
 	var out []drain.Progress
 	for _, number := range c.draining.numbers() {
-		out = append(out, c.progress(number, c.draining.drains[number]))
+		out = append(out, c.draining.progress(&c.fleetView, number, c.draining.drains[number]))
 	}
 	return out
 }
 
-func (c *Core) progress(number int, s *drain.Steps) drain.Progress {
-	p := drain.Progress{Drain: number, Shard: c.cfg.Shard, Waits: c.draining.waits[number], Failures: s.Failures()}
-	for _, m := range c.selected(&s.Record().Selection) {
+func (d *draining) progress(v *fleetView, number int, s *drain.Steps) drain.Progress {
+	p := drain.Progress{Drain: number, Shard: v.cfg.Shard, Waits: d.waits[number], Failures: s.Failures()}
+	for _, m := range v.selected(&s.Record().Selection) {
 		p.Left++
 		if m.cordon != nil && m.cordon.drain == number && len(p.Cordoned) < constants.DrainNames {
 			p.Cordoned = append(p.Cordoned, m.name)
 		}
 	}
-	for _, m := range c.draining.moves {
+	for _, m := range d.moves {
 		if m.drain == number {
 			p.Moving++
 		}
--- a/shard/draining_test.go
+++ b/shard/draining_test.go
@@ -88,7 +88,7 @@
 		r.serve(250 * time.Millisecond)
 		notUp := 0
 		for _, task := range j.tasks {
-			if !r.isUp(r.now, task) {
+			if !r.draining.isUp(&r.fleetView, r.now, task) {
 				notUp++
 			}
 		}
@@ -165,7 +165,7 @@
 		units := map[unit]bool{}
 		for _, j := range r.jobs {
 			for _, task := range j.tasks {
-				if !r.isUp(r.now, task) {
+				if !r.draining.isUp(&r.fleetView, r.now, task) {
 					t.Fatalf("%s: %s does not run", kind, j.rec.ID)
 				}
 				units[unitOf(task)] = true
@@ -206,12 +206,12 @@
 	cfg := DrainingConfig{Shards: []string{"a"}, Budgets: budgets, Policy: drain.Policy{Stable: 5 * time.Second, ReplaceWithin: time.Minute, FailuresMost: 2}}
 	r.StartDraining(r.now, cfg, map[string]*state.Job{j.ID: j}, []state.Change{{Key: state.KeyClaim("a"), Version: 90, Record: &last}})
 	r.write(r.wait(time.Second))
-	if n := r.unavailable(r.now)[key]; n != 2 {
+	if n := r.draining.unavailable(&r.fleetView, r.now)[key]; n != 2 {
 		t.Errorf("%d of 3 that wait count, 2 were claimed", n)
 	}
 	r.up("m-0")
 	r.serve(15 * time.Second)
-	if n := r.unavailable(r.now)[key]; n != 0 {
+	if n := r.draining.unavailable(&r.fleetView, r.now)[key]; n != 0 {
 		t.Errorf("%d count though all run", n)
 	}
 }
--- a/shard/elsewhere.go
+++ b/shard/elsewhere.go
@@ -10,16 +10,16 @@
 
 // warmerElsewhere says whether a production task would wait for its image
 // here, and would not in another shard.
-func (c *Core) warmerElsewhere(now time.Time, s *wire.Submission) bool {
+func (f *figures) warmerElsewhere(v *fleetView, now time.Time, s *wire.Submission) bool {
 	if s.Priority != wire.PriorityProduction || s.OneZone || s.Spread && s.Tasks > 1 || s.Zone != "" {
 		return false
 	}
-	for _, m := range c.fleet {
-		if m.images[s.Image] && c.usable(now, m) && allowed(s, m.typeName, m.spot) && c.prodRoom(m) >= s.CPUs {
+	for _, m := range v.fleet {
+		if m.images[s.Image] && v.usable(now, m) && allowed(s, m.typeName, m.spot) && v.prodRoom(m) >= s.CPUs {
 			return false
 		}
 	}
-	for _, o := range c.others {
+	for _, o := range f.others {
 		if now.Sub(o.at) < constants.StaleAggregate && o.agg.Warm[s.Image] >= s.CPUs {
 			return true
 		}
--- a/shard/empty.go
+++ b/shard/empty.go
@@ -16,15 +16,15 @@
 // leaveNoticed moves work off machines that the cloud is about to take: what
 // can save is told to in time, services and arrays that will not be done start
 // again elsewhere while there is room.
-func (c *Core) leaveNoticed(now time.Time) {
-	for _, m := range c.fleet {
+func (q *calls) leaveNoticed(v *fleetView, now time.Time) {
+	for _, m := range v.fleet {
 		if m.notice.IsZero() || m.returning || !m.up {
 			continue
 		}
 		left := m.notice.Sub(now)
 		moves := 0
 		for _, h := range m.holds {
-			t := c.taskOf(h)
+			t := v.taskOf(h)
 			if !stoppable(h, t) || moves >= constants.NoticeMoves {
 				continue
 			}
@@ -32,8 +32,8 @@
 			if t.job.gang != nil {
 				// It saves whole, at the last moment at which all can be told, or
 				// is left to end by itself.
-				if !h.instant && left <= c.grace(h)+c.cfg.GangPeer+constants.NoticeMargin {
-					c.stopGang(t.job, "a machine will be taken back")
+				if !h.instant && left <= v.grace(h)+v.cfg.GangPeer+constants.NoticeMargin {
+					q.stopGang(t.job, "a machine will be taken back")
 				}
 				continue
 			}
@@ -42,15 +42,15 @@
 				ends -= now.Sub(h.runSince)
 			}
 			switch {
-			case !h.instant && left > c.grace(h)+constants.NoticeMargin:
+			case !h.instant && left > v.grace(h)+constants.NoticeMargin:
 				continue // it saves at the last moment
 			case !h.instant:
 			case !s.IsService() && float64(ends) < constants.NoticeDoubt*float64(left):
 				continue // it may well be done before
-			case c.bestFit(now, s, nil) == nil:
+			case v.bestFit(now, s, nil) == nil:
 				continue
 			}
-			c.stopHold(h)
+			q.stopHold(h)
 			moves++
 		}
 	}
@@ -93,7 +93,7 @@
 		}
 		return ms[a].name > ms[b].name
 	})
-	keep := c.reserve(now) + c.prod.largest.cpus + c.gangNeed
+	keep := c.reserve(&c.fleetView, now) + c.prod.largest.cpus + c.gangNeed
 	others := c.withRoom(now)
 	looked := 0
 	for _, m := range ms {
--- a/shard/gang.go
+++ b/shard/gang.go
@@ -179,7 +179,7 @@
 	}
 	places := c.gangPlaces(now, &j.rec.Spec, len(tasks), attempt)
 	if places == nil && !c.gangRoom(now, tasks, r) {
-		c.saveForGang(now, tasks, r)
+		c.saveForGang(&c.fleetView, now, tasks, r)
 		return
 	}
 	if !spread {
@@ -270,7 +270,7 @@
 	if left == 0 {
 		return
 	}
-	typ, spot, ok := c.pick(now, s)
+	typ, spot, ok := c.pick(&c.fleetView, now, s)
 	waited := now.Sub(j.gangSince)
 	back := now.Sub(j.backAt) > constants.KeepWait && !shared(j.rec, c.cfg.Shard)
 	// Where it has waited for long and the cloud has no more, no shard may hold it
--- a/shard/gangfit.go
+++ b/shard/gangfit.go
@@ -95,12 +95,12 @@
 
 // saveForGang makes room for a gang where work that can save stands in its way:
 // as much of it is stopped as the gang lacks places.
-func (c *Core) saveForGang(now time.Time, tasks []*task, r *round) {
+func (q *calls) saveForGang(v *fleetView, now time.Time, tasks []*task, r *round) {
 	if !r.saving || slices.ContainsFunc(tasks, func(t *task) bool { return now.Before(t.roomAt) }) {
 		return // what was stopped for it is still saving
 	}
-	for missing := len(tasks) - c.slots(now, &tasks[0].job.rec.Spec); missing > 0; {
-		freed := c.askToSave(now, tasks[missing-1], r)
+	for missing := len(tasks) - v.slots(now, &tasks[0].job.rec.Spec); missing > 0; {
+		freed := q.askToSave(v, now, tasks[missing-1], r)
 		if freed == 0 {
 			return
 		}
--- a/shard/gangreserve.go
+++ b/shard/gangreserve.go
@@ -43,21 +43,21 @@
 
 // gangFigures is how many tasks of each shape of gang seen lately would start
 // now, and how many of them on machines that hold the image.
-func (c *Core) gangFigures(now time.Time) map[string]leader.GangRoom {
+func (reserves *gangReserves) gangFigures(v *fleetView, now time.Time) map[string]leader.GangRoom {
 	out := map[string]leader.GangRoom{}
-	for key, sh := range c.shapes {
+	for key, sh := range reserves.shapes {
 		if now.Sub(sh.at) > constants.ShapeMemory {
-			delete(c.shapes, key)
+			delete(reserves.shapes, key)
 			continue
 		}
 		s := &sh.spec
 		n := need(s)
 		var g leader.GangRoom
-		for _, m := range c.fleet {
-			if m.draining || !allowed(s, m.typeName, m.spot) || !c.usable(now, m) {
+		for _, m := range v.fleet {
+			if m.draining || !allowed(s, m.typeName, m.spot) || !v.usable(now, m) {
 				continue
 			}
-			k := c.free(m).holdsOf(n)
+			k := v.free(m).holdsOf(n)
 			g.Now += k
 			if m.images[s.Image] {
 				g.Warm += k
@@ -73,8 +73,8 @@
 // gang needs all its places at the same moment, and arrays would take each that
 // falls free. It is made anew each time, so none outlives its reason.
 func (c *Core) keepForGangs(now time.Time) {
-	c.refresh()
-	c.gangNeed = c.gangReserve(now)
+	c.refresh(&c.fleetView)
+	c.gangNeed = c.gangReserve(&c.fleetView, now)
 	waiting := c.waitingGangs()
 	for _, m := range c.fleet {
 		m.forGangs = false
@@ -82,7 +82,7 @@
 	if c.gangNeed == 0 && len(waiting) == 0 {
 		return
 	}
-	machines := c.machinesForGangs(now)
+	machines := c.machinesForGangs(&c.fleetView, now)
 	for _, j := range waiting {
 		keepForGang(machines, j)
 	}
@@ -122,22 +122,22 @@
 
 // machinesForGangs lists the machines whose room may be kept for gangs, those with the
 // most of their images first, then by room.
-func (c *Core) machinesForGangs(now time.Time) []*gangMachine {
+func (g *gangReserves) machinesForGangs(v *fleetView, now time.Time) []*gangMachine {
 	var list []*gangMachine
-	for _, m := range c.fleet {
-		if m.draining || m.keptFor != nil || !c.usable(now, m) {
+	for _, m := range v.fleet {
+		if m.draining || m.keptFor != nil || !v.usable(now, m) {
 			continue
 		}
-		k := &gangMachine{m: m, room: c.free(m)}
+		k := &gangMachine{m: m, room: v.free(m)}
 		for _, h := range m.holds {
-			if t := c.taskOf(h); t != nil && !h.exited() && !t.job.rec.Spec.Whole() {
+			if t := v.taskOf(h); t != nil && !h.exited() && !t.job.rec.Spec.Whole() {
 				k.room = k.room.plus(h.needs)
 			}
 		}
 		if k.room.cpus < slack {
 			continue
 		}
-		for _, sh := range c.shapes {
+		for _, sh := range g.shapes {
 			if m.images[sh.spec.Image] {
 				k.warm++
 			}
@@ -178,15 +178,15 @@
 
 // gangReserve is the room (CPUs) held ready for gangs: what is expected to
 // arrive while a machine would boot, and the largest of late at least.
-func (c *Core) gangReserve(now time.Time) float64 {
-	if c.gangs.largest.cpus == 0 {
+func (g *gangReserves) gangReserve(v *fleetView, now time.Time) float64 {
+	if g.gangs.largest.cpus == 0 {
 		return 0
 	}
-	within := c.gangs.within(now, time.Duration(c.bootS()*float64(time.Second)))
-	if within < c.gangs.largest.cpus*constants.GangsFaint {
+	within := g.gangs.within(now, time.Duration(v.bootS()*float64(time.Second)))
+	if within < g.gangs.largest.cpus*constants.GangsFaint {
 		return 0 // they have stopped coming
 	}
-	return max(c.gangs.largest.cpus, constants.ReserveFactor*within)
+	return max(g.gangs.largest.cpus, constants.ReserveFactor*within)
 }
 
 // gangRoomMissing is how much of that reserve (CPUs) is neither free nor coming.
--- a/shard/interruptions.go
+++ b/shard/interruptions.go
@@ -88,18 +88,18 @@
 }
 
 // lookAtInterruptions looks at all arrays and gangs that budgets count.
-func (c *Core) lookAtInterruptions(now time.Time) disruption.Counts {
-	s := &c.draining.interruptions
-	for _, j := range c.jobs {
+func (d *draining) lookAtInterruptions(v *fleetView, now time.Time) disruption.Counts {
+	s := &d.interruptions
+	for _, j := range v.jobs {
 		if j.rec.End != "" || j.rec.Spec.IsService() {
 			continue
 		}
-		keys := c.draining.budgetsOf(j)
+		keys := d.budgetsOf(j)
 		if len(keys) == 0 {
 			continue
 		}
 		if j.gang != nil {
-			c.lookAtGang(now, j, keys)
+			d.lookAtGang(v, now, j, keys)
 			continue
 		}
 		for _, t := range j.tasks {
@@ -107,29 +107,29 @@
 				s.done(unitOf(t))
 				continue
 			}
-			s.look(now, unitOf(t), keys, c.runs(now, t), c.isUp(now, t))
+			s.look(now, unitOf(t), keys, v.runs(now, t), d.isUp(v, now, t))
 		}
 	}
-	if c.rebuilt && !c.draining.inherited {
-		c.draining.inherited = true
-		c.draining.inheritInterruptions()
+	if v.rebuilt && !d.inherited {
+		d.inherited = true
+		d.inheritInterruptions()
 	}
 	return s.count(now)
 }
 
 // lookAtGang looks at a gang, which runs if all its tasks here do.
-func (c *Core) lookAtGang(now time.Time, j *job, keys []disruption.Key) {
+func (d *draining) lookAtGang(v *fleetView, now time.Time, j *job, keys []disruption.Key) {
 	whole := unit{j, wholeGang}
 	if j.gang.done {
-		c.draining.interruptions.done(whole)
+		d.interruptions.done(whole)
 		return
 	}
 	runs, isUp := true, true
 	for _, t := range j.tasks {
-		runs = runs && c.runs(now, t)
-		isUp = isUp && c.isUp(now, t)
+		runs = runs && v.runs(now, t)
+		isUp = isUp && d.isUp(v, now, t)
 	}
-	c.draining.interruptions.look(now, whole, keys, runs, isUp)
+	d.interruptions.look(now, whole, keys, runs, isUp)
 }
 
 // inheritInterruptions takes as many units that wait as earlier owners claimed for those
--- a/shard/inventory.go
+++ b/shard/inventory.go
@@ -45,7 +45,7 @@
 		return
 	}
 	entries := r.Machines()
-	c.stored(p, entries, version)
+	c.stored(&c.calls, p, entries, version)
 	for i := range entries {
 		e := &entries[i]
 		if _, gone := c.gone[e.Name]; gone && c.machines[e.Name] == nil {
@@ -82,39 +82,39 @@
 			p.dirty = true
 		}
 	}
-	c.split(p)
+	c.split(&c.fleetView, p)
 	c.dirty = true
 }
 
 // split moves machines off a page that is larger than a value may be: the version
 // before, with larger limits, may have left it, at any takeover.
-func (c *Core) split(p *page) {
-	most := c.entriesMost
+func (b *pageBook) split(v *fleetView, p *page) {
+	most := b.entriesMost
 	if p.bytes <= most {
 		return
 	}
 	names := slices.Sorted(maps.Keys(p.names))
 	for len(names) > 1 && p.bytes > most {
-		c.moveOff(p, names[len(names)-1])
+		b.moveOff(v, p, names[len(names)-1])
 		names = names[:len(names)-1]
 	}
 }
 
 // moveOff gives a machine a place on another page. Until it stands there durably
 // its old page is not written, so it is never on none.
-func (c *Core) moveOff(p *page, name string) {
-	m := c.machines[name]
+func (b *pageBook) moveOff(v *fleetView, p *page, name string) {
+	m := v.machines[name]
 	p.drop(name)
 	p.dirty = true
 	m.page = pageless
-	c.enrol(m)
+	b.enrol(m)
 }
 
 // writable says whether all machines that a page has lost stand durably on
 // theirs.
-func (c *Core) writable(p *page) bool {
+func (b *pageBook) writable(v *fleetView, p *page) bool {
 	for name := range p.stored {
-		if m := c.machines[name]; m != nil && m.page != p.number && m.page != pageless && !c.pages[m.page].stored[name] {
+		if m := v.machines[name]; m != nil && m.page != p.number && m.page != pageless && !b.pages[m.page].stored[name] {
 			return false
 		}
 	}
@@ -132,7 +132,7 @@
 
 // stored notes what a page durably holds: a machine on no durable page gets no
 // task, and one that left its page for good is forgotten.
-func (c *Core) stored(p *page, entries []state.Machine, version uint64) {
+func (v *fleetView) stored(q *calls, p *page, entries []state.Machine, version uint64) {
 	p.version = version
 	was := p.stored
 	p.stored = make(map[string]bool, len(entries))
@@ -140,14 +140,14 @@
 		p.stored[e.Name] = true
 	}
 	for name := range was {
-		if m := c.machines[name]; m != nil && m.page == p.number && !p.stored[name] {
+		if m := v.machines[name]; m != nil && m.page == p.number && !p.stored[name] {
 			m.durable, m.inventoryAddr = false, ""
 		}
 	}
 	for name := range p.names {
-		if m := c.machines[name]; m != nil && m.leaving && !p.stored[name] {
+		if m := v.machines[name]; m != nil && m.leaving && !p.stored[name] {
 			p.drop(name)
-			c.removeMachine(m)
+			v.removeMachine(q, m)
 		}
 	}
 }
@@ -208,7 +208,7 @@
 	}
 	var ps []*page
 	for _, p := range c.pages {
-		if p.dirty && c.writable(p) {
+		if p.dirty && c.writable(&c.fleetView, p) {
 			ps = append(ps, p)
 		}
 	}
@@ -238,7 +238,7 @@
 			// Many kinds of machine or long addresses take more than was allowed
 			// for: half of them go to another page, and this one waits for that.
 			for _, e := range entries[len(entries)/2:] {
-				c.moveOff(p, e.Name)
+				c.moveOff(&c.fleetView, p, e.Name)
 			}
 			continue
 		}
@@ -277,7 +277,7 @@
 		if revision <= p.version {
 			continue // the feed was faster
 		}
-		c.stored(p, sent, revision)
+		c.stored(&c.calls, p, sent, revision)
 		for _, e := range sent {
 			if m := c.machines[e.Name]; m != nil {
 				m.durable, m.inventoryAddr = true, e.Addr
@@ -293,14 +293,14 @@
 // leaveInventory takes a returned machine off the inventory.
 func (c *Core) leaveInventory(m *machine) {
 	if m.page == pageless {
-		c.removeMachine(m)
+		c.removeMachine(&c.calls, m)
 		return
 	}
 	m.leaving = true
 	p := c.pages[m.page]
 	if !p.stored[m.name] && p.sent == nil {
 		p.drop(m.name) // it never stood there
-		c.removeMachine(m)
+		c.removeMachine(&c.calls, m)
 		return
 	}
 	p.dirty = true
--- a/shard/model.go
+++ b/shard/model.go
@@ -16,12 +16,12 @@
 //   - assignments: what of the jobs' records is over
 //   - direct: commands that go straight to machines
 //
-// Core is composed of one state for each of these, and a method that is a state's own
-// changes nothing else: ownership (whose shard it is, and until when the owner may act),
-// knowledge, pageBook, placement, gangReserves, capacity, consolidation, draining with its
-// interruptions and the ledger of package disruption, hearing, closings, calls and figures.
-// Methods of Core bring several states together; those of a machine, a job, an attempt
-// (hold) and a task change only that.
+// Core is composed of states: fleetView (ownership: whose shard it is, and until when the
+// owner may act; knowledge; hearing), pageBook, placement, gangReserves, capacity,
+// consolidation, draining with its interruptions and the ledger of package disruption,
+// closings, calls and figures. A state's method changes that state and what it is handed,
+// machines, jobs, attempts (holds) and tasks among it; many are handed the fleetView. Methods
+// of Core, some seventy, bring several states together.
 //
 // push has the figures for leader, users and operators, action what the actor has to do,
 // pace how often a step is made, numbers the numbers of attempts and tokens.
@@ -377,14 +377,14 @@
 }
 
 // refresh brings the lists of waiting tasks up to date.
-func (c *Core) refresh() {
-	for _, j := range c.touched {
+func (p *placement) refresh(v *fleetView) {
+	for _, j := range p.touched {
 		j.stale = false
 		j.waiting, j.begun = j.waiting[:0], false
 		for i := range j.rec.Assignments {
 			j.begun = j.begun || j.rec.Assignments[i].Closed
 		}
-		if c.jobs[j.rec.ID] == j && j.rec.End == "" {
+		if v.jobs[j.rec.ID] == j && j.rec.End == "" {
 			for _, t := range j.tasks {
 				j.begun = j.begun || t.done || t.hold != nil
 				if t.waiting() {
@@ -393,7 +393,7 @@
 			}
 		}
 		if len(j.waiting) == 0 {
-			delete(c.waiting, j)
+			delete(p.waiting, j)
 			continue
 		}
 		sort.Slice(j.waiting, func(a, b int) bool {
@@ -403,9 +403,9 @@
 			}
 			return x.index < y.index
 		})
-		c.waiting[j] = true
+		p.waiting[j] = true
 	}
-	c.touched = c.touched[:0]
+	p.touched = p.touched[:0]
 }
 
 // recordChanges says that the record known here will be replaced by a newer one:
--- a/shard/moving.go
+++ b/shard/moving.go
@@ -69,7 +69,7 @@
 	d := c.draining
 	s := &t.job.rec.Spec
 	keys := c.draining.budgetsOf(t.job)
-	isUp := c.isUp(now, t)
+	isUp := c.draining.isUp(&c.fleetView, now, t)
 	if !isUp && c.draining.mayComeUp(now, t.hold) {
 		return "a task of " + s.ID + " is not up yet"
 	}
@@ -79,7 +79,7 @@
 	if d.looks++; d.looks > constants.DrainLooks {
 		return "others are looked at first"
 	}
-	to := c.roomToMove(now, s, d.promised)
+	to := c.roomToMove(&c.fleetView, now, s, d.promised)
 	if to == nil {
 		c.draining.askForRoom(now, t, keys)
 		return "no machine has room for a task of " + s.ID
@@ -116,10 +116,10 @@
 
 // roomToMove is a machine with room for a task, beside what is promised to others: one
 // that stays, unless none can be rented.
-func (c *Core) roomToMove(now time.Time, s *wire.Submission, promised map[*machine]resources) *machine {
-	_, _, rentable := c.pick(now, s)
-	return c.bestFit(now, s, func(m *machine) bool {
-		return !(rentable && m.leavesNext) && need(s).fits(c.free(m).minus(promised[m]))
+func (c *capacity) roomToMove(v *fleetView, now time.Time, s *wire.Submission, promised map[*machine]resources) *machine {
+	_, _, rentable := c.pick(v, now, s)
+	return v.bestFit(now, s, func(m *machine) bool {
+		return !(rentable && m.leavesNext) && need(s).fits(v.free(m).minus(promised[m]))
 	})
 }
 
@@ -150,7 +150,7 @@
 		if c.takeComing(s, 1) == 1 {
 			continue
 		}
-		typ, spot, ok := c.pick(now, s)
+		typ, spot, ok := c.pick(&c.fleetView, now, s)
 		if !ok {
 			continue
 		}
@@ -209,7 +209,7 @@
 	}
 	if refused := c.draining.ledger.Check(now, keys); refused != nil && refused.Reason == disruption.Never {
 		obstacle(refused.Error(), true)
-	} else if _, _, rentable := c.pick(now, s); !rentable && c.roomToMove(now, s, promised) == nil {
+	} else if _, _, rentable := c.pick(&c.fleetView, now, s); !rentable && c.roomToMove(&c.fleetView, now, s, promised) == nil {
 		obstacle("no machine has room for it, and none can be rented now", false)
 	}
 }
--- a/shard/place.go
+++ b/shard/place.go
@@ -84,12 +84,12 @@
 }
 
 // queue lists the jobs with waiting tasks in their order, each with its place.
-func (c *Core) queue(now time.Time) []*job {
-	c.refresh()
-	q := make([]*job, 0, len(c.waiting))
-	for j := range c.waiting {
+func (p *placement) queue(v *fleetView, now time.Time) []*job {
+	p.refresh(v)
+	q := make([]*job, 0, len(p.waiting))
+	for j := range p.waiting {
 		q = append(q, j)
-		j.place = c.cfg.Order.Place(now, j.rec, j.waiting[0].guarantee, j.begun)
+		j.place = v.cfg.Order.Place(now, j.rec, j.waiting[0].guarantee, j.begun)
 	}
 	slices.SortFunc(q, func(a, b *job) int { return a.place.Compare(b.place) })
 	return q
@@ -102,7 +102,7 @@
 func (c *Core) place(now time.Time) {
 	c.dirty = false
 	c.lastPlace = now
-	q := c.queue(now)
+	q := c.queue(&c.fleetView, now)
 	c.order = q
 	start := 0
 	if c.resume != nil {
@@ -144,7 +144,7 @@
 	if len(tasks) == 0 {
 		return
 	}
-	if c.warmerElsewhere(now, s) {
+	if c.warmerElsewhere(&c.fleetView, now, s) {
 		kept := tasks[:0]
 		for _, t := range tasks {
 			if t.keep {
@@ -184,7 +184,7 @@
 		case m == nil:
 			r.full[d] = append(r.full[d], n)
 			if m = c.preempt(now, t, false, r); m == nil {
-				c.askToSave(now, t, r)
+				c.askToSave(&c.fleetView, now, t, r)
 				if overdue {
 					c.collect(now, j, r)
 				}
@@ -232,11 +232,11 @@
 }
 
 // letGo ends the keeping of room that was used or not used in time.
-func (c *Core) letGo(now time.Time) {
-	for _, m := range c.fleet {
-		if j := m.keptFor; j != nil && (now.After(m.keptUntil) || j.begun || len(j.waiting) == 0 || c.jobs[j.rec.ID] != j) {
+func (p *placement) letGo(v *fleetView, now time.Time) {
+	for _, m := range v.fleet {
+		if j := m.keptFor; j != nil && (now.After(m.keptUntil) || j.begun || len(j.waiting) == 0 || v.jobs[j.rec.ID] != j) {
 			m.keptFor = nil
-			c.dirty = true
+			p.dirty = true
 		}
 	}
 }
@@ -248,7 +248,7 @@
 	if c.dirty {
 		return false
 	}
-	c.refresh()
+	c.refresh(&c.fleetView)
 	free := c.free(m)
 	looked := 0
 	for _, j := range c.order {
--- a/shard/preempt.go
+++ b/shard/preempt.go
@@ -153,7 +153,7 @@
 // askToSave makes room for a task where only work that can save stands in its
 // way: that is stopped with time to save, and the task starts once it is gone.
 // It returns for how many such tasks room will be there.
-func (c *Core) askToSave(now time.Time, claimant *task, r *round) int {
+func (q *calls) askToSave(v *fleetView, now time.Time, claimant *task, r *round) int {
 	if !r.saving || now.Before(claimant.roomAt) {
 		return 0
 	}
@@ -161,14 +161,14 @@
 	n := need(s)
 	var best []*hold
 	bestCost := math.Inf(1)
-	for _, m := range c.fleet {
-		if !allowed(s, m.typeName, m.spot) || !c.usable(now, m) {
+	for _, m := range v.fleet {
+		if !allowed(s, m.typeName, m.spot) || !v.usable(now, m) {
 			continue
 		}
-		free, cost := c.free(m), 0.0
+		free, cost := v.free(m), 0.0
 		var victims []*hold
 		for _, h := range m.holds {
-			t := c.taskOf(h)
+			t := v.taskOf(h)
 			if n.fits(free) || !stoppable(h, t) || !mayStop(t, claimant) {
 				continue
 			}
@@ -186,16 +186,16 @@
 	wait := time.Duration(0)
 	var freed resources
 	for _, h := range best {
-		wait = max(wait, c.grace(h)+c.together(h))
-		if t := c.taskOf(h); t.job.gang != nil {
+		wait = max(wait, v.grace(h)+v.together(h))
+		if t := v.taskOf(h); t.job.gang != nil {
 			if !h.stop {
-				c.stopGang(t.job, "makes room")
+				q.stopGang(t.job, "makes room")
 				freed = freed.plus(h.needs.times(len(t.job.tasks)))
 			}
 			continue
 		}
 		freed = freed.plus(h.needs)
-		c.stopHold(h)
+		q.stopHold(h)
 		slog.Debug("task saves and makes room", "task", h.key.task, "machine", h.m.name)
 	}
 	if len(best) == 0 {
--- a/shard/push.go
+++ b/shard/push.go
@@ -20,7 +20,7 @@
 // are coming.
 func (c *Core) Aggregate(now time.Time, revision uint64) leader.Aggregate {
 	a := leader.Aggregate{Shard: c.cfg.Shard, Term: c.term, Revision: revision, Waiting: c.excess,
-		Warm: map[string]float64{}, RentOrdinary: c.rentable(now, false), RentSpot: c.cfg.UseSpot && c.rentable(now, true)}
+		Warm: map[string]float64{}, RentOrdinary: c.rentable(&c.fleetView, now, false), RentSpot: c.cfg.UseSpot && c.rentable(&c.fleetView, now, true)}
 	add := func(free resources, spot bool) {
 		r := &a.Ordinary
 		if spot {
@@ -49,7 +49,7 @@
 			a.Warm[image] += room
 		}
 	}
-	a.Gangs, a.GangsKept = c.gangFigures(now), c.gangNeed
+	a.Gangs, a.GangsKept = c.gangFigures(&c.fleetView, now), c.gangNeed
 	for _, b := range c.roomComing {
 		add(b.free, b.spot)
 	}
@@ -150,7 +150,7 @@
 		}
 		s.Attempts += c.sumsOf(m).live
 	}
-	c.refresh()
+	c.refresh(&c.fleetView)
 	for j := range c.waiting {
 		s.Waiting += len(j.waiting)
 	}
--- a/shard/rent.go
+++ b/shard/rent.go
@@ -37,17 +37,17 @@
 
 // arriving lists the room of machines that are not up yet or may not take
 // tasks yet.
-func (c *Core) arriving(now time.Time) []coming {
+func (c *capacity) arriving(v *fleetView, now time.Time) []coming {
 	out := c.roomComing[:0] // made anew each time, in the same place
-	for _, m := range c.fleet {
-		if c.coming(now, m) {
+	for _, m := range v.fleet {
+		if v.coming(now, m) {
 			out = append(out, coming{m.capacity, m.typeName, m.spot})
-		} else if m.up && (!m.verified(c.term) || !m.durable || m.inventoryAddr != m.addr) && !m.returning && m.typ != nil && !c.silent(now, m) {
-			out = append(out, coming{c.free(m), m.typeName, m.spot})
+		} else if m.up && (!m.verified(v.term) || !m.durable || m.inventoryAddr != m.addr) && !m.returning && m.typ != nil && !v.silent(now, m) {
+			out = append(out, coming{v.free(m), m.typeName, m.spot})
 		}
 	}
 	for _, r := range c.pendingRents {
-		if t := c.types[r.req.Type]; t != nil {
+		if t := v.types[r.req.Type]; t != nil {
 			for range r.req.Count {
 				out = append(out, coming{sizeOf(t), t.Name, r.req.Spot})
 			}
@@ -105,12 +105,12 @@
 // rent asks for machines for what waits and fits on nothing that is coming.
 func (c *Core) rent(now time.Time) {
 	c.unplaced, c.excess = resources{}, 0
-	c.roomComing = c.arriving(now)
+	c.roomComing = c.arriving(&c.fleetView, now)
 	if len(c.types) == 0 || !c.rebuilt {
 		return
 	}
 	r := rentRound{want: map[kind]int{}, longWaits: now.Sub(c.overdueAt) > constants.KeepWait}
-	for _, j := range c.queue(now) {
+	for _, j := range c.queue(&c.fleetView, now) {
 		if j.gang != nil {
 			c.rentForGang(now, j, r.want)
 			continue
@@ -120,7 +120,7 @@
 		}
 	}
 	c.rentForDrains(now, r.want)
-	c.rentForForecast(now, r.want)
+	c.rentForForecast(&c.fleetView, now, r.want)
 	if len(r.want) == 0 {
 		if typ, n := c.reserveMissing(now); n > 0 {
 			r.want[kind{typ, false}] = n
@@ -164,7 +164,7 @@
 func (c *Core) rentFor(now time.Time, j *job, tasks []*task, r *rentRound) {
 	s := &j.rec.Spec
 	n := need(s)
-	typ, spot, ok := c.pick(now, s)
+	typ, spot, ok := c.pick(&c.fleetView, now, s)
 	away := 0
 	back := now.Sub(j.backAt) > constants.KeepWait // together, and not over and over
 	var bin *coming
@@ -185,7 +185,7 @@
 			c.sendBack(j, t)
 			c.overdueAt = now
 			r.sent++
-		case c.drains(now, j, t):
+		case c.drains(&c.fleetView, now, j, t):
 		case ok:
 			c.roomComing = append(c.roomComing, coming{sizeOf(typ).minus(n), typ.Name, spot})
 			bin = &c.roomComing[len(c.roomComing)-1]
@@ -203,7 +203,7 @@
 
 // rentForForecast rents for what the leader will assign, beyond the room that is there
 // or coming. Spare ordinary room counts for what may also use spot machines.
-func (c *Core) rentForForecast(now time.Time, want map[kind]int) {
+func (c *capacity) rentForForecast(v *fleetView, now time.Time, want map[kind]int) {
 	spare := 0.0
 	for _, spot := range []bool{false, true} {
 		s, cpus := c.foreseen(now, spot)
@@ -213,13 +213,13 @@
 				cpus -= b.free.cpus
 			}
 		}
-		for _, m := range c.fleet {
-			if m.spot == spot && c.usable(now, m) {
-				cpus -= c.free(m).cpus
+		for _, m := range v.fleet {
+			if m.spot == spot && v.usable(now, m) {
+				cpus -= v.free(m).cpus
 			}
 		}
 		spare = max(0, -cpus)
-		if typ, kindSpot, ok := c.pick(now, s); ok && cpus > 0 {
+		if typ, kindSpot, ok := c.pick(v, now, s); ok && cpus > 0 {
 			if n := int(cpus / max(typ.CPUs, 1)); n > 0 {
 				want[kind{typ.Name, kindSpot}] += n
 			}
@@ -310,7 +310,7 @@
 // reserveMissing is how many ordinary machines of which type are missing to
 // keep room ready for production work.
 func (c *Core) reserveMissing(now time.Time) (string, int) {
-	if c.prod.largest.cpus == 0 && c.gangNeed == 0 || !c.rentable(now, false) {
+	if c.prod.largest.cpus == 0 && c.gangNeed == 0 || !c.rentable(&c.fleetView, now, false) {
 		return "", 0
 	}
 	room := 0.0
@@ -324,7 +324,7 @@
 			room += b.free.cpus
 		}
 	}
-	missing := max(c.reserve(now)-room, c.gangRoomMissing())
+	missing := max(c.reserve(&c.fleetView, now)-room, c.gangRoomMissing())
 	if missing <= 0 {
 		return "", 0
 	}
@@ -343,30 +343,30 @@
 
 // reserve is the room (CPUs) held ready for production work: what is expected
 // to arrive while a machine would boot, and one of the largest tasks at least.
-func (c *Core) reserve(now time.Time) float64 {
-	return max(c.prod.largest.cpus, constants.ReserveFactor*c.prod.within(now, time.Duration(c.bootS()*float64(time.Second))))
+func (c *capacity) reserve(v *fleetView, now time.Time) float64 {
+	return max(c.prod.largest.cpus, constants.ReserveFactor*c.prod.within(now, time.Duration(v.bootS()*float64(time.Second))))
 }
 
 // drains says whether the machines that are there will get round to a waiting
 // task before a machine rented for it could be up, and well within its
 // class's objective: renting for it would only cost.
-func (c *Core) drains(now time.Time, j *job, t *task) bool {
+func (c *capacity) drains(v *fleetView, now time.Time, j *job, t *task) bool {
 	s := &j.rec.Spec
-	within := c.cfg.Order.Within(s.Class)
-	boot := c.bootS()
+	within := v.cfg.Order.Within(s.Class)
+	boot := v.bootS()
 	// Estimates may be far too low: what has waited in vain is rented for.
 	if s.IsService() || within == 0 || t.guarantee || now.Sub(t.waitSince).Seconds() > boot*constants.DrainWait {
 		return false
 	}
 	if c.drainAt != now {
 		c.drainAt, c.drainWork, c.drainCPUs = now, 0, 0
-		for _, m := range c.fleet {
-			if m.draining || !c.usable(now, m) {
+		for _, m := range v.fleet {
+			if m.draining || !v.usable(now, m) {
 				continue
 			}
 			c.drainCPUs += m.capacity.cpus
 			for _, h := range m.holds {
-				o := c.taskOf(h)
+				o := v.taskOf(h)
 				if h.exited() || o == nil {
 					continue
 				}
@@ -393,20 +393,20 @@
 
 // rentable says whether the shard may get more machines of a kind: the cloud had
 // some a moment ago, and they would not be out of reach like all others.
-func (c *Core) rentable(now time.Time, spot bool) bool {
-	return !c.isUnreachable && !now.Before(c.refused[spot])
+func (c *capacity) rentable(v *fleetView, now time.Time, spot bool) bool {
+	return !v.isUnreachable && !now.Before(c.refused[spot])
 }
 
 // pick chooses the cheapest kind of machine for a task that can be had.
-func (c *Core) pick(now time.Time, s *wire.Submission) (*wire.MachineType, bool, bool) {
+func (c *capacity) pick(v *fleetView, now time.Time, s *wire.Submission) (*wire.MachineType, bool, bool) {
 	var best *wire.MachineType
 	bestSpot, bestPrice := false, math.Inf(1)
-	for _, t := range c.types {
-		if !need(s).fits(sizeOf(t)) || !allowed(s, t.Name, false) || !slices.Contains(t.Zones, c.cfg.Shard) {
+	for _, t := range v.types {
+		if !need(s).fits(sizeOf(t)) || !allowed(s, t.Name, false) || !slices.Contains(t.Zones, v.cfg.Shard) {
 			continue
 		}
 		for _, spot := range []bool{false, true} {
-			if spot && (!s.Spot || !c.cfg.UseSpot) || !c.rentable(now, spot) {
+			if spot && (!s.Spot || !v.cfg.UseSpot) || !c.rentable(v, now, spot) {
 				continue
 			}
 			price := t.Price
--- a/shard/report.go
+++ b/shard/report.go
@@ -29,7 +29,7 @@
 	}
 	c.arrive(now, m, r)
 	c.absorb(now, m, r, true)
-	c.heard(now, m)
+	c.heard(&c.fleetView, now, m)
 	m.leaseUntil = c.leaseEnd(now, m)
 	if !c.may(now) {
 		return wire.ReportReply{Token: c.token(m), Commands: []wire.Command{}}, true
@@ -85,19 +85,19 @@
 // with, that made reports elsewhere though it was answered here, or leaves a
 // direct command unanswered, is unconfirmed until it shows a token that is sent to
 // it from then on. A late copy of a report cannot: it is older than that token.
-func (c *Core) heard(now time.Time, m *machine) {
-	if c.silent(now, m) {
+func (p *placement) heard(v *fleetView, now time.Time, m *machine) {
+	if v.silent(now, m) {
 		m.unheeded = 0 // it was out of reach: what was asked meanwhile says nothing of its ears
 	}
 	m.heard, m.unanswered = now, 0
 	switch {
 	case m.unconfirmed() && m.token >= m.confirmingToken:
-		c.trust(m)
-	case !m.unconfirmed() && (m.missed || m.answersSince > 0 && m.token < c.token(m)):
-		c.requestConfirmation(now, m)
+		p.trust(m)
+	case !m.unconfirmed() && (m.missed || m.answersSince > 0 && m.token < v.token(m)):
+		v.requestConfirmation(now, m)
 	}
 	m.answersSince++
-	if m.token == c.token(m) {
+	if m.token == v.token(m) {
 		m.answersSince = 0
 	}
 }
--- a/shard/silence.go
+++ b/shard/silence.go
@@ -130,7 +130,7 @@
 		switch {
 		case !m.up && !m.inherited && m.bootAge(now) > constants.BootPatience:
 			why = "did not come up"
-			c.bootFailed(m)
+			c.draining.bootFailed(&c.fleetView, m)
 		case m.cordon != nil && !c.isUnreachable && !c.busy(m) && (m.up && m.verified(c.term) || !m.up && !m.inherited && !m.lapsed):
 			why = "drained"
 		case idleToo && !c.isUnreachable && !m.forGangs && m.up && !m.idleSince.IsZero() && (m.draining || now.Sub(m.idleSince) > idle) && !c.busy(m) && m.verified(c.term):
