--- a/node/draining_test.go
+++ b/node/draining_test.go
@@ -214,15 +214,18 @@
 			w.command(t, peer.OpCancel, number)
 			w.until(t, "what was closed is returned", time.Minute, func() bool { return w.closedMachines() == 0 })
 		}},
-		{name: "cancelled at its very last step", ends: state.DrainCancelled, either: true, hurt: func(t *testing.T, w *world, number int) {
-			old := w.present()
-			isOld := func(name string) bool { return old[name] }
-			w.until(t, "the last machine is closed", 12*time.Minute, func() bool { return w.left(old) == 1 && w.closedOf(isOld) == 1 })
-			if problem := w.drains(t, peer.DrainRequest{Op: peer.OpCancel, Number: number}).Problem; problem != nil && w.drainRecord(number).State == state.DrainRunning {
-				t.Errorf("cancelling: %v", problem)
-			}
-			w.until(t, "what was closed is returned", time.Minute, func() bool { return w.closedOf(isOld) == 0 && w.left(old) == 0 })
+		{name: "cancelled at its very last step", hurt: func(t *testing.T, w *world, first int) {
+			w.drainEnds(t, first, state.DrainFinished, 12*time.Minute)
+			machine := w.machineOfAService()
+			number := w.startDrain(t, state.Selection{Machines: []string{machine}})
+			w.do(func() { w.noReturn = true }) // so that it is seen closed
+			isLast := func(name string) bool { return name == machine }
+			w.until(t, "the last machine is closed", 4*time.Minute, func() bool { return w.closedOf(isLast) == 1 })
+			w.command(t, peer.OpCancel, number)
+			w.do(func() { w.noReturn = false })
+			w.until(t, "what was closed is returned", time.Minute, func() bool { return w.closedOf(isLast) == 0 && w.left(map[string]bool{machine: true}) == 0 })
 			w.until(t, "nothing stays cordoned", time.Minute, func() bool { return w.cordonedMachines(t, number) == 0 })
+			w.drainEnds(t, number, state.DrainCancelled, time.Minute)
 		}},
 		{name: "a replacement turns unhealthy just after its step closed", hurt: func(t *testing.T, w *world, _ int) {
 			old := w.present()
--- a/node/standin_draining_test.go
+++ b/node/standin_draining_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -319,8 +320,6 @@
 	ends state.DrainState
 	// settings are added to those of all plays.
 	settings string
-	// either: it may as well have finished before.
-	either bool
 	// spot: services may run on spot machines.
 	spot bool
 	// idle: nothing need be moved.
@@ -380,7 +379,7 @@
 		if n := w.left(old); n > 0 {
 			t.Errorf("%d of %d machines are still there", n, len(old))
 		}
-	} else if !s.either || w.drainRecord(number).State != state.DrainFinished {
+	} else {
 		w.drainEnds(t, number, s.ends, 12*time.Minute)
 	}
 	w.until(t, "all replicas run again", 3*time.Minute, func() bool { return w.replicasUp() == 18 })
@@ -493,6 +492,21 @@
 	on.changed = true
 }
 
+// machineOfAService is a machine on which a service's task runs.
+func (w *world) machineOfAService() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var names []string
+	for name, m := range w.machines {
+		for _, x := range m.held {
+			if id, _, _ := wire.SplitTask(x.name); x.state == wire.TaskRunning && w.jobs[id].spec.IsService() {
+				names = append(names, name)
+			}
+		}
+	}
+	return slices.Min(names)
+}
+
 // cordonedMachines counts the machines that the controllers show as cordoned for a drain.
 func (w *world) cordonedMachines(t *testing.T, number int) int {
 	n := 0
