--- a/internal/loopback/drain_points_test.go
+++ b/internal/loopback/drain_points_test.go
@@ -94,7 +94,11 @@
 				}
 			}
 		}},
-		drainFailure{"a wave of spot machines is taken back", midway, func() { f.cloud.takeSpotBack(5 * time.Second) }},
+		drainFailure{"a wave of spot machines is taken back", midway, func() {
+			if n := f.cloud.takeSpotBack(5 * time.Second); n == 0 {
+				t.Error("there was no spot machine")
+			}
+		}},
 		drainFailure{"two replacements never boot", midway, func() { f.cloud.hurtNext(2, 0) }},
 		drainFailure{"two replacements never become healthy", midway, func() { f.cloud.hurtNext(0, 2) }},
 		drainFailure{"a replacement turns unhealthy just after its step closed", func(_ int, _ time.Duration, before disruptioncheck.Figures) bool {
@@ -123,6 +127,9 @@
 		r := f.replaceFleet(t, []drainFailure{failure})
 		f.untilUp(t, replicas, time.Minute)
 		t.Logf("%s: %+v, %+v", failure.name, r, f.figures())
+		if n := f.cloud.hurtLeft(); n > 0 {
+			t.Errorf("%s: %d machines that were to be hurt were never rented", failure.name, n)
+		}
 	}
 	jobs.settle(t, f)
 	for _, broken := range f.record.rulesBroken() {
@@ -256,16 +263,27 @@
 	c.bootless, c.sick = bootless, sick
 }
 
-// takeSpotBack tells all spot machines that they are taken back after a notice.
-func (c *cloud) takeSpotBack(notice time.Duration) {
+// hurtLeft is how many machines hurtNext still waits for.
+func (c *cloud) hurtLeft() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.bootless + c.sick
+}
+
+// takeSpotBack tells all spot machines that they are taken back after a notice, and
+// returns how many those are.
+func (c *cloud) takeSpotBack(notice time.Duration) int {
+	n := 0
 	for _, m := range c.present() {
 		if !m.spot {
 			continue
 		}
+		n++
 		m.mu.Lock()
 		m.takenBack = time.Now().Add(notice)
 		m.notice()
 		m.mu.Unlock()
 		time.AfterFunc(notice, func() { c.giveBack([]string{m.name}) })
 	}
+	return n
 }
--- a/internal/loopback/drain_test.go
+++ b/internal/loopback/drain_test.go
@@ -114,9 +114,11 @@
 type drainRound struct {
 	machines int
 	took     time.Duration
-	waited   bool // for its budget
-	downMost int  // tasks of services that did not run, in any second
-	downSum  int  // task-seconds of that
+	waited   bool          // for its budget
+	downMost int           // tasks of services that did not run, in any second
+	downSum  int           // task-seconds of that
+	changes  int           // of the state service, also for the arrays that come and go
+	spent    time.Duration // processor time of all controllers
 }
 
 // TestDrainOfRealProcesses replaces the whole fleet of a deployment at work through the
@@ -180,6 +182,8 @@
 		old[m.name] = true
 	}
 	r := drainRound{machines: len(old)}
+	_, revision := f.store.unassigned()
+	spent := f.spent()
 	before := f.figures()
 	number, began := f.startDrain(t), time.Now()
 	for sample, look := time.Now(), time.Now(); ; time.Sleep(pollPoint) {
@@ -206,6 +210,8 @@
 		}
 	}
 	r.took = time.Since(began)
+	_, now := f.store.unassigned()
+	r.changes, r.spent = int(now-revision), f.spent()-spent
 	for _, m := range f.cloud.present() {
 		if old[m.name] {
 			t.Errorf("%s is still there", m.name)
--- a/shard/draining.go
+++ b/shard/draining.go
@@ -194,14 +194,13 @@
 }
 
 // settleMoves looks which moved tasks are up again, and which never came up.
-func (drains *draining) settleMoves(v *fleetView, now time.Time) {
-	d := drains
+func (d *draining) settleMoves(v *fleetView, now time.Time) {
 	for t, m := range d.moves {
 		steps := d.drains[m.drain]
 		switch {
 		case v.jobs[t.job.rec.ID] != t.job || t.job.tasks[t.index] != t || t.job.rec.End != "":
 			delete(d.moves, t) // it ended, or another shard looks after it
-		case drains.isUp(v, now, t):
+		case d.isUp(v, now, t):
 			delete(d.moves, t)
 		case now.Sub(m.since) > d.cfg.Policy.ReplaceWithin:
 			delete(d.moves, t)
