The owner's actions go out with its commands, in one state

Change: outgoing holds the queue of direct commands and the actions gathered in a step; five methods more are its own. No behaviour changes.

--- a/shard/assignments.go
+++ b/shard/assignments.go
@@ -152,7 +152,7 @@
 		return
 	}
 	j.writing = true
-	c.commit("job/"+id, []wire.Change{{Put: state.KeyJob(id), Value: value}},
+	c.commit(&c.fleetView, "job/"+id, []wire.Change{{Put: state.KeyJob(id), Value: value}},
 		wire.Condition{Key: state.KeyJob(id), Version: j.version})
 }
 
--- a/shard/core.go
+++ b/shard/core.go
@@ -41,10 +41,9 @@
 type Core struct {
 	stepped   time.Time // when the last step was made
 	slowSteps pace      // looks at the whole fleet
-	actions   []Action  // gathered since the last step
 
 	fleetView
-	calls
+	outgoing
 	placement
 	closings
 	pageBook
@@ -194,7 +193,7 @@
 	return m
 }
 
-func (v *fleetView) removeMachine(q *calls, m *machine) {
+func (v *fleetView) removeMachine(q *outgoing, m *machine) {
 	delete(v.machines, m.name)
 	q.landed(m)
 	m.wantCommand = false // its place in the queue goes with the next step
@@ -274,7 +273,7 @@
 			c.giveBack(now)
 		}
 		c.closeAssignments(now)
-		c.direct(now, slow)
+		c.direct(&c.fleetView, now, slow)
 	}
 	out := c.actions
 	c.actions = nil
@@ -282,9 +281,9 @@
 }
 
 // commit gathers a transaction that holds only while the term stands.
-func (c *Core) commit(id string, changes []wire.Change, conds ...wire.Condition) {
-	c.actions = append(c.actions, Commit{ID: id, Txn: wire.Txn{
-		If:   append([]wire.Condition{{Key: state.KeyShard(c.cfg.Shard), Version: c.termVer}}, conds...),
+func (q *outgoing) commit(v *fleetView, id string, changes []wire.Change, conds ...wire.Condition) {
+	q.actions = append(q.actions, Commit{ID: id, Txn: wire.Txn{
+		If:   append([]wire.Condition{{Key: state.KeyShard(v.cfg.Shard), Version: v.termVer}}, conds...),
 		Then: changes,
 	}})
 }
--- a/shard/direct.go
+++ b/shard/direct.go
@@ -7,15 +7,17 @@
 	"ravenport/wire"
 )
 
-// calls is which machines wait for a direct command, and how many are under way.
-type calls struct {
+// outgoing is what goes out: which machines wait for a direct command, how many of those
+// are under way, and what the actor is to do.
+type outgoing struct {
+	actions      []Action // gathered since the last step
 	commandQueue []*machine
 	inFlight     int
 }
 
 // requestCommand has the next step send a machine what it should do, unless an
 // answer to a report carries it before.
-func (q *calls) requestCommand(m *machine) {
+func (q *outgoing) requestCommand(m *machine) {
 	m.wantCommand = true
 	if !m.commandQueued {
 		m.commandQueued = true
@@ -27,43 +29,43 @@
 // one is kept in a queue; only a slow step looks at all of them, for starts without
 // effect and for machines to be asked what is on them. Guards against a shard whose
 // every step costs as much as it has machines.
-func (c *Core) direct(now time.Time, slow bool) {
-	queue := c.commandQueue
-	c.commandQueue = c.commandQueue[:0]
+func (q *outgoing) direct(v *fleetView, now time.Time, slow bool) {
+	queue := q.commandQueue
+	q.commandQueue = q.commandQueue[:0]
 	for _, m := range queue {
-		if m.wantCommand && m.reachable(now) && !c.unclear(now, m) && c.roomForCall(&c.fleetView) {
-			c.sendOrders(now, m)
+		if m.wantCommand && m.reachable(now) && !v.unclear(now, m) && q.roomForCall(v) {
+			q.sendOrders(v, now, m)
 		}
 		if m.commandQueued = m.wantCommand; m.wantCommand {
-			c.commandQueue = append(c.commandQueue, m)
+			q.commandQueue = append(q.commandQueue, m)
 		}
 	}
 	if slow {
-		c.ask(now)
+		q.ask(v, now)
 	}
 }
 
 // ask looks at the whole fleet for commands that were sent without effect and for
 // questions, of which a few go out at a time so that a wave of silent machines
 // holds nobody up.
-func (c *Core) ask(now time.Time) {
+func (q *outgoing) ask(v *fleetView, now time.Time) {
 	asked := 0
-	for _, m := range c.fleet {
+	for _, m := range v.fleet {
 		if !m.reachable(now) {
 			continue
 		}
-		question := c.unclear(now, m)
-		if !question && !c.overdue(now, m) {
+		question := v.unclear(now, m)
+		if !question && !v.overdue(now, m) {
 			continue
 		}
-		if !c.roomForCall(&c.fleetView) {
+		if !q.roomForCall(v) {
 			return
 		}
 		if !question {
-			c.sendOrders(now, m)
+			q.sendOrders(v, now, m)
 		} else if asked < constants.AsksAStep {
 			asked++
-			c.call(now, m, []wire.Command{})
+			q.call(v, now, m, []wire.Command{})
 		}
 	}
 }
@@ -74,7 +76,7 @@
 }
 
 // roomForCall says whether one more direct command may be under way.
-func (q *calls) roomForCall(v *fleetView) bool {
+func (q *outgoing) roomForCall(v *fleetView) bool {
 	most := v.cfg.Calls
 	if v.isUnreachable {
 		most = min(most, constants.UnreachableCalls)
@@ -89,23 +91,23 @@
 }
 
 // sendOrders sends a machine what it should do, if there is anything.
-func (c *Core) sendOrders(now time.Time, m *machine) {
-	if commands := c.orders(now, m, false); len(commands) > 0 {
-		c.call(now, m, commands)
+func (q *outgoing) sendOrders(v *fleetView, now time.Time, m *machine) {
+	if commands := v.orders(now, m, false); len(commands) > 0 {
+		q.call(v, now, m, commands)
 	}
 }
 
 // call makes a direct command.
-func (c *Core) call(now time.Time, m *machine, commands []wire.Command) {
+func (q *outgoing) call(v *fleetView, now time.Time, m *machine, commands []wire.Command) {
 	m.inFlight = true
-	c.inFlight++
+	q.inFlight++
 	m.nextDirect = now.Add(constants.RepeatCommand / 4)
-	req := wire.CommandRequest{Token: c.token(m), Session: max(m.session, 1), Commands: commands}
-	c.actions = append(c.actions, SendCommands{Machine: m.name, Addr: m.addr, Request: req})
+	req := wire.CommandRequest{Token: v.token(m), Session: max(m.session, 1), Commands: commands}
+	q.actions = append(q.actions, SendCommands{Machine: m.name, Addr: m.addr, Request: req})
 }
 
 // landed notes that a direct command to a machine is no longer under way.
-func (q *calls) landed(m *machine) {
+func (q *outgoing) landed(m *machine) {
 	if m.inFlight {
 		m.inFlight = false
 		q.inFlight--
--- a/shard/direct_test.go
+++ b/shard/direct_test.go
@@ -74,7 +74,7 @@
 			case 2: // its return is confirmed while a command may be under way
 				if r.machines[name] != nil {
 					r.Returned(r.now, []string{name})
-					r.removeMachine(&r.calls, r.machines[name])
+					r.removeMachine(&r.outgoing, r.machines[name])
 					delete(open, name)
 				}
 			case 3: // what a returned machine was sent is answered late
--- a/shard/draining.go
+++ b/shard/draining.go
@@ -154,7 +154,7 @@
 		}
 	}
 	if changes, conditions := d.ledger.Write(now, d.active()); changes != nil {
-		c.commit(commitClaim+"/", changes, conditions...)
+		c.commit(&c.fleetView, commitClaim+"/", changes, conditions...)
 	}
 }
 
@@ -293,7 +293,7 @@
 	}
 	if record, version := s.Write(c.draining.settled(number)); record != nil {
 		key := state.KeyDrain(number)
-		c.commit(commitDrain+"/"+strconv.Itoa(number), []wire.Change{{Put: key, Value: state.Encode(record)}}, wire.Condition{Key: key, Version: version})
+		c.commit(&c.fleetView, commitDrain+"/"+strconv.Itoa(number), []wire.Change{{Put: key, Value: state.Encode(record)}}, wire.Condition{Key: key, Version: version})
 	}
 }
 
--- a/shard/empty.go
+++ b/shard/empty.go
@@ -16,7 +16,7 @@
 // leaveNoticed moves work off machines that the cloud is about to take: what
 // can save is told to in time, services and arrays that will not be done start
 // again elsewhere while there is room.
-func (q *calls) leaveNoticed(v *fleetView, now time.Time) {
+func (q *outgoing) leaveNoticed(v *fleetView, now time.Time) {
 	for _, m := range v.fleet {
 		if m.notice.IsZero() || m.returning || !m.up {
 			continue
--- a/shard/gang.go
+++ b/shard/gang.go
@@ -126,14 +126,14 @@
 }
 
 // stopNow stops an attempt with no time to save.
-func (q *calls) stopNow(h *hold) {
+func (q *outgoing) stopNow(h *hold) {
 	h.stop, h.instant = true, true
 	h.m.stale = true
 	q.requestCommand(h.m)
 }
 
 // stopGang stops a gang whole, with time to save: all its tasks are told at once.
-func (q *calls) stopGang(j *job, why string) {
+func (q *outgoing) stopGang(j *job, why string) {
 	slog.Info("gang stops and saves", "job", j.rec.ID, "why", why)
 	for _, t := range j.tasks {
 		if h := t.hold; h != nil && !h.exited() {
--- a/shard/gangfit.go
+++ b/shard/gangfit.go
@@ -95,7 +95,7 @@
 
 // saveForGang makes room for a gang where work that can save stands in its way:
 // as much of it is stopped as the gang lacks places.
-func (q *calls) saveForGang(v *fleetView, now time.Time, tasks []*task, r *round) {
+func (q *outgoing) saveForGang(v *fleetView, now time.Time, tasks []*task, r *round) {
 	if !r.saving || slices.ContainsFunc(tasks, func(t *task) bool { return now.Before(t.roomAt) }) {
 		return // what was stopped for it is still saving
 	}
--- a/shard/inventory.go
+++ b/shard/inventory.go
@@ -45,7 +45,7 @@
 		return
 	}
 	entries := r.Machines()
-	c.stored(&c.calls, p, entries, version)
+	c.stored(&c.outgoing, p, entries, version)
 	for i := range entries {
 		e := &entries[i]
 		if _, gone := c.gone[e.Name]; gone && c.machines[e.Name] == nil {
@@ -132,7 +132,7 @@
 
 // stored notes what a page durably holds: a machine on no durable page gets no
 // task, and one that left its page for good is forgotten.
-func (v *fleetView) stored(q *calls, p *page, entries []state.Machine, version uint64) {
+func (v *fleetView) stored(q *outgoing, p *page, entries []state.Machine, version uint64) {
 	p.version = version
 	was := p.stored
 	p.stored = make(map[string]bool, len(entries))
@@ -255,7 +255,7 @@
 	// returns becomes one change of a page and not one a machine.
 	c.inventoryBusy = true
 	c.inventoryNext = now.Add(max(constants.InventoryGap, time.Duration(float64(len(ps))/(c.cfg.WriteRPS*constants.InventoryShare)*float64(time.Second))))
-	c.commit("roster/", changes, conds...)
+	c.commit(&c.fleetView, "roster/", changes, conds...)
 }
 
 // inventoryWritten takes in what came of a write of pages.
@@ -277,7 +277,7 @@
 		if revision <= p.version {
 			continue // the feed was faster
 		}
-		c.stored(&c.calls, p, sent, revision)
+		c.stored(&c.outgoing, p, sent, revision)
 		for _, e := range sent {
 			if m := c.machines[e.Name]; m != nil {
 				m.durable, m.inventoryAddr = true, e.Addr
@@ -293,14 +293,14 @@
 // leaveInventory takes a returned machine off the inventory.
 func (c *Core) leaveInventory(m *machine) {
 	if m.page == pageless {
-		c.removeMachine(&c.calls, m)
+		c.removeMachine(&c.outgoing, m)
 		return
 	}
 	m.leaving = true
 	p := c.pages[m.page]
 	if !p.stored[m.name] && p.sent == nil {
 		p.drop(m.name) // it never stood there
-		c.removeMachine(&c.calls, m)
+		c.removeMachine(&c.outgoing, m)
 		return
 	}
 	p.dirty = true
--- a/shard/jobs.go
+++ b/shard/jobs.go
@@ -88,7 +88,7 @@
 }
 
 // stopAll has the attempts of a job that ended stopped.
-func (q *calls) stopAll(j *job) {
+func (q *outgoing) stopAll(j *job) {
 	for _, t := range j.tasks {
 		if t.hold != nil && !t.hold.exited() {
 			t.hold.m.stale = true
--- a/shard/model.go
+++ b/shard/model.go
@@ -19,7 +19,7 @@
 // Core is composed of states: fleetView (ownership: whose shard it is, and until when the
 // owner may act; knowledge; hearing), pageBook, placement, gangReserves, capacity,
 // consolidation, draining with its interruptions and the ledger of package disruption,
-// closings, calls and figures. A state's method changes that state and what it is handed,
+// closings, outgoing and figures. A state's method changes that state and what it is handed,
 // machines, jobs, attempts (holds) and tasks among it; many are handed the fleetView. Methods
 // of Core, some seventy, bring several states together.
 //
--- a/shard/moving.go
+++ b/shard/moving.go
@@ -57,7 +57,7 @@
 }
 
 // stopHold has an attempt stopped; its task starts again where there is room.
-func (q *calls) stopHold(h *hold) {
+func (q *outgoing) stopHold(h *hold) {
 	h.stop = true
 	h.m.stale = true
 	q.requestCommand(h.m)
--- a/shard/preempt.go
+++ b/shard/preempt.go
@@ -153,7 +153,7 @@
 // askToSave makes room for a task where only work that can save stands in its
 // way: that is stopped with time to save, and the task starts once it is gone.
 // It returns for how many such tasks room will be there.
-func (q *calls) askToSave(v *fleetView, now time.Time, claimant *task, r *round) int {
+func (q *outgoing) askToSave(v *fleetView, now time.Time, claimant *task, r *round) int {
 	if !r.saving || now.Before(claimant.roomAt) {
 		return 0
 	}
--- a/shard/states_test.go
+++ b/shard/states_test.go
@@ -93,7 +93,7 @@
 // A machine waits once for a direct command, however often it is asked for; machines are
 // put on pages only as long as their entries fit.
 func TestQueuesAndPagesAreBounded(t *testing.T) {
-	var q calls
+	var q outgoing
 	m := &machine{name: "m-1"}
 	q.requestCommand(m)
 	q.requestCommand(m)
