--- a/shard/model.go
+++ b/shard/model.go
@@ -4,12 +4,12 @@
 //
 // Core takes messages in and asks, in every step and in this order:
 //
-//   - model, jobs, report: what is known of machines, jobs, tasks and attempts, and what
+//   - model, resources, jobs, report: what is known of machines, jobs, tasks and attempts, and what
 //     a report proves of them
 //   - inventory, closing: the durable list of machines, and which of them are closed
 //   - place, with bestfit, preempt, elsewhere, and gang with gangfit: which waiting task
 //     goes to which machine, who makes room, what goes back to the leader
-//   - rent, gangreserve: what to rent, and the room that is kept ready
+//   - rent, forecast, gangreserve: what to rent, and the room that is kept ready
 //   - empty: notices, and machines to do without
 //   - draining, moving: drains, and the account of disruption budgets
 //   - silence: machines that are silent or deaf, and returns
@@ -55,34 +55,6 @@
 	return knowledge{types: map[string]*wire.MachineType{}, jobs: map[string]*job{}, machines: map[string]*machine{}, byTask: map[taskKey][]*hold{}}
 }
 
-// resources is an amount of what tasks take of machines.
-type resources struct{ cpus, gpus, mem float64 }
-
-func (r resources) plus(o resources) resources {
-	return resources{r.cpus + o.cpus, r.gpus + o.gpus, r.mem + o.mem}
-}
-
-func (r resources) minus(o resources) resources {
-	return resources{r.cpus - o.cpus, r.gpus - o.gpus, r.mem - o.mem}
-}
-
-// times is the amount n tasks take.
-func (r resources) times(n int) resources {
-	return resources{r.cpus * float64(n), r.gpus * float64(n), r.mem * float64(n)}
-}
-
-// slack forgives rounding in sums of decimal amounts.
-const slack = 1e-6
-
-func (r resources) fits(in resources) bool {
-	return r.cpus <= in.cpus+slack && r.gpus <= in.gpus+slack && r.mem <= in.mem+slack
-}
-
-// sizeOf is what a machine of a type has.
-func sizeOf(t *wire.MachineType) resources { return resources{t.CPUs, t.GPUs, t.MemoryGB} }
-
-func need(s *wire.Submission) resources { return resources{s.CPUs, s.GPUs, s.MemoryGB} }
-
 // holdKey names one attempt of a task on one machine.
 type holdKey struct {
 	task    string
--- a/shard/rent.go
+++ b/shard/rent.go
@@ -56,17 +56,6 @@
 	return out
 }
 
-// holdsOf is how many tasks of a size a room takes.
-func (r resources) holdsOf(n resources) int {
-	k := math.MaxInt32
-	for _, x := range [][2]float64{{n.cpus, r.cpus}, {n.gpus, r.gpus}, {n.mem, r.mem}} {
-		if x[0] > 0 {
-			k = min(k, int((x[1]+slack)/x[0]))
-		}
-	}
-	return max(k, 0)
-}
-
 // capacity is what is being rented, and for which demand.
 type capacity struct {
 	pendingRents map[string]*rental
@@ -214,32 +203,6 @@
 	return int(math.Ceil(c.away / max(needs.cpus, slack)))
 }
 
-// rentForForecast rents for what the leader will assign, beyond the room that is there
-// or coming. Spare ordinary room counts for what may also use spot machines.
-func (c *capacity) rentForForecast(v *fleetView, now time.Time, want map[kind]int) {
-	spare := 0.0
-	for _, spot := range []bool{false, true} {
-		s, cpus := c.foreseen(now, spot)
-		cpus -= spare
-		for _, b := range c.roomComing {
-			if b.spot == spot {
-				cpus -= b.free.cpus
-			}
-		}
-		for _, m := range v.fleet {
-			if m.spot == spot && v.usable(now, m) {
-				cpus -= v.free(m).cpus
-			}
-		}
-		spare = max(0, -cpus)
-		if typ, kindSpot, ok := c.pick(v, now, s); ok && cpus > 0 {
-			if n := int(cpus / max(typ.CPUs, 1)); n > 0 {
-				want[kind{typ.Name, kindSpot}] += n
-			}
-		}
-	}
-}
-
 // request makes the rentals. The cloud takes few calls: what comes within a moment is
 // asked for together, unless it fills a rental of its own.
 func (c *Core) request(now time.Time, want map[kind]int) {
@@ -271,95 +234,6 @@
 	slog.Info("renting", "shard", c.cfg.Shard, "type", k.typ, "spot", k.spot, "count", count)
 }
 
-// Forecast takes in what the leader will assign here before long.
-func (c *Core) Forecast(now time.Time, f leader.Forecast) {
-	if f.Revision < c.forecast.Revision {
-		return
-	}
-	c.forecast, c.forecastAt = f, now
-	kept := c.since[:0]
-	for _, g := range c.since {
-		if g.version > f.Revision {
-			kept = append(kept, g)
-		}
-	}
-	c.since = kept
-	if len(f.Held) > 0 && now.Sub(c.heldAt) >= constants.CloseWait {
-		c.heldAt = now
-		for _, j := range c.jobs {
-			if c.held(now, j) {
-				c.check(j)
-			}
-		}
-	}
-}
-
-// held says whether the done tasks of a job keep others of its team waiting for
-// their limit, as the leader has it.
-func (c *capacity) held(now time.Time, j *job) bool {
-	return j.gang == nil && j.rec.End == "" && now.Sub(c.forecastAt) <= constants.ForecastLife && slices.Contains(c.forecast.Held, j.rec.Spec.Team)
-}
-
-// foreseen is how much work (CPUs) is still to come of what the leader forecast,
-// and a task that stands for it. What was forecast before is as good as nothing.
-func (c *capacity) foreseen(now time.Time, spot bool) (*wire.Submission, float64) {
-	s := &wire.Submission{Spot: spot, CPUs: 1}
-	if now.Sub(c.forecastAt) > constants.ForecastLife {
-		c.since = nil
-		return s, 0
-	}
-	cpus := c.forecast.Ordinary
-	if spot {
-		cpus = c.forecast.Spot
-	}
-	for _, g := range c.since {
-		if g.spot == spot {
-			cpus -= g.cpus
-		}
-	}
-	return s, cpus
-}
-
-// reserveMissing is how many ordinary machines of which type are missing to
-// keep room ready for production work.
-func (c *Core) reserveMissing(now time.Time) (string, int) {
-	if c.prod.largest.cpus == 0 && c.gangNeed == 0 || !c.rentable(&c.fleetView, now, false) {
-		return "", 0
-	}
-	room := 0.0
-	for _, m := range c.fleet {
-		if !m.spot && !m.returning && m.typ != nil && m.up && m.notice.IsZero() {
-			room += c.prodRoom(m)
-		}
-	}
-	for _, b := range c.roomComing {
-		if !b.spot {
-			room += b.free.cpus
-		}
-	}
-	missing := max(c.reserve(&c.fleetView, now)-room, c.gangRoomMissing())
-	if missing <= 0 {
-		return "", 0
-	}
-	var best *wire.MachineType
-	for _, t := range c.types {
-		if c.prod.largest.fits(sizeOf(t)) && slices.Contains(t.Zones, c.cfg.Shard) &&
-			(best == nil || t.Price < best.Price) {
-			best = t
-		}
-	}
-	if best == nil {
-		return "", 0
-	}
-	return best.Name, int(math.Ceil(missing / max(best.CPUs, 1)))
-}
-
-// reserve is the room (CPUs) held ready for production work: what is expected
-// to arrive while a machine would boot, and one of the largest tasks at least.
-func (c *capacity) reserve(v *fleetView, now time.Time) float64 {
-	return max(c.prod.largest.cpus, constants.ReserveFactor*c.prod.within(now, time.Duration(v.bootS()*float64(time.Second))))
-}
-
 // drains says whether the machines that are there will get round to a waiting
 // task before a machine rented for it could be up, and well within its
 // class's objective: renting for it would only cost.
--- /dev/null
+++ b/shard/resources.go
@@ -0,0 +1,46 @@
+package shard
+
+import (
+	"math"
+
+	"ravenport/wire"
+)
+
+// resources is an amount of what tasks take of machines.
+type resources struct{ cpus, gpus, mem float64 }
+
+func (r resources) plus(o resources) resources {
+	return resources{r.cpus + o.cpus, r.gpus + o.gpus, r.mem + o.mem}
+}
+
+func (r resources) minus(o resources) resources {
+	return resources{r.cpus - o.cpus, r.gpus - o.gpus, r.mem - o.mem}
+}
+
+// times is the amount n tasks take.
+func (r resources) times(n int) resources {
+	return resources{r.cpus * float64(n), r.gpus * float64(n), r.mem * float64(n)}
+}
+
+// slack forgives rounding in sums of decimal amounts.
+const slack = 1e-6
+
+func (r resources) fits(in resources) bool {
+	return r.cpus <= in.cpus+slack && r.gpus <= in.gpus+slack && r.mem <= in.mem+slack
+}
+
+// sizeOf is what a machine of a type has.
+func sizeOf(t *wire.MachineType) resources { return resources{t.CPUs, t.GPUs, t.MemoryGB} }
+
+func need(s *wire.Submission) resources { return resources{s.CPUs, s.GPUs, s.MemoryGB} }
+
+// holdsOf is how many tasks of a size a room takes.
+func (r resources) holdsOf(n resources) int {
+	k := math.MaxInt32
+	for _, x := range [][2]float64{{n.cpus, r.cpus}, {n.gpus, r.gpus}, {n.mem, r.mem}} {
+		if x[0] > 0 {
+			k = min(k, int((x[1]+slack)/x[0]))
+		}
+	}
+	return max(k, 0)
+}
