--- a/shard/rent.go
+++ b/shard/rent.go
@@ -64,12 +64,10 @@
 	rentals      pace               // looks at what to rent
 	rentedAt     time.Time          // when the cloud was last asked for machines
 	overdueAt    time.Time          // when tasks were last sent back for having waited too long
-	away         float64            // CPUs of tasks sent back since awayAt: others' figures do not show those yet
-	awayAt       time.Time
-	unplaced     resources // waiting demand after the last round
-	excess       float64   // what of it (CPUs) nothing that is coming will take
-	roomComing   []coming  // room of machines that are coming and not spoken for
-	prod         arrivals  // of production work
+	unplaced     resources          // waiting demand after the last round
+	excess       float64            // what of it (CPUs) nothing that is coming will take
+	roomComing   []coming           // room of machines that are coming and not spoken for
+	prod         arrivals           // of production work
 	forecast     leader.Forecast
 	forecastAt   time.Time
 	since        []given // assignments that are newer than the forecast, or may be
@@ -156,7 +154,7 @@
 	s := &j.rec.Spec
 	n := need(s)
 	typ, spot, ok := c.pick(&c.fleetView, now, s)
-	away := false
+	away := 0
 	back := now.Sub(j.backAt) > constants.KeepWait // together, and not over and over
 	var bin *coming
 	for _, t := range tasks {
@@ -165,12 +163,11 @@
 		case bin != nil && n.fits(bin.free):
 			bin.free = bin.free.minus(n)
 			c.excess -= n.cpus
-		case !t.keep && back && c.elsewhere(now, j.rec, c.sentAway(now, n)):
+		case !t.keep && back && c.elsewhere(now, j.rec, away):
 			// It does not fit: the next shard is asked, if one is known to
 			// have room. Otherwise it would come back, for two writes more.
 			c.sendBack(j, t)
-			c.away += n.cpus
-			away = true
+			away++
 		case r.longWaits && now.Sub(t.waitSince) > constants.KeepLong && c.roomElsewhere(now, j.rec) > r.sent:
 			// However little the room elsewhere is and whatever may yet be had
 			// here: it must not wait beside it for ever.
@@ -183,26 +180,16 @@
 			bin = &c.roomComing[len(c.roomComing)-1]
 			r.want[kind{typ.Name, spot}]++
 			c.excess -= n.cpus
-		case now.Sub(t.waitSince) > constants.KeepWait && back && c.elsewhere(now, j.rec, c.sentAway(now, n)):
+		case now.Sub(t.waitSince) > constants.KeepWait && back && c.elsewhere(now, j.rec, away):
 			c.sendBack(j, t)
-			c.away += n.cpus
-			away = true
+			away++
 		}
 	}
-	if away {
+	if away > 0 {
 		j.backAt = now
 	}
 }
 
-// sentAway is how many tasks of a size the room has been given to that was sent back since
-// others' figures can have changed. All jobs that wait see the same room there.
-func (c *capacity) sentAway(now time.Time, needs resources) int {
-	if now.Sub(c.awayAt) >= constants.PushEvery {
-		c.away, c.awayAt = 0, now
-	}
-	return int(math.Ceil(c.away / max(needs.cpus, slack)))
-}
-
 // request makes the rentals. The cloud takes few calls: what comes within a moment is
 // asked for together, unless it fills a rental of its own.
 func (c *Core) request(now time.Time, want map[kind]int) {
