Pages get smaller again once the state service refuses one

Cause: since pageBook has its own limit, found in rereading the diff, a page that was refused as too large was not split, as the limit was taken once at the start. Change: Invalid tells the page book of the smaller limit. Measured: TestRefusedPagesGetSmaller fails without.

--- a/shard/core.go
+++ b/shard/core.go
@@ -103,7 +103,7 @@
 			knowledge: newKnowledge(),
 			hearing:   hearing{period: cfg.Report, leaseLasts: cfg.LeaseEnd, began: now, gone: map[string]time.Time{}},
 		},
-		placement: newPlacement(cfg.Budget), closings: closings{toClose: map[string]*job{}}, pageBook: pageBook{entriesMost: cfg.Sizes.Next * constants.PageFill / 100, pages: map[int]*page{}},
+		placement: newPlacement(cfg.Budget), closings: closings{toClose: map[string]*job{}}, pageBook: newPageBook(cfg.Sizes),
 		capacity:     capacity{pendingRents: map[string]*rental{}, refused: map[bool]time.Time{}},
 		gangReserves: gangReserves{shapes: map[string]gangShape{}}, figures: figures{others: map[string]other{}, pushDirty: true},
 	}
@@ -311,6 +311,7 @@
 	}
 	// Pages are of 90% of a value at most, so nine tenths of it are a smaller one.
 	c.cfg.Sizes.Next = max(constants.LeastValue, min(c.cfg.Sizes.Next, largest)*constants.PageFill/100)
+	c.limit(c.cfg.Sizes)
 	for _, p := range c.pages {
 		c.split(&c.fleetView, p)
 	}
--- a/shard/inventory.go
+++ b/shard/inventory.go
@@ -23,6 +23,15 @@
 	inventoryNext time.Time // when the next one may be sent
 }
 
+func newPageBook(sizes state.Sizes) pageBook {
+	b := pageBook{pages: map[int]*page{}}
+	b.limit(sizes)
+	return b
+}
+
+// limit has pages written so that they fit what the state service takes.
+func (b *pageBook) limit(sizes state.Sizes) { b.entriesMost = sizes.Next * constants.PageFill / 100 }
+
 // page is one page of the shard's inventory. It is written as a whole, one write
 // at a time, so that a rental or a wave of boots costs a change or two and not
 // one for each machine.
--- a/shard/states_test.go
+++ b/shard/states_test.go
@@ -109,6 +109,19 @@
 	}
 }
 
+// Pages get smaller once the state service has found one too large.
+func TestRefusedPagesGetSmaller(t *testing.T) {
+	r := newRig(nil)
+	r.up("m-1")
+	for _, p := range r.pages {
+		p.sent = []state.Machine{{Name: "m-1"}}
+	}
+	before := r.entriesMost
+	if r.Invalid("roster/"); r.entriesMost >= before {
+		t.Errorf("%d bytes a page, %d before it was refused", r.entriesMost, before)
+	}
+}
+
 // An attempt's needs are its job's, and an attempt of another job's task is not wanted.
 func TestKnowledgeOfAttempts(t *testing.T) {
 	k := newKnowledge()
