One way to stop an attempt, and one to count a rental's room as coming

Need: found in rereading the change: stopNow and stopGang repeated stopHold, and three places counted a machine to rent and its room. Change: they call stopHold and capacity.expect. No behaviour changes. Measured: tests of shard pass.

--- a/shard/gang.go
+++ b/shard/gang.go
@@ -127,9 +127,8 @@
 
 // stopNow stops an attempt with no time to save.
 func (q *outgoing) stopNow(h *hold) {
-	h.stop, h.instant = true, true
-	h.m.stale = true
-	q.requestCommand(h.m)
+	h.instant = true
+	q.stopHold(h)
 }
 
 // stopGang stops a gang whole, with time to save: all its tasks are told at once.
@@ -137,9 +136,7 @@
 	slog.Info("gang stops and saves", "job", j.rec.ID, "why", why)
 	for _, t := range j.tasks {
 		if h := t.hold; h != nil && !h.exited() {
-			h.stop = true
-			h.m.stale = true
-			q.requestCommand(h.m)
+			q.stopHold(h)
 		}
 	}
 }
@@ -284,8 +281,7 @@
 	for ok && left > 0 {
 		size := sizeOf(typ)
 		k := min(left, max(1, size.holdsOf(n)))
-		c.roomComing = append(c.roomComing, coming{size.minus(n.times(k)), typ.Name, spot})
-		want[kind{typ.Name, spot}]++
+		c.expect(typ, spot, n.times(k), want)
 		left -= k
 	}
 	c.excess += n.cpus * float64(left)
--- a/shard/moving.go
+++ b/shard/moving.go
@@ -150,12 +150,9 @@
 		if c.takeComing(s, 1) == 1 {
 			continue
 		}
-		typ, spot, ok := c.pick(&c.fleetView, now, s)
-		if !ok {
-			continue
+		if typ, spot, ok := c.pick(&c.fleetView, now, s); ok {
+			c.expect(typ, spot, need(s), want)
 		}
-		want[kind{typ.Name, spot}]++
-		c.roomComing = append(c.roomComing, coming{sizeOf(typ).minus(need(s)), typ.Name, spot})
 	}
 }
 
--- a/shard/rent.go
+++ b/shard/rent.go
@@ -149,6 +149,14 @@
 	return tasks - left
 }
 
+// expect has one more machine rented, and counts its room beside what is taken of it as
+// coming, which is returned.
+func (c *capacity) expect(typ *wire.MachineType, spot bool, taken resources, want map[kind]int) *coming {
+	want[kind{typ.Name, spot}]++
+	c.roomComing = append(c.roomComing, coming{sizeOf(typ).minus(taken), typ.Name, spot})
+	return &c.roomComing[len(c.roomComing)-1]
+}
+
 // rentFor rents for a job's tasks that nothing coming takes, or sends them back.
 func (c *Core) rentFor(now time.Time, j *job, tasks []*task, r *rentRound) {
 	s := &j.rec.Spec
@@ -176,9 +184,7 @@
 			r.sent++
 		case c.drains(&c.fleetView, now, j, t):
 		case ok:
-			c.roomComing = append(c.roomComing, coming{sizeOf(typ).minus(n), typ.Name, spot})
-			bin = &c.roomComing[len(c.roomComing)-1]
-			r.want[kind{typ.Name, spot}]++
+			bin = c.expect(typ, spot, n, r.want)
 			c.excess -= n.cpus
 		case now.Sub(t.waitSince) > constants.KeepWait && back && c.elsewhere(now, j.rec, away):
 			c.sendBack(j, t)
