Drains: the share of machines at once is worked out in one place

Need: found in rereading the change: a drain's steps and its plan had the sum of their own; drain() and moveService went through Core to the state that they hold; a comment named another method. Change: Policy.AtOnce, and the rest tidied. No behaviour changes. Measured: tests of shard and drain pass.

--- a/drain/steps.go
+++ b/drain/steps.go
@@ -24,6 +24,11 @@
 	Window *window.Schedule
 }
 
+// AtOnce is how many of a shard's machines may be cordoned at once.
+func (p *Policy) AtOnce(machines int) int {
+	return max(1, int(p.Parallel*float64(machines)/100))
+}
+
 // Candidate is a selected machine that is still there.
 type Candidate struct {
 	Name     string
@@ -118,7 +123,7 @@
 	}
 	most := 1
 	if s.record.Proven {
-		most = max(1, int(s.policy.Parallel*float64(machines)/100))
+		most = s.policy.AtOnce(machines)
 	}
 	var open []Candidate
 	for _, c := range candidates {
--- a/shard/draining.go
+++ b/shard/draining.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -114,12 +115,7 @@
 
 // numbers lists the drains that are not over, in order.
 func (d *draining) numbers() []int {
-	var out []int
-	for n := range d.drains {
-		out = append(out, n)
-	}
-	slices.Sort(out)
-	return out
+	return slices.Sorted(maps.Keys(d.drains))
 }
 
 // active says whether any drain runs.
@@ -139,11 +135,11 @@
 	if d == nil || !d.steps.due(now, constants.DrainEvery) {
 		return
 	}
-	d.ledger.Observe(now, c.draining.unavailable(&c.fleetView, now), c.rebuilt)
+	d.ledger.Observe(now, d.unavailable(&c.fleetView, now), c.rebuilt)
 	d.surge, d.headroom, d.looks = d.surge[:0], disruption.Counts{}, 0
 	d.turn++
-	c.draining.settleMoves(&c.fleetView, now)
-	d.promised = c.draining.roomPromised()
+	d.settleMoves(&c.fleetView, now)
+	d.promised = d.roomPromised()
 	c.liftCordons()
 	for _, m := range c.fleet {
 		m.leavesNext = false
--- a/shard/moving.go
+++ b/shard/moving.go
@@ -68,9 +68,9 @@
 func (c *Core) moveService(now time.Time, number int, t *task) string {
 	d := c.draining
 	s := &t.job.rec.Spec
-	keys := c.draining.budgetsOf(t.job)
-	isUp := c.draining.isUp(&c.fleetView, now, t)
-	if !isUp && c.draining.mayComeUp(now, t.hold) {
+	keys := d.budgetsOf(t.job)
+	isUp := d.isUp(&c.fleetView, now, t)
+	if !isUp && d.mayComeUp(now, t.hold) {
 		return "a task of " + s.ID + " is not up yet"
 	}
 	if refused := d.ledger.Check(now, keys); refused != nil && isUp {
@@ -81,7 +81,7 @@
 	}
 	to := c.roomToMove(&c.fleetView, now, s, d.promised)
 	if to == nil {
-		c.draining.askForRoom(now, t, keys)
+		d.askForRoom(now, t, keys)
 		return "no machine has room for a task of " + s.ID
 	}
 	if isUp { // what is down already is counted
@@ -103,7 +103,7 @@
 	return h.isRunning() || now.Sub(h.m.cordon.since) < d.cfg.Policy.ReplaceWithin
 }
 
-// promised is the room on machines that tasks on their way there are to get.
+// roomPromised is the room on machines that tasks on their way there are to get.
 func (d *draining) roomPromised() map[*machine]resources {
 	promised := map[*machine]resources{}
 	for t, m := range d.moves {
@@ -179,8 +179,8 @@
 		}
 	}
 	if p.Machines > 0 {
-		parallel := max(1, int(c.draining.cfg.Policy.Parallel*float64(len(c.fleet))/100))
-		p.Steps = (p.Machines + parallel - 1) / parallel
+		atOnce := c.draining.cfg.Policy.AtOnce(len(c.fleet))
+		p.Steps = (p.Machines + atOnce - 1) / atOnce
 	}
 	return p
 }
