--- /dev/null
+++ b/internal/knownred/entry.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"regexp"
+	"strconv"
+	"strings"
+)
+
+// Entry describes one known failure of one test.
+type Entry struct {
+	Test    string // the top-level test function
+	Package string // its import path
+	Command string // reproduces the failure, seed included
+	Seen    string // what was seen, and how often
+	Issue   int    // the open issue that the failure belongs to
+
+	// Failure matches the message of the listed failure.
+	Failure *regexp.Regexp
+	// Beside match what the test may print beside it: logs, and what follows from it.
+	Beside []*regexp.Regexp
+}
+
+// EntryError reports an entry that cannot be read.
+type EntryError struct {
+	Line   int // where the entry begins
+	Reason string
+}
+
+func (e *EntryError) Error() string {
+	return fmt.Sprintf("entry in line %d: %s", e.Line, e.Reason)
+}
+
+// fieldSeparator stands between a field's name and its value.
+const fieldSeparator = ": "
+
+// ParseEntries reads the entries of a list. Entries are blocks of "field: value" lines
+// with empty lines between them; a line that begins with # is a comment.
+func ParseEntries(list io.Reader) ([]Entry, error) {
+	var entries []Entry
+	var block []string
+	blockLine, line := 0, 0
+	finish := func() error {
+		if len(block) == 0 {
+			return nil
+		}
+		entry, err := parseEntry(block, blockLine)
+		if err != nil {
+			return err
+		}
+		entries = append(entries, entry)
+		block = nil
+		return nil
+	}
+	scanner := bufio.NewScanner(list)
+	for scanner.Scan() {
+		line++
+		text := strings.TrimSpace(scanner.Text())
+		if strings.HasPrefix(text, "#") {
+			continue
+		}
+		if text == "" {
+			if err := finish(); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		if len(block) == 0 {
+			blockLine = line
+		}
+		block = append(block, text)
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, err
+	}
+	if err := finish(); err != nil {
+		return nil, err
+	}
+	return entries, nil
+}
+
+// parseEntry reads one entry, whose fields are all required but beside.
+func parseEntry(block []string, line int) (Entry, error) {
+	var entry Entry
+	for _, text := range block {
+		name, value, _ := strings.Cut(text, fieldSeparator)
+		if reason := entry.setField(name, strings.TrimSpace(value)); reason != "" {
+			return Entry{}, &EntryError{line, reason}
+		}
+	}
+	if entry.Test == "" || entry.Package == "" || entry.Command == "" || entry.Seen == "" || entry.Issue == 0 || entry.Failure == nil {
+		return Entry{}, &EntryError{line, "it needs test, package, command, failure, seen and issue"}
+	}
+	return entry, nil
+}
+
+// setField sets one field and returns why it cannot; "" if it can.
+func (e *Entry) setField(name, value string) (reason string) {
+	if value == "" {
+		return fmt.Sprintf("field %q has no value", name)
+	}
+	var err error
+	switch name {
+	case "test":
+		e.Test = value
+	case "package":
+		e.Package = value
+	case "command":
+		e.Command = value
+	case "seen":
+		e.Seen = value
+	case "issue":
+		e.Issue, err = strconv.Atoi(value)
+	case "failure":
+		e.Failure, err = compileNarrow(value)
+	case "beside":
+		var beside *regexp.Regexp
+		beside, err = compileNarrow(value)
+		e.Beside = append(e.Beside, beside)
+	default:
+		return fmt.Sprintf("unknown field %q", name)
+	}
+	if err != nil {
+		return fmt.Sprintf("field %q: %v", name, err)
+	}
+	return ""
+}
+
+// unrelatedMessage is no failure of any test: a pattern that matches it matches anything.
+const unrelatedMessage = "1 unrelated message of 2 words"
+
+// compileNarrow compiles a pattern that has to match a whole message, and not any.
+func compileNarrow(pattern string) (*regexp.Regexp, error) {
+	compiled, err := regexp.Compile("^(?:" + pattern + ")$")
+	if err != nil {
+		return nil, err
+	}
+	if compiled.MatchString(unrelatedMessage) {
+		return nil, errors.New("it matches any message")
+	}
+	return compiled, nil
+}
--- /dev/null
+++ b/internal/knownred/main.go
@@ -0,0 +1,62 @@
+// Command knownred says whether a failed run of the tests failed in nothing but the ways
+// that a list of known failures describes, and prints the tests that did.
+//
+//	go run ./internal/knownred LIST LOG
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+func main() {
+	if len(os.Args) != 3 {
+		fmt.Fprintln(os.Stderr, "usage: knownred LIST LOG")
+		os.Exit(2)
+	}
+	verdict, err := judgeFiles(os.Args[1], os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "knownred:", err)
+		os.Exit(1)
+	}
+	for _, test := range verdict.Excused {
+		fmt.Println("failed as listed in KNOWN-RED.txt:", test)
+	}
+	for _, fault := range verdict.Faults {
+		fmt.Println("failed, not excused:", fault)
+	}
+	if len(verdict.Faults) > 0 {
+		os.Exit(1)
+	}
+}
+
+// judgeFiles judges the run whose output is in the file log by the list in the file list.
+func judgeFiles(list, log string) (Verdict, error) {
+	entries, err := readEntries(list)
+	if err != nil {
+		return Verdict{}, err
+	}
+	output, err := os.Open(log)
+	if err != nil {
+		return Verdict{}, err
+	}
+	defer output.Close()
+	return Judge(output, entries)
+}
+
+// readEntries reads the entries of a file; none if there is no such file.
+func readEntries(list string) ([]Entry, error) {
+	file, err := os.Open(list)
+	if os.IsNotExist(err) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	entries, err := ParseEntries(file)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", list, err)
+	}
+	return entries, nil
+}
