controller tests: a violation carries the event record of its job and machine

A broken rule in the simulated world said its task, its machine and three flags, which tells no cause apart. The world now keeps a bounded record of events (submissions, cancellations and who answered them, terms and registrations as written, store leases, faults, heartbeats with their answers, copies, direct commands, starts and ends, scale-ins), and prints what concerns the job and the machine.

--- a/controller/random_faults_test.go
+++ b/controller/random_faults_test.go
@@ -174,8 +174,8 @@
 
 // lasting switches a fault on, and off again after a time; set is called under the lock.
 func (w *world) lasting(d time.Duration, set func(on bool)) {
-	w.locked(func() { set(true) })
-	time.AfterFunc(d, func() { w.locked(func() { set(false) }) })
+	w.locked(func() { set(true); w.recordFaults() })
+	time.AfterFunc(d, func() { w.locked(func() { set(false); w.recordFaults() }) })
 }
 
 // startIfDown starts a controller that does not run.
@@ -200,18 +200,15 @@
 	for _, m := range w.machines {
 		switch what {
 		case 0:
-			m.hung = true
-			time.AfterFunc(length, func() { w.locked(func() { m.hung = false }) })
+			m.fail(&m.hung, length)
 		case 1:
-			m.disconnected = true
-			time.AfterFunc(length, func() { w.locked(func() { m.disconnected = false }) })
+			m.fail(&m.disconnected, length)
 		case 2:
 			if m.spot {
 				w.removeMachine(m.name)
 			}
 		case 3:
-			m.receivesNothing = true
-			time.AfterFunc(length, func() { w.locked(func() { m.receivesNothing = false }) })
+			m.fail(&m.receivesNothing, length)
 		case 4:
 			if !time.Now().Before(m.bootsAt) {
 				m.restart()
@@ -221,6 +218,19 @@
 	}
 }
 
+// fail switches a fault of the machine on, and off again after a time. The caller holds the
+// lock.
+func (m *simWorker) fail(fault *bool, d time.Duration) {
+	*fault = true
+	m.recordState("machine fails")
+	time.AfterFunc(d, func() {
+		m.world.locked(func() {
+			*fault = false
+			m.recordState("machine recovers")
+		})
+	})
+}
+
 // randomDays and firstSeed let a developer play many more days than CI does.
 var (
 	randomDays = flag.Uint64("sim.days", 12, "generated days to play")
--- a/controller/sim_cloud_test.go
+++ b/controller/sim_cloud_test.go
@@ -66,7 +66,12 @@
 
 func (c *simCloud) ScaleIn(ctx context.Context, names []string) error {
 	asked := time.Now()
-	c.n.world.locked(func() { c.n.world.recordScaleInRequest(c.n) })
+	c.n.world.locked(func() {
+		for _, name := range names {
+			c.n.world.record.add(simEvent{what: "scale-in requested", controller: c.n.set.Controller, machine: name})
+		}
+		c.n.world.recordScaleInRequest(c.n)
+	})
 	c.n.waitWhileFrozen()
 	time.Sleep(100 * time.Millisecond)
 	c.n.world.mu.Lock()
@@ -76,6 +81,7 @@
 		return cloud.ErrTransient
 	}
 	for _, n := range names {
+		c.n.world.record.add(simEvent{what: "machine terminated", controller: c.n.set.Controller, machine: n})
 		c.n.world.recordScaleIn(n)
 		c.n.world.removeMachine(n)
 	}
--- a/controller/sim_store_test.go
+++ b/controller/sim_store_test.go
@@ -114,6 +114,7 @@
 	}
 	w.revision++
 	for _, ch := range t.Changes {
+		w.recordChange(ch, w.revision)
 		if ch.Delete != "" {
 			delete(w.kv, ch.Delete)
 			w.storeEvents = append(w.storeEvents, wire.Event{Delete: ch.Delete, Version: w.revision})
@@ -210,6 +211,7 @@
 	defer w.mu.Unlock()
 	w.leaseSeq++
 	w.leases[w.leaseSeq] = &simLease{life, time.Now().Add(life)}
+	w.note("store lease granted", s.n.set.Controller, fmt.Sprint(w.leaseSeq))
 	return w.leaseSeq, nil
 }
 
@@ -240,6 +242,7 @@
 			continue
 		}
 		delete(w.leases, id)
+		w.note("store lease expires", "", fmt.Sprint(id))
 		var t wire.Txn
 		for k, e := range w.kv {
 			if e.lease == id {
@@ -258,6 +261,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.storeOutage = on
+	w.note("store outage", "", fmt.Sprint(on))
 	for _, l := range w.leases {
 		l.ends = time.Now().Add(l.life)
 	}
--- a/controller/sim_user_test.go
+++ b/controller/sim_user_test.go
@@ -46,9 +46,11 @@
 		return nil
 	}
 	a := &simAnswer{got: make(chan *httpwire.Response, 1)}
-	process.apiServer.Tell(msg(a))
+	request := msg(a)
+	process.apiServer.Tell(request)
 	select {
 	case r := <-a.got:
+		w.recordCancelAnswer(process.name, request, r)
 		return r
 	case <-time.After(5 * time.Second):
 		return nil
@@ -67,6 +69,7 @@
 		if r != nil && (r.Status == 201 || r.Status == 200) {
 			w.mu.Lock()
 			j.accepted = true
+			w.record.add(simEvent{what: "job accepted", job: j.spec.ID, revision: w.revision})
 			w.mu.Unlock()
 			break
 		}
@@ -92,6 +95,7 @@
 		if cancelAfter > 0 && time.Since(accepted) > cancelAfter && j.reportedState == "" {
 			w.mu.Lock()
 			j.cancelRequested = true
+			w.record.add(simEvent{what: "cancellation requested", job: j.spec.ID})
 			w.mu.Unlock()
 			r := w.request(func(q apiserver.Request) any { return apiserver.Cancel{Request: q, JobID: j.spec.ID} })
 			w.checkReply(j, r, true)
@@ -161,6 +165,7 @@
 		}
 		if j.cancelled.IsZero() {
 			j.cancelled = time.Now()
+			w.record.add(simEvent{what: "cancellation confirmed", job: j.spec.ID, revision: w.revision})
 		}
 		j.reportedState = s.Status
 	}
--- a/controller/sim_worker_test.go
+++ b/controller/sim_worker_test.go
@@ -117,6 +117,7 @@
 	reachable := process != nil && !n.cutFromWorkers && !n.heartbeatsLost && !w.isPartitioned(m.zone, n)
 	l.next = now.Add(settings.Seconds(w.times.reportS * (0.75 + 0.5*w.rng.Float64())))
 	l.sent = now
+	w.recordHeartbeat(heartbeatEvent(reachable), n.set.Controller, heartbeat)
 	w.mu.Unlock()
 	if !reachable {
 		l.tryNext(now)
@@ -129,6 +130,14 @@
 	return true
 }
 
+// heartbeatEvent names a heartbeat in the event record.
+func heartbeatEvent(reachable bool) string {
+	if reachable {
+		return "heartbeat sent"
+	}
+	return "heartbeat that reaches nobody"
+}
+
 // tryNext turns to the next controller, a second after a time.
 func (l *workerLoop) tryNext(now time.Time) {
 	l.target = (l.target + 1) % len(l.worker.world.controllers)
@@ -174,6 +183,7 @@
 // caller holds the lock.
 func (l *workerLoop) handleResponse(n *simController, heartbeat *wire.Heartbeat, response *httpwire.Response) {
 	m, w := l.worker, l.worker.world
+	w.recordAnswer(n.set.Controller, heartbeat, response)
 	switch {
 	case response != nil && response.Status == 200 && !w.dropAnswer(m) && !w.isPartitioned(m.zone, n):
 		var reply wire.HeartbeatReply
@@ -188,6 +198,7 @@
 			m.leaseRenewedAt = l.sent
 			n.heartbeatAnsweredAt = l.sent
 			m.lastAcceptedSeq = heartbeat.Seq
+			w.recordCommands("reply carried out", n.set.Controller, m.name, m.epoch, reply.FencingToken, reply.Commands)
 			m.execute(reply.Commands, true)
 		}
 	case response != nil && response.Status == 421 && !m.receivesNothing:
@@ -217,6 +228,10 @@
 	now := time.Now()
 	if !m.world.ignoreWorkerLeases && now.Sub(m.leaseRenewedAt) > m.world.times.lease() {
 		slog.Debug("sim: lease expires", "machine", m.name, "epoch", m.epoch)
+		m.recordState("worker's lease expires")
+		for _, t := range m.tasks {
+			m.recordTask("task ended by the lease", t)
+		}
 		m.world.observed["tasks ended by a lease"] += len(m.tasks)
 		m.tasks = map[string]*simTask{}
 		m.epoch++
@@ -321,7 +336,7 @@
 			}
 			if onMachine(t.state) && !j.cancelled.IsZero() && !j.overran && time.Since(j.cancelled) > w.times.cancelWithin() {
 				j.overran = true
-				w.violate("ran_cancelled", "%s on %s (hung %v, cut %v, deaf %v)", t.name, m.name, m.hung, m.disconnected, m.receivesNothing)
+				w.violateTask("ran_cancelled", t.name, m.name, "%s on %s (hung %v, cut %v, deaf %v)", t.name, m.name, m.hung, m.disconnected, m.receivesNothing)
 			}
 		}
 	}
@@ -337,6 +352,7 @@
 	if !j.cancelled.IsZero() {
 		w.observed["starts after a confirmed cancellation"]++
 	}
+	m.recordTask("task starts", t)
 	slog.Debug("sim: task starts", "task", t.name, "attempt", t.attempt, "machine", m.name, "epoch", m.epoch, "token", m.token)
 	used, inZone := 0.0, 0
 	zones := map[string]bool{}
@@ -351,7 +367,7 @@
 			job, _, _ := wire.ParseTaskName(x.name)
 			k := w.jobs[job]
 			if x.name == t.name && o != m {
-				w.violate("ran_twice", "%s on %s and %s", t.name, m.name, o.name)
+				w.violateTask("ran_twice", t.name, m.name, "%s on %s and %s", t.name, m.name, o.name)
 			}
 			if k.spec.Team == j.spec.Team {
 				used += k.spec.CPUs
@@ -365,14 +381,14 @@
 		}
 	}
 	if j.spec.Team == "tight" && used > 10+1e-6 {
-		w.violate("quota", "%s: %g CPUs", t.name, used)
+		w.violateTask("quota", t.name, m.name, "%s: %g CPUs", t.name, used)
 	}
 	if m.spot && !j.spec.Spot || j.spec.Zone != "" && j.spec.Zone != m.zone ||
 		j.spec.OneZone && len(zones) > 1 || j.spec.Spread && inZone > (j.spec.Tasks+1)/2 {
-		w.violate("wrong_place", "%s on %s", t.name, m.name)
+		w.violateTask("wrong_place", t.name, m.name, "%s on %s", t.name, m.name)
 	}
 	if !j.cancelled.IsZero() && time.Since(j.cancelled) > w.times.cancelWithin() {
-		w.violate("ran_cancelled", "%s started on %s", t.name, m.name)
+		w.violateTask("ran_cancelled", t.name, m.name, "%s started on %s", t.name, m.name)
 	}
 }
 
@@ -405,7 +421,7 @@
 		// An answer is never carried out late, so whoever gave it decided the
 		// start within its authority and without knowing of the cancellation.
 		if j := m.world.jobs[job]; !j.cancelled.IsZero() && time.Since(j.cancelled) > 4*time.Second {
-			m.world.violate("started_cancelled", "%s on %s", c.Task, m.name)
+			m.world.violateTask("started_cancelled", c.Task, m.name, "%s on %s", c.Task, m.name)
 		}
 	}
 	t := &simTask{name: c.Task, attempt: c.Attempt, state: wire.TaskFetching}
@@ -439,6 +455,7 @@
 	if t.state == wire.TaskRunning && m.reclaimAt.IsZero() {
 		m.world.recordTaskStop(t.name)
 	}
+	m.recordTask("task stopped", t)
 	j := m.world.jobs[job]
 	if !j.spec.IsGang() {
 		t.state, t.cause, t.nextChange = wire.TaskExited, wire.CauseStopped, time.Time{}
@@ -463,6 +480,9 @@
 	w := c.n.world
 	go func() {
 		c.n.waitWhileFrozen()
+		w.locked(func() {
+			w.recordCommands("direct command sent", c.n.set.Controller, addr, req.Epoch, req.FencingToken, req.Commands)
+		})
 		time.Sleep(w.randomDuration(time.Millisecond, 5*time.Millisecond))
 		if w.chance(w.lateCommandShare) { // a late copy
 			go func() {
@@ -527,6 +547,7 @@
 		m.changed = true
 	}
 	m.token = max(m.token, req.FencingToken)
+	w.recordCommands("direct command carried out", c.n.set.Controller, addr, req.Epoch, req.FencingToken, req.Commands)
 	m.execute(req.Commands, false)
 	return worker.Result{Executed: true, Heartbeat: m.heartbeat()}
 }
@@ -535,6 +556,7 @@
 func (w *world) deliverCopy(to *Controller, r *wire.Heartbeat) {
 	w.locked(func() {
 		w.observed["copies"]++
+		w.recordHeartbeat("late copy of a heartbeat", to.name, r)
 		if m := w.machines[r.Machine]; m != nil && w.freshenCopies {
 			fresh := *r
 			fresh.Epoch, fresh.Seq, fresh.FencingToken = m.epoch, m.seq+1, m.token
@@ -547,6 +569,7 @@
 // restart is a worker's process that is back at once: it holds nothing of what
 // it held, under a new epoch. The caller holds the lock.
 func (m *simWorker) restart() {
+	m.recordState("worker restarts")
 	m.tasks = map[string]*simTask{}
 	m.epoch++
 	m.lastAcceptedSeq = 0
--- a/controller/sim_world_test.go
+++ b/controller/sim_world_test.go
@@ -86,6 +86,7 @@
 
 	// What is checked, and what was observed.
 	violations []string
+	record     eventRecord
 	starts     int
 	gangStarts int
 	restarts   int // of tasks that ran already, where a test counts them
@@ -160,6 +161,7 @@
 	w.mu.Lock()
 	process := n.process
 	n.frozenUntil = time.Now().Add(d)
+	w.note("controller frozen", n.set.Controller, d.String())
 	var known []*simWorker
 	for _, z := range n.set.Deployment.Zones {
 		for _, m := range w.machines {
@@ -242,8 +244,9 @@
 
 // violate records a broken rule. The caller holds the lock.
 func (w *world) violate(rule, format string, args ...any) {
-	w.violations = append(w.violations, rule+": "+fmt.Sprintf(format, args...))
-	slog.Error("rule broken", "rule", rule, "what", fmt.Sprintf(format, args...))
+	violation := rule + ": " + fmt.Sprintf(format, args...)
+	w.violations = append(w.violations, violation)
+	slog.Error("rule broken", "rule", rule, "what", violation)
 }
 
 func (n *simController) start() {
@@ -268,6 +271,7 @@
 		panic(err)
 	}
 	n.process, n.cancel = process, cancel
+	n.world.note("controller starts", n.set.Controller, "")
 	go n.supervise(ctx, process)
 }
 
@@ -277,6 +281,7 @@
 	if n.process != nil {
 		n.cancel()
 		n.process = nil
+		n.world.note("controller ends", n.set.Controller, "")
 	}
 }
 
