--- a/controller/large_fleet_test.go
+++ b/controller/large_fleet_test.go
@@ -30,6 +30,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := playLargeFleet(t, "", *lossyFleet, *lossyShare)
 		ended, unheard, lapsed := w.eventCount("tasks ended by a scale-in"), w.eventCount("tasks ended by the scale-in of an unresponsive machine"), w.eventCount("tasks ended by a lease")
+		w.logLiveTerminations(t)
 		t.Logf("%d starts again; %d tasks ended by returns, %d of them on machines that answered nothing, %d by a lease", w.restarts, ended, unheard, lapsed)
 		if ended != unheard {
 			t.Errorf("%d tasks were ended by the return of a machine that had answered", ended-unheard)
@@ -60,6 +61,7 @@
 	w := newWorldWithTimes(1, []string{"a", "b"}, 3, umoyaTimes)
 	w.lateCommandShare, w.reliableCloud, w.lostAnswerShare, w.lateWriteShare, w.repeatedWriteShare, w.lateCopyShare = 0, true, 0, 0, 0, 0
 	w.record.off = true
+	w.reasons = watchTerminationReasons(t)
 	w.workerInterval = 500 * time.Millisecond
 	w.answerLossShare, w.noAnswerLoss = loss, loss == 0
 	for k := range w.capacity {
--- a/controller/sim_cloud_test.go
+++ b/controller/sim_cloud_test.go
@@ -95,6 +95,7 @@
 	if m == nil {
 		return
 	}
+	w.recordLiveTermination(m)
 	lately := 0
 	for _, at := range m.unansweredCommands {
 		if time.Since(at) < w.times.lease() {
--- a/controller/sim_world_test.go
+++ b/controller/sim_world_test.go
@@ -87,6 +87,7 @@
 	// What is checked, and what was observed.
 	violations []string
 	record     eventRecord
+	reasons    *terminationReasons // nil: terminations are not counted by reason
 	starts     int
 	gangStarts int
 	restarts   int // of tasks that ran already, where a test counts them
