shard: three spaced probes prove a silent machine's failure, for every reason

Cause: a probe that failed at once was repeated at once, so that one moment without answers counted as several, and two (one from 2.2 periods on) were held for proof; after a failover the machine's heartbeat was not even due. Change: three unanswered probes of a silent machine, each standing for its whole time (1 s, was 1.2 s); a heartbeat at another controller discards those before; calls unanswered while heartbeats came do not count.

--- a/constants/shard_commands.go
+++ b/constants/shard_commands.go
@@ -10,7 +10,7 @@
 	// heartbeats, which come within a second or two, before it probes them.
 	FailoverProbeDelay = 1500 * time.Millisecond
 	// ProbeTimeout bounds a probe of a machine, which carries no command.
-	ProbeTimeout = 1200 * time.Millisecond
+	ProbeTimeout = time.Second
 	// MaxCommandsWhilePartitioned bounds the direct commands in flight to a partitioned
 	// shard (commands): enough to notice the end of the partition.
 	MaxCommandsWhilePartitioned = 32
--- a/constants/shard_liveness.go
+++ b/constants/shard_liveness.go
@@ -6,10 +6,10 @@
 const (
 	// HeartbeatOverduePeriods: a machine without a heartbeat for that many heartbeat
 	// periods is probed directly; heartbeats come a quarter of a period late at most.
-	// After two probes without an answer it has failed (periods).
+	// After MaxUnansweredCommands without an answer it has failed (periods).
 	HeartbeatOverduePeriods = 1.3
 	// UnreachablePeriods: a machine without a heartbeat for that many heartbeat
-	// periods gets no tasks, and has failed if one probe is unanswered (periods).
+	// periods gets no tasks (periods).
 	UnreachablePeriods = 2.2
 	// RecentHeartbeatPeriods is the window in which an owner of many machines looks for
 	// heartbeats to know that it receives any, and RecentHeartbeatShare the part of its
@@ -37,9 +37,9 @@
 	// NoHeartbeatPeriods is when a machine that answers commands but sends no heartbeats
 	// is terminated: its lease expires soon (periods).
 	NoHeartbeatPeriods = 3.0
-	// MaxUnansweredCommands is how many direct commands in a row an unconfirmed machine
-	// leaves unanswered before it is terminated, however many heartbeats it sends
-	// (commands).
+	// MaxUnansweredCommands is how many direct commands in a row a machine leaves
+	// unanswered before it is terminated: one without heartbeats as failed, and an
+	// unconfirmed one however many heartbeats it sends (commands).
 	MaxUnansweredCommands = 3
 	// FailoverProbeTimeout is when a new owner that has heard from most machines
 	// terminates those that did not answer: heartbeats of all live machines come within
--- a/shard/directcommands.go
+++ b/shard/directcommands.go
@@ -133,6 +133,7 @@
 func (q *outbox) sendDirectCommand(v *fleetView, now time.Time, m *machine, commands []wire.Command) {
 	m.commandInFlight = true
 	q.commandsInFlight++
+	m.commandSentAt = now
 	m.nextCommandAt = now.Add(constants.CommandRetryInterval / 4)
 	req := wire.CommandRequest{FencingToken: v.fencingToken(m), Epoch: max(m.epoch, 1), Commands: commands}
 	q.actions = append(q.actions, SendCommands{Machine: m.name, Addr: m.addr, Request: req})
@@ -167,7 +168,7 @@
 	c.needsPlacement = c.needsPlacement || c.attemptEnded
 	// It answered: commands do reach it. But only a heartbeat of its own renews its
 	// lease, so a reply does not count for one, except the first.
-	m.unansweredCommands, m.unansweredUnconfirmed = 0, 0
+	m.unansweredProbes, m.unansweredUnconfirmed = 0, 0
 	if m.lastHeartbeat.IsZero() {
 		m.lastHeartbeat = now
 	}
@@ -180,13 +181,18 @@
 }
 
 // commandUnanswered records that a direct command had no reply. A probe is repeated at once:
-// the rebuild after a failover, or the tasks that were on the machine, wait for it.
+// the rebuild after a failover, or the tasks that were on the machine, wait for it. But one to
+// a silent machine stands for the whole time of a probe, however soon it failed: a moment in
+// which nothing is answered must not count as several unanswered probes.
 func (c *Core) commandUnanswered(now time.Time, m *machine) {
-	m.unansweredCommands++
 	m.unansweredUnconfirmed++
 	m.nextCommandAt = now.Add(constants.CommandRetryInterval)
 	if !m.up || c.needsProbe(now, m) {
 		m.nextCommandAt = now
 	}
+	if c.isSilent(now, m) {
+		m.unansweredProbes++
+		m.nextCommandAt = m.commandSentAt.Add(constants.ProbeTimeout)
+	}
 	c.requestConfirmation(now, m)
 }
--- a/shard/failureproof_test.go
+++ b/shard/failureproof_test.go
@@ -158,17 +158,17 @@
 	if after := f.advanceUntilTerminated(6 * time.Second); after != 0 {
 		t.Fatalf("terminated after %s", after)
 	}
-	if m.unansweredCommands == 0 {
+	if m.unansweredProbes == 0 {
 		t.Fatal("no probe was unanswered yet")
 	}
 	f.ApplyMisroutedHeartbeats(f.now, []MisroutedHeartbeat{{f.silent, 1, 50}}, true)
-	if m.unansweredCommands != 0 {
-		t.Errorf("%d probes from before the heartbeat still count", m.unansweredCommands)
+	if m.unansweredProbes != 0 {
+		t.Errorf("%d probes from before the heartbeat still count", m.unansweredProbes)
 	}
 	f.ApplyMisroutedHeartbeats(f.now, []MisroutedHeartbeat{{f.silent, 1, 1}}, true)
-	m.unansweredCommands = 2
+	m.unansweredProbes = 2
 	f.ApplyMisroutedHeartbeats(f.now, []MisroutedHeartbeat{{f.silent, 1, 1}}, true)
-	if m.unansweredCommands != 2 {
+	if m.unansweredProbes != 2 {
 		t.Error("a late copy discarded probes")
 	}
 }
--- a/shard/heartbeat.go
+++ b/shard/heartbeat.go
@@ -85,7 +85,7 @@
 	if v.isUnreachable(now, m) {
 		m.unansweredUnconfirmed = 0 // it was unreachable: unanswered commands of that time do not count
 	}
-	m.lastHeartbeat, m.unansweredCommands = now, 0
+	m.lastHeartbeat, m.unansweredProbes = now, 0
 	switch {
 	case m.isUnconfirmed() && m.reportedToken >= m.confirmationToken:
 		p.confirm(m)
--- a/shard/liveness.go
+++ b/shard/liveness.go
@@ -52,6 +52,12 @@
 	return l.sinceHeartbeat(now, m) > l.periods(constants.HeartbeatOverduePeriods)
 }
 
+// isSilent reports whether nothing comes from a machine from which something should: it has
+// sent nothing in this term or since its lease expired, or its heartbeat is overdue.
+func (l *liveness) isSilent(now time.Time, m *machine) bool {
+	return !m.up || l.isHeartbeatOverdue(now, m)
+}
+
 // isUnreachable reports whether no heartbeat of a machine has come for so long that its
 // lease may expire, whether or not it answers direct commands.
 func (l *liveness) isUnreachable(now time.Time, m *machine) bool {
@@ -70,7 +76,7 @@
 func (v *fleetView) resetLiveness(now time.Time) {
 	v.livenessResetAt = now
 	for _, m := range v.fleet {
-		m.unansweredCommands, m.unansweredUnconfirmed = 0, 0
+		m.unansweredProbes, m.unansweredUnconfirmed = 0, 0
 	}
 }
 
--- a/shard/machine.go
+++ b/shard/machine.go
@@ -55,10 +55,11 @@
 	// Direct commands and confirmation that the machine receives them.
 	commandInFlight       bool // a direct command waits for its answer
 	nextCommandAt         time.Time
+	commandSentAt         time.Time // when the last direct command was sent
 	commandWanted         bool      // its pending commands should be sent
 	commandQueued         bool      // it is in the outbox's queue for that
 	misroutedAt           time.Time // when it last sent a heartbeat to another controller
-	unansweredCommands    int       // direct commands without an answer since its last message
+	unansweredProbes      int       // direct commands without an answer while it was silent, since its last message
 	unconfirmedSince      time.Time // since when it must show that replies reach it; zero: it is confirmed
 	confirmationToken     uint64    // the fencing token that it must show
 	needsHigherToken      bool      // holds an unwanted attempt that a late command could still start
--- a/shard/partition.go
+++ b/shard/partition.go
@@ -140,6 +140,7 @@
 		}
 		if heartbeat.Epoch > m.lastHeartbeatEpoch || heartbeat.Epoch == m.lastHeartbeatEpoch && heartbeat.Seq > m.lastHeartbeatSeq {
 			m.misroutedAt = now
+			m.unansweredProbes = 0 // it runs: what it left unanswered before does not count
 		}
 	}
 	if allPeersHeard {
--- a/shard/scalein.go
+++ b/shard/scalein.go
@@ -121,7 +121,7 @@
 		return reasonDrained
 	case check.idleAllowed && c.isIdle(now, m):
 		return reasonIdle
-	case m.up && c.leavesProbesUnanswered(now, m) && c.isIsolatedFailure(now, m, check.health):
+	case m.up && c.isHeartbeatOverdue(now, m) && m.leavesProbesUnanswered() && c.isIsolatedFailure(now, m, check.health):
 		// Once it is terminated, its attempts have surely ended, long before its lease
 		// expires.
 		return reasonUnreachable
@@ -132,7 +132,7 @@
 		return reasonNoHeartbeats
 	case m.up && !m.reclaimAt.IsZero() && now.After(m.reclaimAt):
 		return reasonSpotReclaimed // the cloud has taken it; the termination confirms that at once
-	case m.inherited && !m.up && m.unansweredCommands > 1 && c.isIsolatedFailure(now, m, check.health) && c.failoverProbesExpired(now, check):
+	case m.inherited && !m.up && m.leavesProbesUnanswered() && c.isIsolatedFailure(now, m, check.health) && c.failoverProbesExpired(now, check):
 		return reasonUnreachableSinceFailover
 	}
 	return keepMachine
@@ -159,10 +159,10 @@
 	return (m.consolidating || now.Sub(m.idleSince) > timeout) && !c.isBusy(m) && m.hasSeenTerm(c.term)
 }
 
-// leavesProbesUnanswered reports whether a machine without heartbeats has left as many probes
-// unanswered as prove that it has failed: the longer it is overdue, the fewer.
-func (l *liveness) leavesProbesUnanswered(now time.Time, m *machine) bool {
-	return l.isUnreachable(now, m) && m.unansweredCommands > 0 || l.isHeartbeatOverdue(now, m) && m.unansweredCommands > 1
+// leavesProbesUnanswered reports whether a silent machine has left as many probes unanswered
+// as prove that it has failed.
+func (m *machine) leavesProbesUnanswered() bool {
+	return m.unansweredProbes >= constants.MaxUnansweredCommands
 }
 
 // isNotReceiving reports whether a machine sends heartbeats, here or to other controllers,
@@ -176,7 +176,7 @@
 
 // failoverProbesExpired reports whether a new owner has waited long enough for an inherited
 // machine: the tasks that may be on it wait. Once most machines are back, those that neither
-// sent a heartbeat nor answered two probes will not be.
+// sent a heartbeat nor answered a probe will not be.
 func (l *liveness) failoverProbesExpired(now time.Time, check *scaleInCheck) bool {
 	waited := now.Sub(check.reachableFrom)
 	return waited > l.periods(constants.FailoverUnreachablePeriods) ||
