shard: the reply of a lease extension stops tasks that are known as cancelled

Cause: an owner without authority renewed the lease of the machine, twice, while it knew the job as cancelled, and gave no command by its rule; the machine then hung through an outage. Change: such a reply carries the stops of attempts whose jobs are cancelled, and nothing else; docs/safety.md, 13, says why that needs no authority.

--- a/controller/cancellation_faults_test.go
+++ b/controller/cancellation_faults_test.go
@@ -65,7 +65,9 @@
 	{"heartbeats do not reach the owner", func(w *world, owner, _ *simController) {
 		w.lasting(60*time.Second, func(on bool) { owner.heartbeatsLost = on })
 	}},
-	{"cloud away", func(w *world, _, _ *simController) { w.lasting(20*time.Second, func(on bool) { w.cloudUnavailable = on }) }},
+	{"cloud away", func(w *world, _, _ *simController) {
+		w.lasting(20*time.Second, func(on bool) { w.cloudUnavailable = on })
+	}},
 	{"zone cut off", func(w *world, owner, _ *simController) {
 		w.lasting(30*time.Second, func(on bool) {
 			w.partitionedZone = ""
--- a/shard/heartbeat.go
+++ b/shard/heartbeat.go
@@ -40,7 +40,7 @@
 	c.recordHeartbeat(&c.fleetView, now, m)
 	m.leaseExpiresAt = c.leaseExpiry(now, m)
 	if !c.mayAct(now) {
-		return wire.HeartbeatReply{FencingToken: c.fencingToken(m), Commands: []wire.Command{}}, nil
+		return wire.HeartbeatReply{FencingToken: c.fencingToken(m), Commands: c.cancellationStops(now, m)}, nil
 	}
 	if c.isSchedulable(now, m) && !c.fillFreedMachine(now, m) || m.reservedForGangs && c.attemptEnded {
 		c.needsPlacement = true
--- a/shard/pendingcommands.go
+++ b/shard/pendingcommands.go
@@ -37,6 +37,27 @@
 	return append(out, starts...)
 }
 
+// cancellationStops lists the only commands that an owner without authority may give: the
+// stops of attempts whose job is cancelled. See docs/safety.md, point 13.
+func (v *fleetView) cancellationStops(now time.Time, m *machine) []wire.Command {
+	out := []wire.Command{}
+	for _, a := range m.attempts {
+		if a.hasExited() || !v.isCancelled(a) {
+			continue
+		}
+		if graceS, send := v.nextStop(now, a); send {
+			out = append(out, stopCommand(a, graceS))
+		}
+	}
+	return out
+}
+
+// isCancelled reports whether an attempt is of a job that is known to be cancelled.
+func (k *knownState) isCancelled(a *attempt) bool {
+	j := k.jobs[a.jobID]
+	return j != nil && j.rec.End == wire.JobCancelled
+}
+
 // nextStop returns the grace period (s) of the next stop command for an unwanted attempt, or
 // send false if none is due. A task that saves its checkpoint is left to finish until its time
 // is up. A gang's tasks save together, and show it only by their exits: until their time is up
