--- a/disruption/ledger_test.go
+++ b/disruption/ledger_test.go
@@ -137,6 +137,9 @@
 			}
 		case *records.DisruptionClaim:
 			o.ledger.ApplyClaim(r, ch.Version)
+		case *records.DamagedRecord:
+			shard, _ := r.ClaimedShard()
+			o.ledger.ApplyDamagedClaim(shard, ch.Version)
 		case *records.Term:
 			o.ledger.ApplyTerm(r)
 		}
