Damaged job records, plans without draining and damaged claims no longer do harm

Change: a record is checked whole and refused as ErrDamaged, and unpacks to 4 MiB at most; PlanDrain returns ErrDrainingNotStarted, and the command's user is told that the owner does not drain; nobody raises a claim while one is missing or damaged.

--- a/controller/drain_service.go
+++ b/controller/drain_service.go
@@ -78,11 +78,11 @@
 	if err != nil || owner == nil {
 		return nil, err
 	}
-	plan, err := request(ctx, owner, func(answer chan<- drain.ShardPlan) any { return shardPlanRequest{selection, answer} })
-	if err != nil {
+	answer, err := request(ctx, owner, func(answer chan<- shardPlanAnswer) any { return shardPlanRequest{selection, answer} })
+	if err = errors.Join(err, answer.err); err != nil {
 		return nil, err
 	}
-	return &plan, nil
+	return &answer.plan, nil
 }
 
 // planOrStart checks a selection and plans its drain; with OpStart the drain is then
--- a/controller/drain_snapshot.go
+++ b/controller/drain_snapshot.go
@@ -24,7 +24,12 @@
 	// shardPlanRequest asks an owner how it would drain the machines of a selection.
 	shardPlanRequest struct {
 		selection records.Selection
-		answer    chan<- drain.ShardPlan
+		answer    chan<- shardPlanAnswer
+	}
+	// shardPlanAnswer is an owner's plan, or why it has none.
+	shardPlanAnswer struct {
+		plan drain.ShardPlan
+		err  error
 	}
 )
 
--- a/controller/shard_actor.go
+++ b/controller/shard_actor.go
@@ -155,7 +155,8 @@
 		a.core.ApplyOtherShards(now, m)
 		return false
 	case shardPlanRequest:
-		m.answer <- a.core.PlanDrain(now, &m.selection)
+		plan, err := a.core.PlanDrain(now, &m.selection)
+		m.answer <- shardPlanAnswer{plan, err}
 		return false
 	default:
 		a.applyResult(now, msg)
--- a/disruption/claim.go
+++ b/disruption/claim.go
@@ -157,6 +157,9 @@
 			next[k] = n
 		}
 	}
+	if l.shardWithoutClaim() != "" {
+		return next, nil // what that shard's owner may have granted is not known
+	}
 	for k, requested := range l.requested {
 		// Others may have raised theirs since the request.
 		raise := min(requested, l.Headroom(now, k))
--- a/records/damaged_test.go
+++ b/records/damaged_test.go
@@ -1,6 +1,7 @@
 package records
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -46,6 +47,9 @@
 			if err == nil {
 				t.Errorf("it was read: %+v", record)
 			}
+			if !errors.Is(err, ErrDamaged) {
+				t.Errorf("%v is no ErrDamaged", err)
+			}
 		})
 	}
 }
--- a/records/job.go
+++ b/records/job.go
@@ -1,6 +1,7 @@
 package records
 
 import (
+	"errors"
 	"strings"
 
 	"ravenport/wire"
@@ -115,6 +116,21 @@
 	return &clone
 }
 
+var errAssignments = errors.New("assignments that the job cannot have")
+
+// checkAssignments reports whether the assignments, in their order, are ranges of the job's
+// tasks that do not overlap. Whoever applies the record relies on it.
+func (j *Job) checkAssignments() error {
+	next := 0 // the first task that may be in the next assignment
+	for _, assignment := range j.Assignments {
+		if assignment.From < next || assignment.To < assignment.From || assignment.To > j.Spec.Tasks {
+			return errAssignments
+		}
+		next = assignment.To
+	}
+	return nil
+}
+
 // Normalize sorts the assignments, drops empty ones and merges those that continue one
 // another.
 func (j *Job) Normalize() {
--- a/records/packed_job.go
+++ b/records/packed_job.go
@@ -49,6 +49,11 @@
 // packedElements is the number of elements of a packed record that is not compressed.
 const packedElements = 3
 
+// maxUnpackedSize bounds a packed record before it was compressed (bytes): a job of 100,000
+// tasks, each in an assignment of its own, takes less than a tenth of it, while a damaged
+// value of 16 KiB could stand for 16 MiB.
+const maxUnpackedSize = 4 << 20
+
 var errNotPacked = errors.New("records: not a packed job record")
 
 // isPackedJob says whether a job's stored record is packed, not a plain JSON object.
@@ -153,12 +158,16 @@
 // decodeRuns appends the assignments of runs to the job.
 func decodeRuns(job *Job, runs string, shards []string) error {
 	next := 0 // the first task after the runs that were read
+	codes := runOpen + len(shards)*openCodesPerShard
 	for len(runs) > 0 {
-		code, tasks, rest, err := readRun(runs)
+		code, tasks, rest, err := readRun(runs, codes)
 		if err != nil {
 			return err
 		}
 		runs = rest
+		if tasks > job.Spec.Tasks-next {
+			return errNotPacked
+		}
 		assignment := Assignment{From: next, To: next + tasks}
 		next = assignment.To
 		switch code {
@@ -168,12 +177,8 @@
 			assignment.Closed = true
 		default:
 			openCode := code - runOpen
-			shardIndex := openCode / openCodesPerShard
 			flags := openCode % openCodesPerShard
-			if shardIndex >= len(shards) {
-				return errNotPacked
-			}
-			assignment.Shard = shards[shardIndex]
+			assignment.Shard = shards[openCode/openCodesPerShard]
 			assignment.KeepWaiting = flags&openFlagKeepWait != 0
 			assignment.Guaranteed = flags&openFlagGuaranteed != 0
 		}
@@ -182,17 +187,11 @@
 	return nil
 }
 
-// readRun reads the first run, and returns the runs after it.
-func readRun(runs string) (code, tasks int, rest string, err error) {
-	scale := 1
-	for len(runs) > 0 {
-		digit := strings.IndexByte(codeDigits, runs[0])
-		if digit < 0 {
-			break
-		}
-		code += scale * digit
-		scale *= len(codeDigits)
-		runs = runs[1:]
+// readRun reads the first run, whose code is below codes, and returns the runs after it.
+func readRun(runs string, codes int) (code, tasks int, rest string, err error) {
+	code, runs, err = readCode(runs, codes)
+	if err != nil {
+		return 0, 0, "", err
 	}
 	end := strings.IndexAny(runs, codeDigits)
 	if end < 0 {
@@ -205,6 +204,27 @@
 	return code, int(n), runs[end:], nil
 }
 
+// readCode reads the code that a run begins with, and returns what follows it. A code of
+// more digits than the largest one needs is refused before it can overflow.
+func readCode(runs string, codes int) (code int, rest string, err error) {
+	digits := 0
+	for scale := 1; digits < len(runs); scale *= len(codeDigits) {
+		digit := strings.IndexByte(codeDigits, runs[digits])
+		if digit < 0 {
+			break
+		}
+		if scale >= codes {
+			return 0, "", errNotPacked
+		}
+		code += scale * digit
+		digits++
+	}
+	if digits == 0 || code >= codes {
+		return 0, "", errNotPacked
+	}
+	return code, runs[digits:], nil
+}
+
 // deflate compresses data.
 func deflate(data []byte) []byte {
 	var compressed bytes.Buffer
@@ -231,5 +251,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return io.ReadAll(flate.NewReader(bytes.NewReader(compressed)))
+	reader := io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), maxUnpackedSize+1)
+	unpacked, err := io.ReadAll(reader)
+	if err == nil && len(unpacked) > maxUnpackedSize {
+		return nil, errNotPacked
+	}
+	return unpacked, err
 }
--- a/shard/drainplan.go
+++ b/shard/drainplan.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"errors"
 	"time"
 
 	"ravenport/constants"
@@ -9,8 +10,15 @@
 	"ravenport/records"
 )
 
-// PlanDrain says what a drain with a selection would do in this shard.
-func (c *Core) PlanDrain(now time.Time, s *records.Selection) drain.ShardPlan {
+// ErrDrainingNotStarted says that the owner does not drain: draining is off in its settings.
+var ErrDrainingNotStarted = errors.New("shard: draining was not started")
+
+// PlanDrain says what a drain with a selection would do in this shard. The error is
+// ErrDrainingNotStarted.
+func (c *Core) PlanDrain(now time.Time, s *records.Selection) (drain.ShardPlan, error) {
+	if c.draining == nil {
+		return drain.ShardPlan{}, ErrDrainingNotStarted
+	}
 	p := drain.ShardPlan{Shard: c.cfg.Shard, MovesByBudget: map[string]int{}, BudgetUsage: c.Usage(now)}
 	reserved := c.draining.reservedForMigrations()
 	for _, m := range c.selectedMachines(s) {
@@ -30,7 +38,7 @@
 		atOnce := c.draining.cfg.Policy.MaxCordoned(len(c.fleet))
 		p.Rounds = (p.Machines + atOnce - 1) / atOnce
 	}
-	return p
+	return p, nil
 }
 
 // planTask adds a task to a plan, with the obstacle to its migration if there is one.
