--- a/apiserver/polls.go
+++ b/apiserver/polls.go
@@ -124,12 +124,16 @@
 func (s *Server) answerFromFeed(p *pendingPoll) {
 	s.pendingRequests--
 	s.stats.poll.observe(time.Since(p.arrivedAt))
-	job, ok := s.jobs[p.jobID]
-	if !ok {
+	job, known := s.jobs[p.jobID]
+	switch {
+	case s.damagedJobs[p.jobID]:
+		// Its state is not known, but it exists.
+		rejectStoreUnavailable.respond(p.request)
+	case !known:
 		p.respondMissing()
-		return
+	default:
+		s.respondState(p, job)
 	}
-	s.respondState(p, job)
 }
 
 func (p *pendingPoll) respondMissing() {
--- a/apiserver/server.go
+++ b/apiserver/server.go
@@ -38,7 +38,8 @@
 
 	// What the watch feed and other actors have sent.
 	jobs            map[string]jobSummary
-	appliedRevision uint64 // of the feed
+	damagedJobs     map[string]bool // ids of jobs whose records cannot be read
+	appliedRevision uint64          // of the feed
 	machineTypes    []wire.MachineType
 	countsByShard   map[string]records.CountsByJob
 
@@ -64,6 +65,7 @@
 		self:          self,
 		controller:    controller,
 		jobs:          map[string]jobSummary{},
+		damagedJobs:   map[string]bool{},
 		countsByShard: map[string]records.CountsByJob{},
 		readInterval:  set.WatchInterval(),
 		stats:         newStats(),
@@ -110,11 +112,15 @@
 // for them.
 func (s *Server) applyUpdate(update records.Update) {
 	for _, change := range update.Changes {
-		job, ok := change.Record.(*records.Job)
-		if !ok {
-			continue
+		switch record := change.Record.(type) {
+		case *records.Job:
+			s.jobs[record.ID] = summarize(record)
+			delete(s.damagedJobs, record.ID)
+		case *records.DamagedRecord:
+			if jobID, ok := record.JobID(); ok {
+				s.damagedJobs[jobID] = true
+			}
 		}
-		s.jobs[job.ID] = summarize(job)
 	}
 	s.appliedRevision = update.Revision
 	// The feed brought something, so this controller reaches the store.
--- a/controller/drain_records.go
+++ b/controller/drain_records.go
@@ -22,9 +22,13 @@
 
 // apply applies a change from the feed.
 func (r *drainRecords) apply(change records.Change) {
-	switch change.Record.(type) {
-	case *records.Drain, *records.DisruptionClaim, *records.Term, *records.DamagedRecord:
+	switch record := change.Record.(type) {
+	case *records.Drain, *records.DisruptionClaim, *records.Term:
 		r.stored[change.Key] = change
+	case *records.DamagedRecord:
+		if record.ConcernsDraining() {
+			r.stored[change.Key] = change
+		}
 	case nil:
 		delete(r.stored, change.Key)
 	}
--- a/kvstore/feed.go
+++ b/kvstore/feed.go
@@ -140,7 +140,7 @@
 }
 
 // appendPut adds a changed key to the update and remembers its version. A record that
-// cannot be decoded is logged, and dropped unless it has to be delivered as corrupt.
+// cannot be decoded is logged, and dropped unless it has to be delivered as damaged.
 func (f *Feed) appendPut(update *records.Update, key string, value []byte, version uint64) {
 	change, err := records.DecodeChange(key, value, version)
 	if err != nil {
--- a/records/change.go
+++ b/records/change.go
@@ -18,15 +18,17 @@
 // DecodeChange reads the record of a changed key. When the record cannot be decoded it
 // returns the error with a change that carries *DamagedRecord in its place if the key is
 // that of a drain or a disruption claim, since whoever acted on the previous record must
-// not go on. Any other change then carries no record and is to be dropped.
+// not go on, or that of a job, which must not be taken for unknown. Any other change then
+// carries no record and is to be dropped.
 func DecodeChange(key string, data []byte, version uint64) (Change, error) {
 	record, err := Decode(key, data)
 	if err == nil {
 		return Change{Key: key, Version: version, Record: record}, nil
 	}
 	change := Change{Key: key, Version: version}
-	if newDrainingRecord(key) != nil {
-		change.Record = &DamagedRecord{Key: key}
+	damaged := &DamagedRecord{Key: key}
+	if _, isJob := damaged.JobID(); isJob || damaged.ConcernsDraining() {
+		change.Record = damaged
 	}
 	return change, err
 }
