Loopback tests of two runs on one machine no longer take each other's ports

Symptom: 'a stand-in at 127.0.0.1:23790: bind: address already in use', shown by two runs started together (one of them failed at once). Cause: each run used the fixed addresses of site 0.

--- a/internal/loopback/fleet_test.go
+++ b/internal/loopback/fleet_test.go
@@ -55,7 +55,7 @@
 // controllers and workers end with the test.
 func newFleet(tb testing.TB, d deployment) *fleet {
 	tb.Helper()
-	fleetCount++
+	takeSite(tb)
 	observer := newObserver()
 	f := &fleet{
 		deployment:     d,
