--- a/shard/cancellation_test.go
+++ b/shard/cancellation_test.go
@@ -85,3 +85,52 @@
 		t.Error("a heartbeat is answered after the lease extension")
 	}
 }
+
+// A stop that got no answer is repeated with every probe of the machine: on another such day
+// (1 of 1,592 plays, "direct command sent stop:run-000006/0" once, then 3 times "direct command
+// carried out" with no command at all, each a probe that was held up) the machine was cut off
+// from its owner for two seconds after the cancellation, carried out probes that said nothing,
+// and hung through an outage.
+func TestProbesRepeatStopsOfCancelledTasks(t *testing.T) {
+	job := arrayJob("run-1", 1, "a")
+	r := newRig(map[string]*records.Job{"run-1": job})
+	for _, name := range []string{"m-0", "m-1", "m-2"} {
+		r.bringUp(name)
+	}
+	for seq := uint64(10); seq < 15; seq++ {
+		r.commitAll(r.advance(time.Second))
+		for _, name := range []string{"m-0", "m-1", "m-2"} {
+			r.Heartbeat(r.now, newHeartbeat(name, 1, seq, r.latestToken(name)))
+		}
+	}
+	a := r.jobs["run-1"].tasks[0].attempt
+	name := a.machine.name
+	running := wire.TaskStatus{Task: a.key.task, Attempt: a.key.number, State: wire.TaskRunning}
+	r.CommandResult(r.now, name, newHeartbeat(name, 1, 19, r.latestToken(name), running))
+	r.Heartbeat(r.now, newHeartbeat(name, 1, 20, r.latestToken(name), running))
+	r.ApplyCancellation(job.ID)
+	sent, stops := 0, 0
+	for range 80 { // the machine is silent, the others are not
+		for _, other := range []string{"m-0", "m-1", "m-2"} {
+			if other != name {
+				r.Heartbeat(r.now, newHeartbeat(other, 1, uint64(r.now.UnixMilli()), r.latestToken(other)))
+			}
+		}
+		for _, action := range r.advance(100 * time.Millisecond) {
+			command, ok := action.(SendCommands)
+			if !ok || command.Machine != name {
+				continue
+			}
+			sent++
+			for _, c := range command.Request.Commands {
+				if c.Op == wire.OpStop && c.Task == running.Task && c.Attempt == running.Attempt {
+					stops++
+				}
+			}
+			r.CommandResult(r.now, name, nil)
+		}
+	}
+	if sent < 3 || stops != sent {
+		t.Errorf("%d of %d direct commands carried the stop", stops, sent)
+	}
+}
