shard: every probe of a machine carries the stops of cancelled tasks

Cause: the one stop was lost, and the probes that followed, three of which the machine carried out, held no command by rule. Change: a probe carries the stops of attempts whose jobs are cancelled; a request of stops alone has the time of a probe (1 s) in place of that of a command (2 s), so that proofs take as long as before. docs/safety.md, 13.

--- a/constants/shard_commands.go
+++ b/constants/shard_commands.go
@@ -9,7 +9,7 @@
 	// FailoverProbeDelay is how long a new owner of many machines waits for their own
 	// heartbeats, which come within a second or two, before it probes them.
 	FailoverProbeDelay = 1500 * time.Millisecond
-	// ProbeTimeout bounds a probe of a machine, which carries no command.
+	// ProbeTimeout bounds a probe of a machine, which carries no commands but stops.
 	ProbeTimeout = time.Second
 	// MaxCommandsWhilePartitioned bounds the direct commands in flight to a partitioned
 	// shard (commands): enough to notice the end of the partition.
--- a/shard/directcommands.go
+++ b/shard/directcommands.go
@@ -66,7 +66,7 @@
 			q.sendPendingCommands(v, now, m)
 		} else if probes < constants.MaxProbesPerStep {
 			probes++
-			q.sendDirectCommand(v, now, m, []wire.Command{})
+			q.sendDirectCommand(v, now, m, v.cancellationStops(now, m))
 		}
 	}
 }
@@ -129,7 +129,8 @@
 	}
 }
 
-// sendDirectCommand sends a request with commands to a machine; without any it is a probe.
+// sendDirectCommand sends a request with commands to a machine. A probe has none but the stops
+// of cancelled tasks: whatever else the machine should be told waits for its answer.
 func (q *outbox) sendDirectCommand(v *fleetView, now time.Time, m *machine, commands []wire.Command) {
 	m.commandInFlight = true
 	q.commandsInFlight++
--- a/shard/pendingcommands.go
+++ b/shard/pendingcommands.go
@@ -37,8 +37,9 @@
 	return append(out, starts...)
 }
 
-// cancellationStops lists the only commands that an owner without authority may give: the
-// stops of attempts whose job is cancelled. See docs/safety.md, point 13.
+// cancellationStops lists the stops of attempts whose job is cancelled. They are the only
+// commands that an owner without authority may give (docs/safety.md, point 13), and those
+// that every probe carries: one that is held up may be all that reaches the machine.
 func (v *fleetView) cancellationStops(now time.Time, m *machine) []wire.Command {
 	out := []wire.Command{}
 	for _, a := range m.attempts {
--- a/worker/client.go
+++ b/worker/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"time"
 
 	"ravenport/constants"
 	"ravenport/httpwire"
@@ -56,16 +57,23 @@
 	return client
 }
 
+// timeoutOf bounds a request: a probe, which may carry stops, is repeated soon, while one with
+// starts leaves its worker time to carry them out.
+func timeoutOf(request wire.CommandRequest) time.Duration {
+	for _, command := range request.Commands {
+		if command.Op != wire.OpStop {
+			return constants.CommandTimeout
+		}
+	}
+	return constants.ProbeTimeout
+}
+
 func send(ctx context.Context, client *httpwire.Client, request wire.CommandRequest) Result {
 	body, err := json.Marshal(request)
 	if err != nil {
 		return Result{Err: fmt.Errorf("worker: encoding commands: %w", err)}
 	}
-	timeout := constants.CommandTimeout
-	if len(request.Commands) == 0 {
-		timeout = constants.ProbeTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, timeoutOf(request))
 	defer cancel()
 	response, err := client.Do(ctx, http.MethodPost, wire.PathCommands, body)
 	if err != nil {
