--- a/controller/control_messages.go
+++ b/controller/control_messages.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"ravenport/apiserver"
 	"ravenport/drain"
-	"ravenport/httpwire"
 	"ravenport/leader"
 	"ravenport/member"
 	"ravenport/peer"
@@ -13,20 +13,15 @@
 	"ravenport/wire"
 )
 
-// httpRequest is an HTTP request that waits for its response.
-type httpRequest interface {
-	Respond(*httpwire.Response)
-}
-
 // Messages to the control actor from the HTTP server and the clock.
 type (
 	controlTick     time.Time
 	workerHeartbeat struct {
-		req       httpRequest
+		req       apiserver.Request
 		heartbeat *wire.Heartbeat
 	}
-	healthRequest struct{ req httpRequest }
-	statusRequest struct{ req httpRequest }
+	healthRequest struct{ req apiserver.Request }
+	statusRequest struct{ req apiserver.Request }
 )
 
 // Messages to the control actor from other controllers.
--- /dev/null
+++ b/controller/sim_days_test.go
@@ -0,0 +1,223 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ravenport/wire"
+)
+
+// playRandomDay plays a generated day of a deployment: jobs of every sort, and troubles
+// of every sort that may overlap. It returns the world after it has calmed.
+func playRandomDay(t *testing.T, seed uint64, zones []string, sabotage func(*world)) *world {
+	t.Helper()
+	w := newWorld(seed, zones, 3)
+	if sabotage != nil {
+		sabotage(w)
+	}
+	if seed%2 == 0 {
+		w.addOldRecords()
+	}
+	for _, n := range w.controllers {
+		n.start()
+	}
+	go w.expireLeases()
+	go w.playGangs()
+	time.AfterFunc(w.randomDuration(0, 200*time.Second), func() { w.mu.Lock(); w.limitsLowered = true; w.mu.Unlock() })
+	for i := range 24 {
+		s := w.randomSubmission(i, zones)
+		j := &simJob{spec: s, doneTasks: map[int]bool{}}
+		w.jobs[s.ID] = j
+		var cancel time.Duration
+		if s.IsService() || w.rng.IntN(6) == 0 {
+			cancel = time.Duration(20+w.rng.IntN(150)) * time.Second
+		}
+		go w.runUser(j, time.Duration(w.rng.IntN(120))*time.Second, cancel)
+	}
+	injectFaults(w, 200*time.Second)
+	w.endFaults()
+	time.Sleep(240 * time.Second)
+	close(w.done)
+	for _, n := range w.controllers {
+		n.kill()
+	}
+	time.Sleep(2 * time.Minute) // late messages and retries run out
+	return w
+}
+
+// randomSubmission makes the i-th job of a generated day.
+func (w *world) randomSubmission(i int, zones []string) wire.Submission {
+	s := wire.Submission{
+		ID: fmt.Sprintf("run-%06d", i), Class: "c", Team: "free", Kind: wire.KindArray, Priority: wire.PriorityNormal,
+		Tasks: 1 + w.rng.IntN(6), CPUs: float64(1 + w.rng.IntN(4)), MemoryGB: 1, Image: fmt.Sprintf("i-%d", w.rng.IntN(3)), ImageGB: 1,
+		Spot: w.rng.IntN(2) == 0, EstimateS: float64(2 + w.rng.IntN(20)),
+	}
+	if i%3 == 0 {
+		s.Kind, s.Priority, s.Spot, s.CPUs, s.EstimateS = wire.KindService, wire.PriorityProduction, false, 2, 0
+		s.Tasks = 1 + w.rng.IntN(2)
+		s.Spread = true
+	}
+	if i%4 == 1 {
+		s.Team, s.CPUs = "tight", 3
+	}
+	if i%8 == 5 {
+		s.OneZone, s.Spread = true, false
+	}
+	if i%6 == 2 {
+		s.Kind, s.Tasks, s.CPUs = wire.KindGang, 2+w.rng.IntN(3), float64(1+w.rng.IntN(2))
+		s.CheckpointIntervalS, s.CheckpointSaveS, s.Priority = 4, 1, []wire.Priority{wire.PriorityNormal, wire.PriorityHigh}[w.rng.IntN(2)]
+		s.OneZone, s.Spread = w.rng.IntN(2) == 0, false
+		if i%12 == 8 {
+			s.OneZone, s.Spread = false, true
+		}
+	}
+	if i%8 == 7 {
+		s.Zone, s.Spread = zones[w.rng.IntN(len(zones))], false
+	}
+	return s
+}
+
+// endFaults mends everything, so that what was accepted must come to an end.
+func (w *world) endFaults() {
+	w.setOutage(false)
+	w.mu.Lock()
+	for _, n := range w.controllers {
+		n.cutFromStore, n.cutFromWorkers, n.cutFromPeers, n.heartbeatsLost = false, false, false, false
+	}
+	w.cloudUnavailable, w.partitionedZone = false, ""
+	for _, m := range w.machines {
+		m.disconnected, m.hung, m.receivesNothing = false, false, false
+	}
+	w.calmSince = time.Now()
+	w.mu.Unlock()
+	for _, n := range w.controllers {
+		n.startIfDown()
+	}
+}
+
+// injectFaults makes things fail, one or several at a time, for a while.
+func injectFaults(w *world, d time.Duration) {
+	end := time.Now().Add(d)
+	for time.Now().Before(end) {
+		time.Sleep(w.randomDuration(2*time.Second, 12*time.Second))
+		n := w.controllers[int(w.randomDuration(0, time.Duration(len(w.controllers)-1)))]
+		length := w.randomDuration(time.Second, 35*time.Second)
+		switch w.randomDuration(0, 17) {
+		case 0, 1: // a crash; back within a fraction of a second or after seconds
+			n.kill()
+			time.AfterFunc(w.randomDuration(200*time.Millisecond, 6*time.Second), n.startIfDown)
+		case 2: // all crash
+			for _, n := range w.controllers {
+				n.kill()
+			}
+			time.Sleep(w.randomDuration(200*time.Millisecond, 6*time.Second))
+			for _, n := range w.controllers {
+				n.startIfDown()
+			}
+		case 3: // refused by the key-value store alone
+			w.lasting(length, func(on bool) { n.cutFromStore = on })
+		case 4: // cut from the workers
+			w.lasting(length, func(on bool) { n.cutFromWorkers = on })
+		case 5:
+			w.setOutage(true)
+			time.AfterFunc(length, func() { w.setOutage(false) })
+		case 6, 7, 8: // a machine hangs, is cut off or is taken
+			w.injectMachineFault(length)
+		case 9:
+			w.lasting(length, func(on bool) { w.cloudUnavailable = on })
+		case 10: // away from the key-value store and the other controllers, not from workers
+			w.lasting(length, func(on bool) { n.cutFromStore, n.cutFromPeers = on, on })
+		case 11: // back within a fraction of a second, and again in the middle of the election
+			for range 2 {
+				n.kill()
+				time.Sleep(w.randomDuration(10*time.Millisecond, 300*time.Millisecond))
+				n.startIfDown()
+				time.Sleep(w.randomDuration(10*time.Millisecond, 1500*time.Millisecond))
+			}
+		case 12: // the controllers do not reach each other
+			w.lasting(length, func(on bool) { n.cutFromPeers = on })
+		case 13:
+			if process := n.running(); process != nil {
+				for range 5 {
+					w.sendInvalidHeartbeat(process)
+				}
+			}
+		case 14: // heartbeats do not reach it, though it reaches the workers
+			w.lasting(length, func(on bool) { n.heartbeatsLost = on })
+		case 15: // it is frozen while its clocks run on, for less than its lease
+			n.freeze(w.randomDuration(200*time.Millisecond, 3*time.Second))
+		case 16: // or for more, some times for more than the workers'
+			n.freeze(length)
+			if w.chance(0.3) { // and ends as it moves on, in the middle of an election
+				time.AfterFunc(length, n.killAndStart)
+			}
+		case 17: // a zone is cut off from everything, with the controllers in it
+			w.lasting(2*length, func(on bool) {
+				w.partitionedZone = ""
+				if on {
+					w.partitionedZone = n.set.Zone
+				}
+			})
+		}
+	}
+}
+
+// lasting switches a fault on, and off again after a time; set is called under the lock.
+func (w *world) lasting(d time.Duration, set func(on bool)) {
+	w.locked(func() { set(true); w.recordFaults() })
+	time.AfterFunc(d, func() { w.locked(func() { set(false); w.recordFaults() }) })
+}
+
+// startIfDown starts a controller that does not run.
+func (n *simController) startIfDown() {
+	if n.running() == nil {
+		n.start()
+	}
+}
+
+// killAndStart ends a controller and starts it again soon after.
+func (n *simController) killAndStart() {
+	n.kill()
+	time.Sleep(300 * time.Millisecond)
+	n.startIfDown()
+}
+
+// injectMachineFault makes any one machine fail.
+func (w *world) injectMachineFault(length time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	what := w.rng.IntN(5)
+	for _, m := range w.machines {
+		switch what {
+		case 0:
+			m.fail(&m.hung, length)
+		case 1:
+			m.fail(&m.disconnected, length)
+		case 2:
+			if m.spot {
+				w.removeMachine(m.name)
+			}
+		case 3:
+			m.fail(&m.receivesNothing, length)
+		case 4:
+			if !time.Now().Before(m.bootsAt) {
+				m.restart()
+			}
+		}
+		return
+	}
+}
+
+// fail switches a fault of the machine on, and off again after a time. The caller holds the
+// lock.
+func (m *simWorker) fail(fault *bool, d time.Duration) {
+	*fault = true
+	m.recordState("machine fails")
+	time.AfterFunc(d, func() {
+		m.world.locked(func() {
+			*fault = false
+			m.recordState("machine recovers")
+		})
+	})
+}
--- a/controller/status.go
+++ b/controller/status.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"ravenport/apiserver"
 	"ravenport/httpwire"
 	"ravenport/logkey"
 	"ravenport/records"
@@ -62,7 +63,7 @@
 }
 
 // answerStatus answers with this controller's view.
-func (c *controlActor) answerStatus(now time.Time, req httpRequest) {
+func (c *controlActor) answerStatus(now time.Time, req apiserver.Request) {
 	body, err := json.MarshalIndent(c.statusView(now), "", "  ")
 	if err != nil {
 		slog.Error("cannot encode status", logkey.Err, err)
