--- /dev/null
+++ b/controller/lease_end_test.go
@@ -0,0 +1,83 @@
+package controller
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// The simulated workers looked at their lease only between two heartbeats, and one that waited
+// for an answer, for up to 4 s, kept its tasks for so long beyond the end of its lease. By the
+// protocol a worker kills all its tasks when the last answered report was sent more than
+// lease_s ago. With that the sum of authority, lease extension and lease, which leaves 2 s of
+// cancel_s, was passed: an owner cut off with its zone as a job was cancelled, and frozen when
+// the lease ended, broke ran_cancelled on a healthy machine ("hung false, cut false, deaf
+// false") in 1 of 1,220 plays, 45.5 s after the cancellation, with "heartbeat sent
+// controller=n-0" 0.8 s before the lease's end and no answer after it.
+
+// leaseEndSlack is how late a simulated worker may see that its lease has ended: its step,
+// and a look of the check.
+const leaseEndSlack = 200 * time.Millisecond
+
+// expectNoTaskPastLease checks that no machine that runs keeps tasks beyond its lease.
+func (w *world) expectNoTaskPastLease(t *testing.T) {
+	t.Helper()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, m := range w.machines {
+		past := time.Since(m.leaseRenewedAt) - w.times.lease()
+		if !m.hung && len(m.tasks) > 0 && past > leaseEndSlack {
+			t.Fatalf("%s keeps %d tasks %s past the end of its lease", m.name, len(m.tasks), past)
+		}
+	}
+}
+
+// A worker ends its tasks when its lease ends, also while a heartbeat waits for its answer.
+func TestLeaseEndsWhileHeartbeatWaits(t *testing.T) {
+	discardLogs(t)
+	for seed := range uint64(5) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newCalmWorld(seed)
+			defer w.shutdown()
+			lot := w.boundArrays(1, 600)
+			w.allRun(t, lot)
+			for _, n := range w.controllers {
+				n.freeze(40 * time.Second)
+			}
+			for range 35 * 20 {
+				time.Sleep(50 * time.Millisecond)
+				w.expectNoTaskPastLease(t)
+			}
+			if w.eventCount("tasks ended by a lease") == 0 {
+				t.Error("no lease ended")
+			}
+		})
+	}
+}
+
+// An owner that is cut off with its zone as a job is cancelled extends the leases there for
+// as long as it may. If it answers nothing when they end, the job's tasks are still gone
+// within cancel_s.
+func TestLongestLeaseEndsWithinCancelTime(t *testing.T) {
+	discardLogs(t)
+	for seed := range uint64(60) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newCalmWorld(seed)
+			defer w.shutdown()
+			j := w.newArray("run-000001", 2, 8, 600) // each task fills a machine
+			j.spec.Zone = "a"
+			go w.runUser(j, 0, 0)
+			w.allRun(t, []*simJob{j})
+			owner := w.ownerOf("a")
+			time.Sleep(w.randomDuration(time.Second, 4*time.Second))
+			w.locked(func() { w.partitionedZone = owner.set.Zone })
+			w.waitUntil(t, "the cancellation is confirmed", 20*time.Second, func() bool { return w.cancelAt(1, j) })
+			time.Sleep(w.times.cancelWithin() - w.randomDuration(3*time.Second, 5*time.Second))
+			owner.freeze(10 * time.Second)
+			w.waitUntil(t, "the tasks are gone", 20*time.Second, func() bool { return w.tasksOn("a", j.spec.ID) == 0 })
+			if len(w.violations) > 0 {
+				t.Errorf("seed %d: %s", seed, w.violations[0])
+			}
+		})
+	}
+}
