controller tests: a worker ends its tasks with its lease also while it waits for an answer

Cause: the simulated worker looked at its lease only after up to 4 s of waiting, where the protocol has it kill all tasks at the lease's end.

--- a/controller/sim_worker_test.go
+++ b/controller/sim_worker_test.go
@@ -158,12 +158,16 @@
 	if w.chance(w.lateCopyShare) {
 		go w.deliverLateCopy(heartbeat)
 	}
-	select {
-	case response := <-answer.got:
-		time.Sleep(w.randomDuration(time.Millisecond, 5*time.Millisecond))
-		return response
-	case <-time.After(4 * time.Second):
-		return nil
+	for end := time.After(4 * time.Second); ; {
+		select {
+		case response := <-answer.got:
+			time.Sleep(w.randomDuration(time.Millisecond, 5*time.Millisecond))
+			return response
+		case <-end:
+			return nil
+		case <-time.After(cmp.Or(w.workerInterval, 100*time.Millisecond)):
+			w.locked(m.expireLease) // which does not wait for the answer
+		}
 	}
 }
 
@@ -223,10 +227,11 @@
 	return m.disconnected || m.receivesNothing || !w.noAnswerLoss && w.rng.Float64() < cmp.Or(w.answerLossShare, 0.01)
 }
 
-// advance lets time pass on the machine. The caller holds the lock.
-func (m *simWorker) advance() {
+// expireLease ends all tasks and the epoch if the lease has ended, unless the machine hangs.
+// The caller holds the lock.
+func (m *simWorker) expireLease() {
 	now := time.Now()
-	if !m.world.ignoreWorkerLeases && now.Sub(m.leaseRenewedAt) > m.world.times.lease() {
+	if !m.hung && !m.removed && !m.world.ignoreWorkerLeases && now.Sub(m.leaseRenewedAt) > m.world.times.lease() {
 		slog.Debug("sim: lease expires", "machine", m.name, "epoch", m.epoch)
 		m.recordState("worker's lease expires")
 		for _, t := range m.tasks {
@@ -239,6 +244,12 @@
 		m.leaseRenewedAt = now
 		m.changed = true
 	}
+}
+
+// advance lets time pass on the machine. The caller holds the lock.
+func (m *simWorker) advance() {
+	m.expireLease()
+	now := time.Now()
 	for _, t := range m.tasks {
 		if t.nextChange.IsZero() || now.Before(t.nextChange) {
 			continue
