A drain's plan that no owner can give is refused with one line

Symptom: an empty table and exit code 0 where the owner of the selected shard does not drain. Cause: only a start looked at the missing shards. Change: a plan without any shard's is refused like a start; one of some shards is shown, with the missing ones, as before.

--- a/controller/drain_service.go
+++ b/controller/drain_service.go
@@ -101,10 +101,11 @@
 	}
 	plan := s.plan(ctx, &snapshot, selection)
 	reply := peer.DrainReply{Plan: &plan}
-	if r.Op == peer.OpPlan {
+	isWhole := len(plan.MissingShards) == 0
+	if r.Op == peer.OpPlan && (isWhole || len(plan.Shards) > 0) {
 		return reply, nil
 	}
-	if len(plan.MissingShards) > 0 {
+	if !isWhole {
 		return refusal("zone", "the owner of shard %s cannot be asked, or does not drain", plan.MissingShards[0]), nil
 	}
 	if obstacle := plan.FirstPermanentObstacle(); obstacle != nil {
