--- a/shard/ownership.go
+++ b/shard/ownership.go
@@ -32,8 +32,9 @@
 
 // mayExtendLeases reports whether the owner still answers heartbeats after the end of its
 // authority, whether or not another owner is known to have begun: a partitioned zone has no
-// other controller, and its machines would end what they run. It gives no commands then
-// but the stops of cancelled tasks, and does not extend the lease of a machine that has seen a later term.
+// other controller, and its machines would end what they run. It gives no commands then but
+// the stops of cancelled tasks, and does not extend the lease of a machine that has seen a
+// later term.
 func (o *ownership) mayExtendLeases(now time.Time) bool {
 	extension := time.Duration(float64(o.cfg.LeaseExtension)*(1-constants.MaxClockDrift)) - constants.AuthorityMargin
 	return !o.authorityUntil.IsZero() && now.Before(o.authorityUntil.Add(extension))
