--- /dev/null
+++ b/review/standin/cloud.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// cloudMachine is a machine that was rented.
+type cloudMachine struct {
+	name, zone string
+	spot       bool
+	rentedAt   time.Time
+	upAt       time.Time
+	goneAt     time.Time
+	worker     *worker
+}
+
+// cloud is a stand-in of the cloud. It has one machine type.
+type cloud struct {
+	rec   *record
+	fleet *fleet
+
+	typeName   string
+	cpus, mem  float64
+	boot       time.Duration
+	latency    time.Duration
+	listLag    time.Duration
+	capacity   map[string]int // ordinary machines by zone
+	mu         sync.Mutex
+	machines   []*cloudMachine
+	answers    map[string][]string
+	beforeGone func(m *cloudMachine) // called when a return request for a machine has arrived
+	afterGone  func(m *cloudMachine) // called when the answer to a return request is sent
+}
+
+func (c *cloud) find(name string) *cloudMachine {
+	for _, m := range c.machines {
+		if m.name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+func (c *cloud) serve(controller int, w http.ResponseWriter, r *http.Request) {
+	switch r.Method + " " + r.URL.Path {
+	case "GET /flavors":
+		time.Sleep(c.latency)
+		var zones []string
+		for zone := range c.capacity {
+			zones = append(zones, zone)
+		}
+		sort.Strings(zones)
+		reply(w, 200, map[string]any{"builds": []any{map[string]any{
+			"sku": c.typeName, "cpus": c.cpus, "cards": 0.0, "mem_gb": c.mem, "cache_gb": 70.0, "fetch_gb_per_s": 0.2,
+			"hourly": 0.87, "spot_price": 0.4, "ready_s": c.boot.Seconds(), "yards": zones,
+		}}})
+	case "POST /machines":
+		c.rent(controller, w, r)
+	case "POST /machines/return":
+		c.giveBack(controller, w, r)
+	case "GET /machines":
+		time.Sleep(c.latency)
+		c.list(w, r)
+	default:
+		problem(w, 400, "unknown path")
+	}
+}
+
+func (c *cloud) rent(controller int, w http.ResponseWriter, r *http.Request) {
+	var request struct {
+		Requisition string `json:"requisition"`
+		Build       string `json:"build"`
+		Yard        string `json:"yard"`
+		Loaners     bool   `json:"loaners"`
+		Number      int    `json:"number"`
+	}
+	if json.NewDecoder(r.Body).Decode(&request) != nil {
+		problem(w, 400, "malformed")
+		return
+	}
+	time.Sleep(c.latency / 2)
+	c.mu.Lock()
+	names, known := c.answers[request.Requisition]
+	if !known && !request.Loaners {
+		used := 0
+		for _, m := range c.machines {
+			if m.zone == request.Yard && m.goneAt.IsZero() {
+				used++
+			}
+		}
+		for range min(request.Number, 50, c.capacity[request.Yard]-used) {
+			m := &cloudMachine{name: fmt.Sprintf("m-%06d", len(c.machines)+1), zone: request.Yard, rentedAt: time.Now()}
+			m.worker = newWorker(c.fleet, m.name, c.typeName, m.zone)
+			m.upAt = m.rentedAt.Add(c.boot)
+			c.machines = append(c.machines, m)
+			names = append(names, m.name)
+			time.AfterFunc(c.boot, m.worker.start)
+		}
+		if len(names) > 0 {
+			c.answers[request.Requisition] = names
+		}
+	}
+	c.mu.Unlock()
+	time.Sleep(c.latency / 2)
+	c.rec.log("cloud: controller %d rents %d in %s: %v", controller, request.Number, request.Yard, names)
+	if len(names) == 0 {
+		problem(w, 503, "no capacity")
+		return
+	}
+	reply(w, 200, map[string]any{"hosts": names})
+}
+
+func (c *cloud) giveBack(controller int, w http.ResponseWriter, r *http.Request) {
+	var request struct {
+		Hosts []string `json:"hosts"`
+	}
+	if json.NewDecoder(r.Body).Decode(&request) != nil {
+		problem(w, 400, "malformed")
+		return
+	}
+	c.rec.log("cloud: controller %d returns %v", controller, request.Hosts)
+	var all []*cloudMachine
+	c.mu.Lock()
+	for _, name := range request.Hosts {
+		if m := c.find(name); m != nil && m.goneAt.IsZero() {
+			all = append(all, m)
+		}
+	}
+	c.mu.Unlock()
+	if c.beforeGone != nil {
+		for _, m := range all {
+			c.beforeGone(m)
+		}
+	}
+	time.Sleep(c.latency / 2)
+	for _, m := range all {
+		m.worker.destroy()
+		c.mu.Lock()
+		m.goneAt = time.Now()
+		c.mu.Unlock()
+	}
+	time.Sleep(c.latency / 2)
+	c.rec.log("cloud: answers 200, gone: %v", request.Hosts)
+	reply(w, 200, map[string]any{})
+	if c.afterGone != nil {
+		for _, m := range all {
+			c.afterGone(m)
+		}
+	}
+}
+
+func (c *cloud) list(w http.ResponseWriter, r *http.Request) {
+	at := time.Now().Add(-c.listLag)
+	limit, _ := strconv.Atoi(r.URL.Query().Get("limit"))
+	if limit <= 0 || limit > 500 {
+		limit = 500
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	hosts := []map[string]any{}
+	more := false
+	for _, m := range c.machines {
+		if m.name <= r.URL.Query().Get("from") || m.rentedAt.After(at) || !m.goneAt.IsZero() && m.goneAt.Before(at) {
+			continue
+		}
+		if len(hosts) == limit {
+			more = true
+			break
+		}
+		status := "running"
+		if m.upAt.After(at) {
+			status = "booting"
+		}
+		hosts = append(hosts, map[string]any{
+			"uid": m.name, "addr": m.worker.addr, "build": c.typeName, "yard": m.zone, "loaners": m.spot, "status": status,
+			"age_s": at.Sub(m.rentedAt).Seconds(),
+		})
+	}
+	reply(w, 200, map[string]any{"hosts": hosts, "has_next": more})
+}
--- /dev/null
+++ b/review/standin/lateanswer.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+// lateAnswer: in each zone, the network between one of three machines and the controllers is
+// interrupted: what the machine sends is held back. The owner returns the machine, and the
+// answer to its last direct command is delivered after that.
+func lateAnswer(rec *record, root string, trouble bool) int {
+	zones := []string{"back-room", "loading-dock", "mill-annex"}
+	f, err := newFleet(rec, root, deployment{
+		zones: zones, teams: "[[facts.teams]]\nname = \"color-lab\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n",
+		reportPeriod: 3 * time.Second, lease: 26 * time.Second, cancelS: 56, rps: 200, writeRPS: 20,
+		typeName: "pine-box", cpus: 16, mem: 64, boot: 2 * time.Second, restartDelay: 5 * time.Second,
+		capacity: map[string]int{"back-room": 4, "loading-dock": 4, "mill-annex": 4},
+	})
+	if err != nil {
+		rec.log("%v", err)
+		return notRunOK
+	}
+	defer f.close()
+	if err := f.startAll(); err != nil || !f.waitHealthy(20*time.Second) {
+		rec.log("the controllers did not start: %v", err)
+		return notRunOK
+	}
+	// The state service sometimes answers within a few hundred milliseconds.
+	f.store.delay = func(_ int, keys []string) time.Duration {
+		for _, key := range keys {
+			if strings.Contains(key, "/roster/") {
+				return 300 * time.Millisecond
+			}
+		}
+		return 0
+	}
+	var jobs []*job
+	for i, zone := range zones {
+		j := &job{id: fmt.Sprintf("run-%06d", 101+i), shape: "sweep", rank: "standard", team: "color-lab", pieces: 3, cpus: 10, mem: 12,
+			zone: zone, image: "img-01", fetch: 500 * time.Millisecond, run: 14 * time.Second}
+		jobs = append(jobs, j)
+		if !f.submit(j) {
+			return notRunOK
+		}
+	}
+	if !waitUntil(25*time.Second, func() bool {
+		for _, j := range jobs {
+			for k := range j.pieces {
+				if f.machineOf(fmt.Sprintf("%s/%d", j.id, k)) == nil {
+					return false
+				}
+			}
+		}
+		return true
+	}) {
+		rec.log("not all tasks run")
+		return notRunOK
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		f.interruptOneInEachZone(jobs)
+	}
+	// The machines are gone at about 13 s. A fleet without faults completes all jobs by 35 s.
+	end := rec.start.Add(104 * time.Second)
+	for time.Now().Before(end) {
+		time.Sleep(5 * time.Second)
+		allDone := true
+		for _, j := range jobs {
+			allDone = f.poll(j) == "done" && allDone
+		}
+		if allDone {
+			rec.log("all jobs are done")
+			return held
+		}
+	}
+	for _, j := range jobs {
+		state := f.poll(j)
+		if state == "done" {
+			continue
+		}
+		for k := range j.pieces {
+			task := fmt.Sprintf("%s/%d", j.id, k)
+			if f.machineOf(task) == nil && !f.isDone(task) {
+				f.breaks("%s is answered as %q, but %s is on no machine and has not completed", j.id, state, task)
+			}
+		}
+	}
+	if len(f.broken) > 0 {
+		return broken
+	}
+	rec.log("the jobs are late, but their tasks run or are done")
+	return held
+}
+
+// interruptOneInEachZone makes the network hold back what one machine in each zone sends. The
+// interruption ends 0.1 s after the cloud has confirmed that the machine is gone, or after 20 s.
+func (f *fleet) interruptOneInEachZone(jobs []*job) {
+	var mu sync.Mutex
+	held := map[string]*worker{}
+	for _, j := range jobs {
+		if w := f.machineOf(j.id + "/0"); w != nil {
+			held[w.name] = w
+		}
+	}
+	f.cloud.mu.Lock()
+	f.cloud.afterGone = func(m *cloudMachine) {
+		mu.Lock()
+		defer mu.Unlock()
+		if w := held[m.name]; w != nil {
+			time.AfterFunc(100*time.Millisecond, w.release)
+		}
+	}
+	f.cloud.mu.Unlock()
+	for _, w := range held {
+		w.hold()
+		time.AfterFunc(20*time.Second, w.release)
+	}
+}
+
+func waitUntil(limit time.Duration, condition func() bool) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if condition() {
+			return true
+		}
+	}
+	return false
+}
