Review: case 2, small tasks are started in messages above 64 KiB and never run

Cause: an owner packs tasks on a machine and sends their commands without a limit on the size of a message, so that direct commands and answers to reports exceed the protocol's 64 KiB.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -43,4 +43,5 @@
 
 var cases = map[string]func(rec *record, root string, trouble bool) int{
 	"late-answer": lateAnswer,
+	"many-small":  manySmall,
 }
