Review: case 3, a replaced owner returns a machine that its successor uses

Cause: an owner repeats a refused request to return machines without a look at its authority, also after it stood still past its lease.

--- a/review/standin/cloud.go
+++ b/review/standin/cloud.go
@@ -35,6 +35,8 @@
 	machines  []*cloudMachine
 	answers   map[string][]string
 	afterGone func(m *cloudMachine) // called when the answer to a return request is sent
+	// onReturn, if set, is called when a return request arrives; true: the cloud is out.
+	onReturn func(controller int, hosts []string) bool
 }
 
 func (c *cloud) find(name string) *cloudMachine {
@@ -136,6 +138,14 @@
 		return
 	}
 	c.rec.log("cloud: controller %d returns %v", controller, request.Hosts)
+	c.mu.Lock()
+	onReturn := c.onReturn
+	c.mu.Unlock()
+	if onReturn != nil && onReturn(controller, request.Hosts) {
+		c.rec.log("cloud: answers 503 trouble")
+		problem(w, 503, "trouble")
+		return
+	}
 	var all []*cloudMachine
 	c.mu.Lock()
 	for _, name := range request.Hosts {
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -368,6 +368,38 @@
 	return false
 }
 
+// submitElsewhere submits a job to the controllers other than one.
+func (f *fleet) submitElsewhere(j *job, not *controller) bool {
+	f.mu.Lock()
+	f.jobs[j.id] = j
+	f.mu.Unlock()
+	for i := range 20 {
+		c := f.controllers[i%len(f.controllers)]
+		if c == not {
+			continue
+		}
+		status, body := f.call(c, "POST", "/v2/runs", j.submission(), 5*time.Second)
+		f.rec.log("user: submits %s at %s -> %d %s", j.id, c.name, status, body)
+		if status == 200 || status == 201 {
+			return true
+		}
+		time.Sleep(time.Second)
+	}
+	return false
+}
+
+// taskOn returns a task that is on a machine, or "".
+func (f *fleet) taskOn(machine string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for task, machines := range f.on {
+		if machines[machine] > 0 {
+			return task
+		}
+	}
+	return ""
+}
+
 // poll asks for a job's state at one controller after the other.
 func (f *fleet) poll(j *job) string {
 	for _, c := range f.controllers {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -42,6 +42,7 @@
 }
 
 var cases = map[string]func(rec *record, root string, trouble bool) int{
-	"late-answer": lateAnswer,
-	"many-small":  manySmall,
+	"late-answer":  lateAnswer,
+	"many-small":   manySmall,
+	"stale-return": staleReturn,
 }
