--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -132,6 +133,9 @@
 			return nil, err
 		}
 	}
+	runningFleet.Lock()
+	runningFleet.fleet = f
+	runningFleet.Unlock()
 	return f, nil
 }
 
@@ -153,6 +157,24 @@
 	return b.String()
 }
 
+// starts is served by one thread for ever, as a process started with Pdeathsig ends with the
+// thread that has started it.
+var starts = make(chan func())
+
+// startOnOneThread starts a process that ends with this process.
+func startOnOneThread(cmd *exec.Cmd) error {
+	result := make(chan error, 1)
+	starts <- func() { result <- cmd.Start() }
+	return <-result
+}
+
+func serveStarts() {
+	runtime.LockOSThread()
+	for start := range starts {
+		start()
+	}
+}
+
 // run starts a controller's process with the command of the deploy file, and starts it again
 // when it has ended.
 func (f *fleet) run(c *controller) error {
@@ -170,7 +192,8 @@
 	cmd.Dir = f.root
 	cmd.Env = append(os.Environ(), "LOG_LEVEL=info")
 	cmd.Stderr = &lineLog{f.rec, c.name}
-	if err := cmd.Start(); err != nil {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if err := startOnOneThread(cmd); err != nil {
 		return err
 	}
 	f.mu.Lock()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,7 +5,11 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
 )
 
 // Exit codes of a case.
@@ -32,6 +36,8 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.log("case %s, trouble: %v", os.Args[1], trouble)
+	go endEarly(rec)
+	go serveStarts()
 	code := notRunOK
 	if play := cases[os.Args[1]]; play != nil {
 		code = play(rec, root, trouble)
@@ -46,3 +52,25 @@
 	"many-small":   manySmall,
 	"stale-return": staleReturn,
 }
+
+// runningFleet is the fleet whose processes have to be ended with this process.
+var runningFleet struct {
+	sync.Mutex
+	fleet *fleet
+}
+
+// endEarly ends all processes if this process is told to end, or after 118 s.
+func endEarly(rec *record) {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case <-told:
+	case <-time.After(118 * time.Second):
+	}
+	rec.log("ended early")
+	runningFleet.Lock()
+	if runningFleet.fleet != nil {
+		runningFleet.fleet.close()
+	}
+	os.Exit(notRunOK)
+}
