Review: case 1, a task for a type of one zone is assigned to other zones for ever

Cause: the leader does not know which zones offer the machine types that a job allows; after its machine has stopped, a task is assigned to a zone that can never run it, again and again. Unused parts of the stand-ins are removed.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 # 0: it held, 2: the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/ravenport ] && [ -x target/standin ] || exit 2
-exec target/standin late-answer . review/1
+exec target/standin one-zone-type . review/1
--- a/review/standin/lateanswer.go
+++ b/review/standin/lateanswer.go
@@ -15,7 +15,7 @@
 	f, err := newFleet(rec, root, deployment{
 		zones: zones, teams: "[[facts.teams]]\nname = \"color-lab\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n",
 		reportPeriod: 3 * time.Second, lease: 26 * time.Second, cancelS: 56, rps: 200, writeRPS: 20,
-		typeName: "pine-box", cpus: 16, mem: 64, boot: 2 * time.Second, restartDelay: 5 * time.Second,
+		types: []machineType{{"pine-box", 16, 64, zones}}, boot: 2 * time.Second, restartDelay: 5 * time.Second,
 		capacity: map[string]int{"back-room": 4, "loading-dock": 4, "mill-annex": 4},
 	})
 	if err != nil {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -48,9 +48,9 @@
 }
 
 var cases = map[string]func(rec *record, root string, trouble bool) int{
-	"late-answer":  lateAnswer,
-	"many-small":   manySmall,
-	"stale-return": staleReturn,
+	"one-zone-type": oneZoneType,
+	"late-answer":   lateAnswer,
+	"many-small":    manySmall,
 }
 
 // runningFleet is the fleet whose processes have to be ended with this process.
--- a/review/standin/manysmall.go
+++ b/review/standin/manysmall.go
@@ -12,7 +12,7 @@
 	f, err := newFleet(rec, root, deployment{
 		zones: zones, teams: "[[facts.teams]]\nname = \"color-lab\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n",
 		reportPeriod: 3 * time.Second, lease: 26 * time.Second, cancelS: 56, rps: 200, writeRPS: 20,
-		typeName: "g8", cpus: 96, mem: 768, boot: 2 * time.Second, restartDelay: 5 * time.Second,
+		types: []machineType{{"g8", 96, 768, zones}}, boot: 2 * time.Second, restartDelay: 5 * time.Second,
 		capacity: map[string]int{"back-room": 2, "loading-dock": 2, "mill-annex": 2},
 	})
 	if err != nil {
