Review: the cases check the quoted bound itself

Cause: case 2 was judged at a fixed time, and the last machine of a zone was returned before the 90 s of the quoted bound were over, so that the check was stricter than the rule; cases 1 and 3 met the bound without a check of it. Change: all three count 90 s without a break in which the job waits and a machine that fits has room, after the trouble; a service keeps such a machine in case 2; controllers get addresses of their own for each script.

--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -54,6 +54,7 @@
 	run         time.Duration // 0: until it is stopped
 	scatter     bool
 	oneZone     bool
+	task        string // the task that the case looks at
 	acceptedAt  time.Time
 }
 
@@ -81,10 +82,12 @@
 	broken   []string
 }
 
-// freeAddress returns a free address below the ports that the system gives to connections.
+// freeAddress returns a free loopback address for a controller. The IP address depends on this
+// process, so that scripts that run at the same time choose no address of each other's.
 func freeAddress() string {
+	pid := os.Getpid()
 	for {
-		addr := fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000))
+		addr := fmt.Sprintf("127.%d.%d.1:%d", 64+pid>>8&63, pid&255, 12000+rand.IntN(18000))
 		listener, err := net.Listen("tcp4", addr)
 		if err == nil {
 			listener.Close()
--- a/review/standin/lateanswer.go
+++ b/review/standin/lateanswer.go
@@ -48,10 +48,18 @@
 		}
 		return 0
 	}
-	var jobs []*job
+	// A service in each zone keeps a machine there, with room for a task once the jobs end.
+	var jobs, services []*job
+	for i, zone := range zones {
+		services = append(services, &job{id: fmt.Sprintf("run-%06d", 111+i), shape: "standing", rank: "prod", team: "color-lab", pieces: 1, cpus: 2, mem: 4,
+			zone: zone, image: "img-01", fetch: 500 * time.Millisecond})
+		if !f.submit(services[i]) {
+			return notRunOK
+		}
+	}
 	for i, zone := range zones {
 		j := &job{id: fmt.Sprintf("run-%06d", 101+i), shape: "sweep", rank: "standard", team: "color-lab", pieces: 3, cpus: 10, mem: 12,
-			zone: zone, image: "img-01", fetch: 500 * time.Millisecond, run: 14 * time.Second}
+			zone: zone, image: "img-01", fetch: 500 * time.Millisecond, run: 10 * time.Second}
 		jobs = append(jobs, j)
 		if !f.submit(j) {
 			return notRunOK
@@ -70,40 +78,51 @@
 		rec.log("not all tasks run")
 		return notRunOK
 	}
-	time.Sleep(2 * time.Second)
-	if trouble {
-		f.interruptOneInEachZone(jobs)
-	}
-	// The machines are gone at about 13 s. A fleet without faults completes all jobs by 35 s.
-	end := rec.start.Add(104 * time.Second)
-	for time.Now().Before(end) {
-		time.Sleep(5 * time.Second)
-		allDone := true
-		for _, j := range jobs {
-			allDone = f.poll(j) == "done" && allDone
-		}
-		if allDone {
-			rec.log("all jobs are done")
-			return held
+	if !waitUntil(10*time.Second, func() bool {
+		for _, j := range services {
+			if f.machineOf(j.id+"/0") == nil {
+				return false
+			}
 		}
+		return true
+	}) {
+		rec.log("not all services run")
+		return notRunOK
 	}
-	for _, j := range jobs {
-		state := f.poll(j)
-		if state == "done" {
-			continue
-		}
+	// The task of each job whose machine is interrupted: one that does not run beside the service.
+	for i, j := range jobs {
 		for k := range j.pieces {
-			task := fmt.Sprintf("%s/%d", j.id, k)
-			if f.machineOf(task) == nil && !f.isDone(task) {
-				f.breaks("%s is answered as %q, but %s is on no machine and has not completed", j.id, state, task)
+			if task := fmt.Sprintf("%s/%d", j.id, k); f.machineOf(task) != f.machineOf(services[i].id+"/0") {
+				j.task = task
+				break
 			}
 		}
 	}
-	if len(f.broken) > 0 {
-		return broken
+	time.Sleep(time.Second)
+	if trouble {
+		f.interruptOneInEachZone(jobs)
+	}
+	if trouble && !waitUntil(20*time.Second, f.interruptionsOver) {
+		rec.log("not all interruptions ended")
+		return notRunOK
+	}
+	return f.observeAll(jobs, func(j *job) func() bool { return f.waitsForTask(j.task) })
+}
+
+// interruptionsOver reports whether the network holds back nothing more.
+func (f *fleet) interruptionsOver() bool {
+	f.cloud.mu.Lock()
+	machines := append([]*cloudMachine(nil), f.cloud.machines...)
+	f.cloud.mu.Unlock()
+	for _, m := range machines {
+		m.worker.mu.Lock()
+		held := m.worker.held != nil
+		m.worker.mu.Unlock()
+		if held {
+			return false
+		}
 	}
-	rec.log("the jobs are late, but their tasks run or are done")
-	return held
+	return true
 }
 
 // interruptOneInEachZone makes the network hold back what one machine in each zone sends. The
@@ -112,7 +131,7 @@
 	var mu sync.Mutex
 	held := map[string]*worker{}
 	for _, j := range jobs {
-		if w := f.machineOf(j.id + "/0"); w != nil {
+		if w := f.machineOf(j.task); w != nil {
 			held[w.name] = w
 		}
 	}
--- a/review/standin/manysmall.go
+++ b/review/standin/manysmall.go
@@ -37,34 +37,19 @@
 			return notRunOK
 		}
 	}
-	// The last job is accepted within a second or two. At the end, all have waited for 90 s.
-	waitedSince := time.Now()
-	for time.Since(waitedSince) < 95*time.Second {
-		time.Sleep(5 * time.Second)
-		allDone := true
-		for _, j := range jobs {
-			allDone = f.poll(j) == "done" && allDone
+	// A job waits as long as none of its tasks was started.
+	code := f.observeAll(jobs, func(j *job) func() bool {
+		return func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.startedTasks[j.id] == 0
 		}
-		if allDone {
-			rec.log("all jobs are done")
-			return held
-		}
-	}
+	})
 	f.mu.Lock()
-	tooLarge := f.tooLarge
-	f.mu.Unlock()
-	for _, j := range jobs {
-		f.mu.Lock()
-		started := f.startedTasks[j.id]
-		f.mu.Unlock()
-		state := f.poll(j)
-		rec.log("%s is %q, %d starts of its %d tasks", j.id, state, started, j.pieces)
-		if started == 0 && tooLarge > 0 {
-			f.breaks("%s was accepted, has waited for 90 s and no task of it was started; %d bodies or lines of the controllers were above 64 KiB", j.id, tooLarge)
-		}
-	}
-	if len(f.broken) > 0 {
-		return broken
+	defer f.mu.Unlock()
+	rec.log("%d bodies or lines of the controllers were above 64 KiB", f.tooLarge)
+	if code == broken && f.tooLarge == 0 {
+		return notRunOK // the jobs waited for another reason
 	}
-	return held
+	return code
 }
--- a/review/standin/onezonetype.go
+++ b/review/standin/onezonetype.go
@@ -63,18 +63,5 @@
 	if !f.submit(last) || !waitUntil(20*time.Second, runs("run-000403/0")) {
 		return notRunOK
 	}
-	rec.log("a machine that fits run-000402 has room: 12 of 16 CPUs")
-	since := time.Now()
-	for time.Since(since) < 90*time.Second {
-		time.Sleep(3 * time.Second)
-		if f.poll(sweep) == "done" {
-			rec.log("the job is done")
-			return held
-		}
-	}
-	if f.machineOf("run-000402/0") != nil || f.isDone("run-000402/0") {
-		return held
-	}
-	f.breaks("run-000402 waits for 90 s while a machine that fits has room: %s", f.store.read("rv/job/run-000402"))
-	return broken
+	return f.observeAll([]*job{sweep}, func(*job) func() bool { return f.waitsForTask("run-000402/0") })
 }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -357,10 +357,3 @@
 		problem(w, 400, fmt.Sprint("unknown path ", r.URL.Path))
 	}
 }
-
-// read returns the stored value of a key.
-func (s *store) read(key string) json.RawMessage {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.keys[key].value
-}
