A late reply of a terminated machine no longer revives its tasks

Cause: between the cloud's confirmation of a termination and the write of the inventory page without the machine, the machine is still in the known state. Heartbeats of it were refused there, replies to direct commands were not (Core.CommandResult): the attempts that a late reply listed were adopted. The page's write removed the machine alone, and since leases and heartbeats are followed by machine, nothing ended these attempts any more. A live attempt keeps its task from being started and its assignment from being closed.

Change: checkStatus decides for every status, whichever exchange brought it, whether it may change the known state. The invariant, that an attempt is on a known machine that is not terminated, had a second hole: terminations were forgotten after 15 minutes even if the machine had not left the inventory by then (a long outage of the store), and a late heartbeat did the same. They are now remembered until it has.

Looked at and sound: misrouted heartbeats, the cloud's list, pages from the feed, placement, replies after the machine was removed, a new owner that inherits it.

--- a/constants/shard_liveness.go
+++ b/constants/shard_liveness.go
@@ -48,8 +48,8 @@
 	// machines arrive within about two seconds, and much of the shard's work waits for the
 	// last machine.
 	FailoverProbeTimeout = 3500 * time.Millisecond
-	// TerminatedMachineRetention is how long a terminated machine is remembered, so that its
-	// late heartbeats are refused.
+	// TerminatedMachineRetention is how long a terminated machine is remembered at least, so
+	// that its late heartbeats are refused.
 	TerminatedMachineRetention = 15 * time.Minute
 	// FailoverUnreachablePeriods replaces UnreachablePeriods for a new owner, which probes
 	// at once (periods).
--- a/controller/sim_worker_test.go
+++ b/controller/sim_worker_test.go
@@ -27,6 +27,7 @@
 	cutFromControllers bool // its heartbeats reach no controller, while direct commands reach it
 	disconnected       bool // messages arrive in neither direction
 	receivesNothing    bool // its heartbeats arrive, while answers and commands do not reach it
+	repliesHeld        bool // the replies to direct commands are held back until its termination
 	epoch              uint64
 	seq, token         uint64
 	lastAcceptedSeq    uint64    // the last heartbeat of this epoch that was answered with status 200
@@ -537,6 +538,9 @@
 			w.locked(func() { m.unansweredCommands = append(m.unansweredCommands, time.Now()) })
 			r = worker.Result{Err: fmt.Errorf("the answer was lost")}
 		}
+		if m.repliesHeld {
+			r = w.holdReply(m, r)
+		}
 		c.n.waitWhileFrozen()
 		done(r)
 	}()
--- a/shard/cloudlist.go
+++ b/shard/cloudlist.go
@@ -32,7 +32,7 @@
 			}
 			continue
 		}
-		if _, terminated := c.terminated[entry.Name]; terminated {
+		if c.isTerminated(entry.Name) {
 			continue // the list lags: the machine was terminated recently
 		}
 		if m == nil {
@@ -48,11 +48,12 @@
 }
 
 // forgetTerminated deletes the termination times of machines that were terminated more than
-// constants.TerminatedMachineRetention ago.
-func (l *liveness) forgetTerminated(now time.Time) {
-	for name, at := range l.terminated {
-		if now.Sub(at) > constants.TerminatedMachineRetention {
-			delete(l.terminated, name)
+// constants.TerminatedMachineRetention ago and have left the inventory. While the inventory
+// cannot be written, terminated machines stay known, and their late messages must be ignored.
+func (v *fleetView) forgetTerminated(now time.Time) {
+	for name, at := range v.terminated {
+		if now.Sub(at) > constants.TerminatedMachineRetention && v.machines[name] == nil {
+			delete(v.terminated, name)
 		}
 	}
 }
--- a/shard/directcommands.go
+++ b/shard/directcommands.go
@@ -1,9 +1,11 @@
 package shard
 
 import (
+	"log/slog"
 	"time"
 
 	"ravenport/constants"
+	"ravenport/logkey"
 	"ravenport/wire"
 )
 
@@ -164,7 +166,11 @@
 		return
 	}
 	c.observeToken(status)
-	if status.Machine != name || c.fenced || !m.isNewer(status) {
+	if status.Machine != name || c.fenced {
+		return
+	}
+	if err := c.checkStatus(status); err != nil {
+		slog.Debug("reply to a direct command ignored", logkey.Machine, name, logkey.Err, err)
 		return
 	}
 	c.updateMachine(now, m, status)
--- a/shard/heartbeat.go
+++ b/shard/heartbeat.go
@@ -25,17 +25,14 @@
 			return reply, ErrNoAuthority
 		}
 	}
-	if _, terminated := c.terminated[heartbeat.Machine]; terminated {
-		return reply, ErrMachineTerminated // the heartbeat was delayed in the network: a terminated machine does not return
-	}
 	// The heartbeats of a machine whose termination was requested are answered as before
 	// until the cloud confirms the termination. Otherwise a reply could renew the machine's
 	// lease while the owner does not count the reply and assumes that the lease has
 	// expired.
-	m := c.ensureMachine(heartbeat.Machine)
-	if !m.isNewer(heartbeat) {
-		return reply, ErrStaleHeartbeat // a late or duplicate heartbeat: its content is ignored
+	if err := c.checkStatus(heartbeat); err != nil {
+		return reply, err
 	}
+	m := c.ensureMachine(heartbeat.Machine)
 	c.updateMachine(now, m, heartbeat)
 	c.reconcile(now, m, heartbeat, viaHeartbeat)
 	c.recordHeartbeat(&c.fleetView, now, m)
--- a/shard/inventory.go
+++ b/shard/inventory.go
@@ -28,7 +28,7 @@
 
 // applyEntry applies one machine of a stored page.
 func (c *Core) applyEntry(now time.Time, p *page, entry *records.Machine) {
-	if _, terminated := c.terminated[entry.Name]; terminated && c.machines[entry.Name] == nil {
+	if c.isTerminated(entry.Name) && c.machines[entry.Name] == nil {
 		p.dirty = true // the page was written before the machine's termination was known
 		return
 	}
--- a/shard/liveness.go
+++ b/shard/liveness.go
@@ -19,7 +19,7 @@
 	livenessResetAt time.Time            // missing heartbeats are not counted before this time
 	partitioned     bool                 // the shard's machines as a whole are unreachable
 	peersReportedAt time.Time            // last time at which every live controller had reported
-	terminated      map[string]time.Time // time of termination by machine, kept for constants.TerminatedMachineRetention
+	terminated      map[string]time.Time // time of the confirmed termination by machine; see forgetTerminated
 	scaleInScans    pace                 // limits how often machines are checked for termination
 	lastScaleInAt   time.Time            // time at which machines were last terminated
 }
@@ -33,6 +33,13 @@
 	}
 }
 
+// isTerminated reports whether the cloud has confirmed the termination of a machine. A
+// terminated machine does not return: all that arrives of it or about it later was delayed.
+func (l *liveness) isTerminated(name string) bool {
+	_, terminated := l.terminated[name]
+	return terminated
+}
+
 // periods returns the duration of n heartbeat periods.
 func (l *liveness) periods(n float64) time.Duration {
 	return time.Duration(n * float64(l.heartbeatPeriod))
--- a/shard/reconcile.go
+++ b/shard/reconcile.go
@@ -17,6 +17,18 @@
 	viaDirectCommand                     // a direct command and the reply to it
 )
 
+// checkStatus returns the reason why a status must not change the known state, whichever
+// exchange it came by: ErrMachineTerminated or ErrStaleHeartbeat. nil: the status is current.
+func (v *fleetView) checkStatus(status *wire.Heartbeat) error {
+	if v.isTerminated(status.Machine) {
+		return ErrMachineTerminated
+	}
+	if m := v.machines[status.Machine]; m != nil && !m.isNewer(status) {
+		return ErrStaleHeartbeat
+	}
+	return nil
+}
+
 // reconcile updates the known state of a machine and its attempts from the machine's status,
 // which a heartbeat or the reply to a direct command contained.
 func (c *Core) reconcile(now time.Time, m *machine, status *wire.Heartbeat, via exchangeKind) {
