A late scale-out response no longer makes a terminated machine count as booting

Cause: ScaleOutResult added every machine that the response names. A response that is repeated under its request id may come after a machine of it has sent heartbeats, served and been terminated. The machine was then known again, was written to the inventory, and its capacity counted as pending until the limit on boot times, so that tasks waited for it in place of a new machine.

Change: names of terminated machines are left out, by the same record of terminations as everywhere else.

TestTerminatedMachineDoesNotBootAgain failed before ("m-1 is known again, pending: true").

--- a/shard/scaleout.go
+++ b/shard/scaleout.go
@@ -186,6 +186,9 @@
 		c.refusedUntil[r.request.Spot] = now.Add(constants.ScaleOutRefusedPause)
 	}
 	for _, name := range names {
+		if c.isTerminated(name) {
+			continue // the response was delayed until after the machine's termination
+		}
 		m := c.ensureMachine(name)
 		if m.typeName == "" {
 			m.typeName = r.request.Type
--- a/shard/terminated_test.go
+++ b/shard/terminated_test.go
@@ -149,6 +149,24 @@
 	}
 }
 
+// A machine that a repeated scale-out response names after its termination counted as booting
+// until the limit on boot times.
+func TestTerminatedMachineDoesNotBootAgain(t *testing.T) {
+	r := newTestOwner(nil)
+	r.requestScaleOut(r.now, machineKind{"box", false}, 1)
+	var request string
+	for id := range r.pendingScaleOuts {
+		request = id
+	}
+	r.bringUp("m-1")
+	r.ScaleInResult(r.now, []string{"m-1"})
+	r.commitAll(r.advance(10 * time.Second))
+	r.ScaleOutResult(r.now, request, []string{"m-1"}, false)
+	if m := r.machines["m-1"]; m != nil {
+		t.Errorf("m-1 is known again, pending: %v", r.isPendingMachine(r.now, m))
+	}
+}
+
 // With any order of heartbeats, replies to direct commands, terminations and inventory writes,
 // some of them late, every attempt is on a known machine that is not terminated. An attempt on
 // any other machine would never end, and its task would never be started again.
