Tasks are assigned only to zones that can run them

Cause: the API server knows which zones offer which machine types, the leader did not. It ranked the shards by the free capacity of all their machines, and owners counted the room of other shards in the same way. So the right owner gave the task away, the leader assigned it to the shard with the most fitting sum, and that shard's owner gave it back every 5 s, or kept it for ever if no other shard seemed to have room. Nothing in this needs a list of types: a task larger than every machine that a zone offers fared the same.

Change: the package machinetype decides for the API server, the leader and the owners where a job can run. The leader considers only zones that offer a fitting type or still have such a machine (arrays, services, gangs, extended assignments, forecasts). An owner offloads tasks that its shard cannot run, whoever assigned them and whatever is free elsewhere. Aggregates divide the free and the preemptible capacity by machine type, in a new optional field that processes of the previous version ignore; their aggregates count as before. The API server asks the same package, and so no longer accepts a job whose only type is offered outside the deployment's zones.

--- a/apiserver/server.go
+++ b/apiserver/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"ravenport/actor"
+	"ravenport/machinetype"
 	"ravenport/records"
 	"ravenport/settings"
 	"ravenport/wire"
@@ -41,7 +42,7 @@
 	jobs            map[string]jobSummary
 	damagedJobs     map[string]bool // ids of jobs whose records cannot be read
 	appliedRevision uint64          // the revision that the watch feed has reached
-	machineTypes    []wire.MachineType
+	machineTypes    machinetype.Set
 	countsByShard   map[string]records.CountsByJob
 
 	// Polls that wait for a read of the revision, and those that wait for the feed.
@@ -87,7 +88,7 @@
 	case GetMetrics:
 		s.respondMetrics(msg.Request)
 	case MachineTypes:
-		s.machineTypes = msg
+		s.machineTypes = machinetype.NewSet(msg)
 	case ShardCounts:
 		s.countsByShard[msg.Shard] = msg.ByJob
 	case SetRelays:
--- a/apiserver/validation.go
+++ b/apiserver/validation.go
@@ -86,32 +86,13 @@
 	return limit > 0 && amount > limit+roundingTolerance
 }
 
-// feasibleZones returns the zones with a machine type that fits a task.
-func (s *Server) feasibleZones(submission *wire.Submission) map[string]bool {
-	feasible := map[string]bool{}
-	for _, machineType := range s.machineTypes {
-		if !fits(submission, machineType) {
-			continue
-		}
-		zones := machineType.Zones
-		if len(zones) == 0 {
-			zones = s.settings.Deployment.Zones // the cloud does not list the type's zones
-		}
-		for _, zone := range zones {
-			if submission.Zone == "" || submission.Zone == zone {
-				feasible[zone] = true
-			}
+// feasibleZones returns the zones in which the cloud offers a machine type that fits a task.
+func (s *Server) feasibleZones(submission *wire.Submission) []string {
+	var feasible []string
+	for _, zone := range s.settings.Deployment.Zones {
+		if (submission.Zone == "" || submission.Zone == zone) && s.machineTypes.OffersFor(submission, zone) {
+			feasible = append(feasible, zone)
 		}
 	}
 	return feasible
 }
-
-// fits reports whether one task fits an empty machine of an allowed type.
-func fits(submission *wire.Submission, machineType wire.MachineType) bool {
-	if len(submission.Types) > 0 && !slices.Contains(submission.Types, machineType.Name) {
-		return false
-	}
-	return submission.CPUs <= machineType.CPUs &&
-		submission.GPUs <= machineType.GPUs &&
-		submission.MemoryGB <= machineType.MemoryGB
-}
--- a/controller/leader_actor.go
+++ b/controller/leader_actor.go
@@ -37,6 +37,7 @@
 		pacer:       stepPacer{self: self},
 		revision:    c.feed.revision,
 	}
+	a.core.SetTypes(c.machineTypes.known)
 	a.core.SetAuthority(c.authorityEnd())
 	if c.feed.packing {
 		a.core.EnablePacking()
@@ -73,6 +74,8 @@
 		a.revision = m.Revision
 	case leader.Aggregate:
 		a.core.ApplyAggregate(now, m)
+	case machineTypesRead:
+		a.core.SetTypes(m.types)
 	case authorityChanged:
 		a.core.SetAuthority(m.until)
 	case packingEnabled:
--- a/controller/machine_types.go
+++ b/controller/machine_types.go
@@ -31,8 +31,8 @@
 	}()
 }
 
-// handleMachineTypes stores the machine types and sends them to the API server and the
-// shard owners. A failed read is repeated after half of RetryBackoffMax.
+// handleMachineTypes stores the machine types and sends them to the API server, the leader and
+// the shard owners. A failed read is repeated after half of RetryBackoffMax.
 func (c *controlActor) handleMachineTypes(now time.Time, m machineTypesRead) {
 	c.machineTypes.reading = false
 	if m.err != nil {
@@ -43,5 +43,6 @@
 	c.machineTypes.nextRead = now.Add(constants.MachineTypesInterval)
 	c.machineTypes.known = m.types
 	c.apiServer.Tell(apiserver.MachineTypes(m.types))
+	c.tellLeader(m)
 	c.tellOwners(m)
 }
--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -25,6 +25,7 @@
 	times          workerTimes
 	zones          []string
 	seeds          []uint64
+	configure      func(*world) // changes the deployment before it starts; nil: no change
 	body           func(*testing.T, *world)
 	unguard        func(*world)
 	wantBrokenRule string // the rule that is broken without the guard; empty: any rule
@@ -72,6 +73,9 @@
 	if w.protectionDisabled = unguard != nil; w.protectionDisabled {
 		unguard(w)
 	}
+	if s.configure != nil {
+		s.configure(w)
+	}
 	for _, n := range w.controllers {
 		n.start()
 	}
--- a/controller/sim_cloud_test.go
+++ b/controller/sim_cloud_test.go
@@ -1,8 +1,10 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -18,11 +20,27 @@
 
 func (c *simCloud) MachineTypes(ctx context.Context) ([]wire.MachineType, error) {
 	time.Sleep(50 * time.Millisecond)
-	t := simTypes[0]
-	t.Zones = c.n.set.Deployment.Zones
-	return []wire.MachineType{t}, nil
+	return c.n.world.offeredTypes(c.n.set.Deployment.Zones), nil
 }
 
+// offeredTypes returns the machine types that the cloud offers in some of the given zones.
+func (w *world) offeredTypes(zones []string) []wire.MachineType {
+	var types []wire.MachineType
+	for _, zone := range zones {
+		i := slices.IndexFunc(types, func(t wire.MachineType) bool { return t.Name == w.typeIn(zone) })
+		if i < 0 {
+			i = len(types)
+			types = append(types, simTypes[0])
+			types[i].Name = w.typeIn(zone)
+		}
+		types[i].Zones = append(types[i].Zones, zone)
+	}
+	return types
+}
+
+// typeIn returns the name of the machine type that the cloud offers in a zone.
+func (w *world) typeIn(zone string) string { return cmp.Or(w.zoneTypes[zone], simTypes[0].Name) }
+
 func (c *simCloud) ScaleOut(ctx context.Context, r wire.ScaleOutRequest) ([]string, error) {
 	w := c.n.world
 	c.n.waitWhileFrozen()
@@ -164,7 +182,7 @@
 		if time.Now().Before(m.bootsAt) {
 			s = wire.MachineBooting
 		}
-		out = append(out, wire.CloudMachine{Name: m.name, Addr: m.name, Type: "box", Zone: m.zone, Spot: m.spot, State: s, AgeS: time.Since(m.createdAt).Seconds()})
+		out = append(out, wire.CloudMachine{Name: m.name, Addr: m.name, Type: w.typeIn(m.zone), Zone: m.zone, Spot: m.spot, State: s, AgeS: time.Since(m.createdAt).Seconds()})
 	}
 	w.mu.Unlock()
 	time.Sleep(5 * time.Second) // the list is 5 s old when it is returned
--- a/controller/sim_worker_test.go
+++ b/controller/sim_worker_test.go
@@ -51,7 +51,7 @@
 
 func (m *simWorker) heartbeat() *wire.Heartbeat {
 	m.seq++
-	r := &wire.Heartbeat{Machine: m.name, Addr: m.name, Type: "box", Zone: m.zone, Spot: m.spot, Epoch: m.epoch, Seq: m.seq, FencingToken: m.token}
+	r := &wire.Heartbeat{Machine: m.name, Addr: m.name, Type: m.world.typeIn(m.zone), Zone: m.zone, Spot: m.spot, Epoch: m.epoch, Seq: m.seq, FencingToken: m.token}
 	if !m.reclaimAt.IsZero() {
 		left := max(0, time.Until(m.reclaimAt).Seconds())
 		r.NoticeS = &left
@@ -320,7 +320,7 @@
 		if fits {
 			fits = false
 			for m, f := range freeCPUs {
-				fits = fits || f >= s.CPUs && (s.Spot || !m.spot) && (s.Zone == "" || s.Zone == m.zone)
+				fits = fits || f >= s.CPUs && (s.Spot || !m.spot) && (s.Zone == "" || s.Zone == m.zone) && s.AllowsType(w.typeIn(m.zone))
 			}
 		}
 		// The placement of an all-or-nothing job depends on its other tasks, so one free
@@ -398,7 +398,7 @@
 	if j.spec.Team == "tight" && usedCPUs > 10+1e-6 {
 		w.violateTask("quota", t.name, m.name, "%s: %g CPUs", t.name, usedCPUs)
 	}
-	if m.spot && !j.spec.Spot || j.spec.Zone != "" && j.spec.Zone != m.zone ||
+	if !j.spec.AllowsType(w.typeIn(m.zone)) || m.spot && !j.spec.Spot || j.spec.Zone != "" && j.spec.Zone != m.zone ||
 		j.spec.OneZone && len(zones) > 1 || j.spec.Spread && inZone > (j.spec.Tasks+1)/2 {
 		w.violateTask("wrong_place", t.name, m.name, "%s on %s", t.name, m.name)
 	}
--- a/internal/dependencies/pure_test.go
+++ b/internal/dependencies/pure_test.go
@@ -13,7 +13,7 @@
 // so that no decision can wait for I/O. They may depend on net/netip, which only parses
 // addresses.
 func TestDecisionPackagesDoNotDependOnNet(t *testing.T) {
-	for _, name := range []string{"member", "failover", "leader", "shard", "detector", "disruption", "drain"} {
+	for _, name := range []string{"member", "failover", "leader", "shard", "detector", "disruption", "drain", "machinetype"} {
 		t.Run(name, func(t *testing.T) {
 			dependencies := listDependencies(t, "ravenport/"+name)
 			if slices.Contains(dependencies, "net") {
--- a/leader/apply.go
+++ b/leader/apply.go
@@ -21,6 +21,7 @@
 	revision             uint64 // of the key-value store at which the assignment was written; 0: in flight
 	cpus, gpus, memoryGB float64
 	spot, gang           bool
+	types                []string // allowed machine types; empty: any type
 	jobID                string
 }
 
--- a/leader/assign.go
+++ b/leader/assign.go
@@ -157,7 +157,7 @@
 		shard := c.shards[p.shard]
 		quota := quotaOf(s, p.tasks)
 		shard.reservations = append(shard.reservations, capacityReservation{
-			jobID: update.record.ID, spot: s.Spot, gang: s.IsGang(),
+			jobID: update.record.ID, spot: s.Spot, gang: s.IsGang(), types: s.Types,
 			cpus: quota.cpus, gpus: quota.gpus, memoryGB: float64(p.tasks) * s.MemoryGB,
 		})
 	}
--- a/leader/candidates.go
+++ b/leader/candidates.go
@@ -1,9 +1,11 @@
 package leader
 
 import (
+	"slices"
 	"time"
 
 	"ravenport/constants"
+	"ravenport/machinetype"
 	"ravenport/wire"
 )
 
@@ -36,7 +38,7 @@
 		}
 		k := &candidate{shard: zone, maxTasks: maxTasks}
 		if shard := c.shards[zone]; now.Sub(shard.updatedAt) < constants.AggregateStaleAfter {
-			k.loadAggregate(shard, &job.record.Spec)
+			k.loadAggregate(shard, &job.record.Spec, c.machineTypes)
 			anyFresh = true
 		}
 		list = append(list, k)
@@ -48,7 +50,8 @@
 }
 
 // remainingTasksByShard returns, by shard, how many more tasks of a job its zone rules
-// allow. All tasks in open assignments count, since any of them may be running.
+// allow, without the shards that can run none. All tasks in open assignments count, since any
+// of them may be running.
 func (c *Core) remainingTasksByShard(job *jobState) map[string]int {
 	spec := &job.record.Spec
 	open := map[string]int{}
@@ -58,10 +61,7 @@
 		}
 	}
 	remaining := map[string]int{}
-	for _, zone := range c.settings.Deployment.Zones {
-		if spec.Zone != "" && spec.Zone != zone {
-			continue
-		}
+	for _, zone := range c.zonesFor(spec) {
 		limit := spec.Tasks
 		if spec.Spread {
 			limit = (spec.Tasks + 1) / 2
@@ -74,6 +74,24 @@
 	return remaining
 }
 
+// canRun reports whether the shard of a zone can run tasks of a job: the cloud offers a
+// machine there that fits a task, or the shard still has such a machine. An owner could only
+// offload any other job's tasks.
+func (c *Core) canRun(zone string, spec *wire.Submission) bool {
+	return c.machineTypes.OffersFor(spec, zone) || c.shards[zone].aggregate.HasMachineFor(spec, c.machineTypes)
+}
+
+// zonesFor returns the zones that a job may use and whose shards can run the job.
+func (c *Core) zonesFor(s *wire.Submission) []string {
+	var zones []string
+	for _, zone := range c.settings.Deployment.Zones {
+		if (s.Zone == "" || s.Zone == zone) && c.canRun(zone, s) {
+			zones = append(zones, zone)
+		}
+	}
+	return zones
+}
+
 // runsOutside reports whether tasks are in open assignments to shards of other zones. open
 // holds the number of a job's tasks in open assignments, by shard.
 func runsOutside(zone string, open map[string]int) bool {
@@ -87,29 +105,38 @@
 
 // loadAggregate computes the candidate's figures from the shard's aggregate and from the
 // assignments that the aggregate does not reflect yet.
-func (k *candidate) loadAggregate(shard *shardState, spec *wire.Submission) {
-	a := shard.aggregate
+func (k *candidate) loadAggregate(shard *shardState, spec *wire.Submission, types machinetype.Set) {
+	a := &shard.aggregate
+	usable := a.capacityFor(spec, types)
 	k.isFresh = true
 	k.queuedCPUs = a.WaitingCPUs
 	for _, r := range shard.reservations {
-		subtractReservation(&a.OnDemand, &a.Spot, r)
+		if r.mayUseTypesOf(spec) {
+			subtractReservation(&usable.OnDemand, &usable.Spot, r)
+		}
 		k.queuedCPUs += r.cpus
 		k.totalCPUs += r.cpus
 	}
 	k.totalCPUs += a.Capacity + a.WaitingCPUs
-	k.estimatedTasks = a.EstimateTasks(spec)
-	k.freeCPUs = a.OnDemand.CPUs.Sum
+	k.estimatedTasks = usable.estimateTasks(spec)
+	k.freeCPUs = usable.OnDemand.CPUs.Sum
 	if spec.Spot {
-		k.freeCPUs += a.Spot.CPUs.Sum
+		k.freeCPUs += usable.Spot.CPUs.Sum
 	}
 	k.maxQueuedCPUs = a.Capacity * constants.MaxQueueShare
-	k.canScaleOut = a.CanScaleOutOnDemand || spec.Spot && a.CanScaleOutSpot
+	k.canScaleOut = (a.CanScaleOutOnDemand || spec.Spot && a.CanScaleOutSpot) && types.OffersFor(spec, k.shard)
 	k.warmTasks = min(shard.estimateWarmTasks(spec), k.estimatedTasks, k.maxTasks)
 	if spec.IsGang() {
 		k.gang = shard.estimateGang(spec, k.estimatedTasks)
 	}
 }
 
+// mayUseTypesOf reports whether the reserved capacity may be on machines that another job may
+// use as well, as far as the jobs' lists of allowed types show.
+func (r *capacityReservation) mayUseTypesOf(spec *wire.Submission) bool {
+	return len(r.types) == 0 || len(spec.Types) == 0 || slices.ContainsFunc(r.types, spec.AllowsType)
+}
+
 // subtractReservation subtracts a reservation from the free capacity: from that of the spot
 // machines if the job may use them and they have enough free CPUs, or else from that of
 // the on-demand machines.
--- a/leader/core.go
+++ b/leader/core.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"ravenport/constants"
+	"ravenport/machinetype"
 	"ravenport/records"
 	"ravenport/settings"
 	"ravenport/wire"
@@ -26,6 +27,8 @@
 	startedAt      time.Time
 	authorityUntil time.Time
 
+	machineTypes machinetype.Set // that the cloud offers
+
 	shards     map[string]*shardState
 	jobs       map[string]*jobState // all jobs that have not ended or have an open assignment
 	unassigned map[string]*jobState // the jobs with tasks in no assignment
@@ -105,6 +108,9 @@
 // SetAuthority sets the time until which the leader may assign tasks.
 func (c *Core) SetAuthority(until time.Time) { c.authorityUntil = until }
 
+// SetTypes sets the machine types that the cloud offers now.
+func (c *Core) SetTypes(types []wire.MachineType) { c.machineTypes = machinetype.NewSet(types) }
+
 // EnablePacking allows the packed encoding of records. The caller must know that no process
 // of the previous version, which cannot read this encoding, can start any more.
 func (c *Core) EnablePacking() { c.sizeLimits.PackingEnabled = true }
--- a/leader/forecast.go
+++ b/leader/forecast.go
@@ -5,7 +5,6 @@
 
 	"ravenport/constants"
 	"ravenport/records"
-	"ravenport/wire"
 )
 
 // Forecast is the work that the leader expects to assign to a shard soon. The work waits
@@ -24,59 +23,54 @@
 // unassignedWork is the work (CPUs) of tasks in no assignment.
 type unassignedWork struct{ spot, onDemand float64 }
 
-// add adds the work of n tasks of a job.
-func (w *unassignedWork) add(s *wire.Submission, n int) {
-	cpus := float64(n) * s.CPUs
-	if s.Spot {
+// add adds work (CPUs) of tasks that may or may not run on spot machines.
+func (w *unassignedWork) add(spot bool, cpus float64) {
+	if spot {
 		w.spot += cpus
 	} else {
 		w.onDemand += cpus
 	}
 }
 
-// BuildForecasts returns the forecasts by shard: for each shard an equal part of the
-// unassigned work that may run in any zone, and all unassigned work that is bound to the
-// shard's zone. It returns nil if there is nothing to forecast. revision is the revision of
-// the key-value store up to which the leader has read the records.
+// BuildForecasts returns the forecasts by shard: for each shard its part of the unassigned work.
+// It returns nil if there is nothing to forecast. revision is the revision of the key-value
+// store up to which the leader has read the records.
 func (c *Core) BuildForecasts(now time.Time, revision uint64) map[string]Forecast {
-	unbound, boundToZone := c.unassignedWork(now)
+	work := c.unassignedWork(now)
 	teams := c.teamsAtLimit(now)
-	if unbound == (unassignedWork{}) && len(boundToZone) == 0 && len(teams) == 0 {
+	if len(work) == 0 && len(teams) == 0 {
 		return nil
 	}
 	forecasts := map[string]Forecast{}
-	shards := float64(len(c.shards))
 	for zone := range c.shards {
 		forecasts[zone] = Forecast{
 			Revision:     revision,
-			Spot:         unbound.spot/shards + boundToZone[zone].spot,
-			OnDemand:     unbound.onDemand/shards + boundToZone[zone].onDemand,
+			Spot:         work[zone].spot,
+			OnDemand:     work[zone].onDemand,
 			TeamsAtLimit: teams,
 		}
 	}
 	return forecasts
 }
 
-// unassignedWork sums the unassigned work that the quota limits admit: unbound is the work
-// of jobs that may run in any zone, and boundToZone is, by zone, the work of jobs that may
-// run only in that zone.
-func (c *Core) unassignedWork(now time.Time) (unbound unassignedWork, boundToZone map[string]unassignedWork) {
-	boundToZone = map[string]unassignedWork{}
+// unassignedWork sums up, by zone, the unassigned work that the quota limits admit. The work of
+// a job is divided equally among the zones that the job may use and whose shards can run it.
+func (c *Core) unassignedWork(now time.Time) map[string]unassignedWork {
+	work := map[string]unassignedWork{}
 	for _, job := range c.unassigned {
 		s := &job.record.Spec
 		if jobAge(now, job.record) < constants.ForecastMinWait {
 			continue // the job is likely to be assigned at once, and the owner may not have to scale out for the job
 		}
-		n := c.tasksWithinLimit(s, records.TasksIn(job.record.Unassigned()))
-		if s.Zone == "" {
-			unbound.add(s, n)
-			continue
+		zones := c.zonesFor(s)
+		cpus := s.CPUs * float64(c.tasksWithinLimit(s, records.TasksIn(job.record.Unassigned())))
+		for _, zone := range zones {
+			inZone := work[zone]
+			inZone.add(s.Spot, cpus/float64(len(zones)))
+			work[zone] = inZone
 		}
-		bound := boundToZone[s.Zone]
-		bound.add(s, n)
-		boundToZone[s.Zone] = bound
 	}
-	return unbound, boundToZone
+	return work
 }
 
 // teamsAtLimit lists the teams whose quota limit kept a job waiting within the last
--- a/shard/aggregate.go
+++ b/shard/aggregate.go
@@ -33,16 +33,6 @@
 		CanScaleOutOnDemand: c.canScaleOut(&c.fleetView, now, false),
 		CanScaleOutSpot:     c.cfg.UseSpot && c.canScaleOut(&c.fleetView, now, true),
 	}
-	add := func(free resources, spot bool) {
-		r := &aggregate.OnDemand
-		if spot {
-			r = &aggregate.Spot
-		}
-		r.Machines++
-		r.CPUs.Add(free.cpus)
-		r.GPUs.Add(free.gpus)
-		r.Memory.Add(free.memory)
-	}
 	for _, m := range c.fleet {
 		if !c.isSchedulable(now, m) {
 			if c.isPendingMachine(now, m) {
@@ -51,11 +41,12 @@
 			continue
 		}
 		aggregate.Capacity += m.capacity.cpus
-		add(c.freeResources(m), m.spot)
+		free := c.freeResources(m)
+		aggregate.AddMachine(m.typeName, m.spot, free.cpus, free.gpus, free.memory)
 		if m.spot {
 			continue
 		}
-		aggregate.Preemptible += c.usageOf(m).preemptibleCPUs
+		aggregate.AddPreemptible(m.typeName, c.usageOf(m).preemptibleCPUs)
 		available := c.productionCPUs(m)
 		for image := range m.cachedImages {
 			aggregate.Warm[image] += available
@@ -64,18 +55,14 @@
 	aggregate.Gangs = c.gangCapacities(&c.fleetView, now)
 	aggregate.ReservedForGangs = c.gangReserveCPUs
 	for _, pending := range c.pendingCapacity {
-		add(pending.free, pending.spot)
+		aggregate.AddMachine(pending.typeName, pending.spot, pending.free.cpus, pending.free.gpus, pending.free.memory)
 	}
 	for _, r := range c.pendingScaleOuts {
 		if t := c.types[r.request.Type]; t != nil {
 			aggregate.Capacity += t.CPUs * float64(r.request.Count)
 		}
 	}
-	for _, r := range []*leader.FreeCapacity{&aggregate.OnDemand, &aggregate.Spot} {
-		r.CPUs.Finish(r.Machines)
-		r.GPUs.Finish(r.Machines)
-		r.Memory.Finish(r.Machines)
-	}
+	aggregate.Finish()
 	return aggregate
 }
 
--- a/shard/machineoffer.go
+++ b/shard/machineoffer.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"ravenport/wire"
@@ -43,7 +42,7 @@
 	var best machineOffer
 	bestPrice := math.Inf(1)
 	for _, t := range v.types {
-		if !taskResources(s).fits(machineResources(t)) || !isEligible(s, t.Name, false) || !slices.Contains(t.Zones, v.cfg.Shard) {
+		if !taskResources(s).fits(machineResources(t)) || !isEligible(s, t.Name, false) || !t.IsOfferedIn(v.cfg.Shard) {
 			continue
 		}
 		for _, spot := range []bool{false, true} {
--- a/shard/machineselection.go
+++ b/shard/machineselection.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"slices"
 	"time"
 
 	"ravenport/wire"
@@ -23,7 +22,7 @@
 	if spot && !s.Spot {
 		return false
 	}
-	return len(s.Types) == 0 || slices.Contains(s.Types, typeName)
+	return s.AllowsType(typeName)
 }
 
 // machinesWithFreeCapacity returns the schedulable machines that have CPUs and memory
--- a/shard/offload.go
+++ b/shard/offload.go
@@ -1,9 +1,11 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"ravenport/constants"
+	"ravenport/leader"
 	"ravenport/records"
 	"ravenport/wire"
 )
@@ -20,6 +22,24 @@
 	c.queueForClose(j)
 }
 
+// canRunTasksOf reports whether this shard can run tasks of a job: the cloud offers a machine
+// here that fits a task, or the shard has such a machine, up or not. If it cannot, the tasks
+// would wait here forever, and the leader has to assign them to another shard.
+func (v *fleetView) canRunTasksOf(s *wire.Submission) bool {
+	if v.types.OffersFor(s, v.cfg.Shard) {
+		return true
+	}
+	return slices.ContainsFunc(v.fleet, func(m *machine) bool {
+		return !m.scalingIn && (s.Spot || !m.spot) && v.types.CanRun(s, m.typeName)
+	})
+}
+
+// canRunIn reports whether the shard of an aggregate has a machine on which tasks of a job may
+// run, or whether its owner does not say which machines it has.
+func (v *fleetView) canRunIn(a *leader.Aggregate, s *wire.Submission) bool {
+	return a.Types == nil || a.HasMachineFor(s, v.types)
+}
+
 // isImageWarmInOtherShard reports whether a production task would have to wait for its image
 // in this shard, and another shard has cached the image and has capacity for the task.
 func (f *aggregates) isImageWarmInOtherShard(v *fleetView, now time.Time, s *wire.Submission) bool {
@@ -32,7 +52,7 @@
 		}
 	}
 	for _, o := range f.otherShards {
-		if now.Sub(o.receivedAt) < constants.AggregateStaleAfter && o.aggregate.Warm[s.Image] >= s.CPUs {
+		if now.Sub(o.receivedAt) < constants.AggregateStaleAfter && o.aggregate.Warm[s.Image] >= s.CPUs && v.canRunIn(&o.aggregate, s) {
 			return true
 		}
 	}
@@ -42,23 +62,23 @@
 // otherShardsFitOneMore reports whether other shards are known to have capacity for one more
 // of a job's tasks, in addition to the tasks that were already offloaded. All shards see the
 // same free capacity, so each shard counts on its share of that capacity only.
-func (f *aggregates) otherShardsFitOneMore(now time.Time, record *records.Job, offloaded int) bool {
-	return f.taskSlotsInOtherShards(now, record) > (offloaded+1)*max(1, len(f.otherShards))
+func (c *Core) otherShardsFitOneMore(now time.Time, record *records.Job, offloaded int) bool {
+	return c.taskSlotsInOtherShards(now, record) > (offloaded+1)*max(1, len(c.otherShards))
 }
 
 // taskSlotsInOtherShards returns for how many more of a job's tasks other shards are known to
-// have capacity.
-func (f *aggregates) taskSlotsInOtherShards(now time.Time, record *records.Job) int {
+// have capacity, on machines on which these tasks may run.
+func (c *Core) taskSlotsInOtherShards(now time.Time, record *records.Job) int {
 	s := &record.Spec
 	slots := 0
-	for _, o := range f.otherShards {
+	for _, o := range c.otherShards {
 		if now.Sub(o.receivedAt) < constants.AggregateStaleAfter && (s.Zone == "" || s.Zone == o.aggregate.Shard) {
-			slots += o.aggregate.EstimateTasks(s)
+			slots += o.aggregate.EstimateTasks(s, c.types)
 		}
 	}
 	// A spread job is also limited in its tasks per shard, whatever the capacity.
 	if s.Spread && s.Tasks > 1 {
-		slots = min(slots, f.spreadSlotsInOtherShards(record))
+		slots = min(slots, c.spreadSlotsInOtherShards(record))
 	}
 	return slots
 }
--- a/shard/reserve.go
+++ b/shard/reserve.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"ravenport/constants"
@@ -59,7 +58,7 @@
 func (c *Core) cheapestReserveType() *wire.MachineType {
 	var best *wire.MachineType
 	for _, t := range c.types {
-		if !c.productionArrivals.largest.fits(machineResources(t)) || !slices.Contains(t.Zones, c.cfg.Shard) {
+		if !c.productionArrivals.largest.fits(machineResources(t)) || !t.IsOfferedIn(c.cfg.Shard) {
 			continue
 		}
 		if best == nil || t.Price < best.Price {
--- a/shard/scaleout.go
+++ b/shard/scaleout.go
@@ -81,6 +81,7 @@
 type jobScaleOut struct {
 	job        *job
 	demand     resources       // demand of one task
+	canRunHere bool            // the shard can run tasks of the job, now or with machines that the cloud offers
 	offer      machineOffer    // offer of the cheapest machine for a task
 	lastAdded  *pendingMachine // the machine that was added last; nil: none
 	mayOffload bool            // limits the job to one batch of offloaded tasks per constants.OffloadWait
@@ -93,6 +94,7 @@
 	p := jobScaleOut{
 		job:        j,
 		demand:     taskResources(&j.record.Spec),
+		canRunHere: c.canRunTasksOf(&j.record.Spec),
 		offer:      c.cheapestOffer(&c.fleetView, now, &j.record.Spec),
 		mayOffload: now.Sub(j.offloadedAt) > constants.OffloadWait,
 	}
@@ -105,6 +107,9 @@
 	if p.offloaded > 0 {
 		j.offloadedAt = now
 	}
+	if p.offloaded > 0 && !p.canRunHere {
+		slog.Info("offloading tasks to the leader: the shard cannot run them", logkey.JobID, j.record.ID, "tasks", p.offloaded)
+	}
 }
 
 // scaleOutForTask decides on one task that fits on no pending machine: to add a machine, to
@@ -113,6 +118,11 @@
 func (c *Core) scaleOutForTask(now time.Time, t *task, plan *jobScaleOut, round *scaleOutRound) bool {
 	waited := now.Sub(t.waitingSince)
 	switch {
+	case !plan.canRunHere:
+		if plan.mayOffload {
+			c.offloadTask(plan.job, t)
+			plan.offloaded++
+		}
 	case plan.lastAdded != nil && plan.demand.fits(plan.lastAdded.free):
 		plan.lastAdded.free = plan.lastAdded.free.minus(plan.demand)
 		return true
--- a/shard/scaleoutgang.go
+++ b/shard/scaleoutgang.go
@@ -80,6 +80,10 @@
 	if now.Sub(j.offloadedAt) <= constants.OffloadWait || spansShards(j.record, c.cfg.Shard) {
 		return false
 	}
+	if !c.canRunTasksOf(s) {
+		slog.Info("offloading gang to the leader: the shard cannot run it", logkey.JobID, s.ID)
+		return true
+	}
 	waited := now.Sub(j.gangArrivedAt)
 	mayLeave := !offer.isAvailable() || waited > constants.GangOffloadWait
 	spread := !offer.isAvailable() && !s.OneZone && s.Zone == "" && waited > constants.OffloadWait && leader.IsOverdue(now, j.record, false)
--- a/shard/state.go
+++ b/shard/state.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"ravenport/machinetype"
 	"ravenport/records"
 	"ravenport/wire"
 )
@@ -10,7 +11,7 @@
 // knownState holds the machines, jobs and attempts that the owner knows. Core changes it from
 // heartbeats, the feed and the cloud's lists of machines; placement adds attempts.
 type knownState struct {
-	types          map[string]*wire.MachineType
+	types          machinetype.Set
 	jobs           map[string]*job
 	machines       map[string]*machine
 	fleet          []*machine // the same machines, in the order in which they became known
@@ -22,7 +23,7 @@
 
 func newKnownState() knownState {
 	return knownState{
-		types:          map[string]*wire.MachineType{},
+		types:          machinetype.Set{},
 		jobs:           map[string]*job{},
 		machines:       map[string]*machine{},
 		attemptsByTask: map[taskKey][]*attempt{},
@@ -54,12 +55,10 @@
 	}
 }
 
-// SetTypes sets the cloud's machine types.
+// SetTypes sets the machine types that the cloud offers now. Known machines of a type that is
+// no longer offered keep their capacity.
 func (c *Core) SetTypes(types []wire.MachineType) {
-	for i := range types {
-		t := types[i]
-		c.types[t.Name] = &t
-	}
+	c.types = machinetype.NewSet(types)
 	for _, m := range c.machines {
 		c.resolveType(m)
 	}
--- a/wire/cloud.go
+++ b/wire/cloud.go
@@ -1,5 +1,7 @@
 package wire
 
+import "slices"
+
 // Paths of the cloud's API.
 const (
 	PathTypes    = "/flavors"
@@ -31,6 +33,17 @@
 	Zones []string `json:"yards"`
 }
 
+// Fits reports whether a job allows the type and one task of the job fits an empty machine of
+// the type.
+func (t *MachineType) Fits(s *Submission) bool {
+	return s.AllowsType(t.Name) && s.CPUs <= t.CPUs && s.GPUs <= t.GPUs && s.MemoryGB <= t.MemoryGB
+}
+
+// IsOfferedIn reports whether the cloud offers the type in a zone.
+func (t *MachineType) IsOfferedIn(zone string) bool {
+	return len(t.Zones) == 0 || slices.Contains(t.Zones, zone)
+}
+
 // MachineTypes is the response to a request for the list of machine types.
 type MachineTypes struct {
 	Types []MachineType `json:"builds"`
--- a/wire/submission.go
+++ b/wire/submission.go
@@ -1,5 +1,7 @@
 package wire
 
+import "slices"
+
 // JobKind is the kind of a job. It determines how the job's tasks run together.
 type JobKind string
 
@@ -97,6 +99,11 @@
 	DeadlineS *float64 `json:"due_s,omitempty"`
 }
 
+// AllowsType reports whether the job's tasks may run on machines of a type.
+func (s *Submission) AllowsType(name string) bool {
+	return len(s.Types) == 0 || slices.Contains(s.Types, name)
+}
+
 // IsService reports whether the job's tasks run until the job is cancelled.
 func (s *Submission) IsService() bool { return s.Kind == KindService }
 
