Messages to and from a machine stay within the protocol's 64 KiB

Cause: nothing bounded the attempts on a machine but its CPUs, GPUs and memory, and nothing the commands in a message. More than about 1,150 starts for one machine made one message above 64 KiB, which the machine refused, and the owner repeated it for ever. In smaller messages the machine's own heartbeat, which lists every attempt until it is forgotten, would have been the next thing above the limit.

Change: room in messages is a resource beside CPUs, GPUs and memory, taken by every attempt until the machine has forgotten it, so placement, preemption, gangs, pending capacity and scale-out keep the limit by the comparison that they make anyway. A message has only the commands that fit; what is left out is not marked as sent and follows. Finished tasks are closed one by one on machines whose statuses take more than half of the room, as for teams at their limit: otherwise they would keep the room from the waiting tasks of their own assignment.

--- a/shard/assignments.go
+++ b/shard/assignments.go
@@ -41,12 +41,13 @@
 func (c *Core) closeJob(now time.Time, id string, j *job) {
 	status := c.closeStatusOf(&c.fleetView, now, j)
 	if !status.assignmentFinished && !status.tasksOffloaded && !status.tasksFinished {
+		j.closesFinishedTasks = false
 		return
 	}
 	if c.defersClose(now, id, j, status) {
 		return
 	}
-	j.closeAt = time.Time{}
+	j.closeAt, j.closesFinishedTasks = time.Time{}, false
 	record := j.record.Clone()
 	for i := range record.Assignments {
 		assignment := &record.Assignments[i]
@@ -74,14 +75,14 @@
 type closeStatus struct {
 	assignmentFinished bool // an assignment is finished
 	assignmentOpen     bool // another assignment is not finished
-	tasksFinished      bool // tasks of an open assignment are finished, and others wait because of the team's quota limit
+	tasksFinished      bool // tasks of an open assignment are finished, and others wait because of the team's quota limit or for room on a crowded machine
 	tasksOffloaded     bool // tasks have to be offloaded to the leader
 }
 
 // closeStatusOf checks a job's assignments in the shard.
 func (c *scaleOutState) closeStatusOf(v *fleetView, now time.Time, j *job) closeStatus {
 	var status closeStatus
-	atLimit := c.blocksTeamAtLimit(now, j)
+	closeEach := j.closesFinishedTasks || c.blocksTeamAtLimit(now, j)
 	for i := range j.record.Assignments {
 		assignment := &j.record.Assignments[i]
 		if assignment.Shard != v.cfg.Shard || assignment.Closed {
@@ -92,7 +93,7 @@
 			continue
 		}
 		status.assignmentOpen = true
-		for k := assignment.From; atLimit && !status.tasksFinished && k < assignment.To; k++ {
+		for k := assignment.From; closeEach && !status.tasksFinished && k < assignment.To; k++ {
 			status.tasksFinished = v.isTaskFinished(j, k)
 		}
 	}
--- a/shard/core.go
+++ b/shard/core.go
@@ -164,6 +164,7 @@
 			c.planScaleOut(now)
 		}
 		if scanFleet {
+			c.closeFinishedOnCrowdedMachines()
 			c.releaseReservations(&c.fleetView, now)
 			c.evictFromReclaimedMachines(&c.fleetView, now)
 			c.consolidate(now)
--- a/shard/job.go
+++ b/shard/job.go
@@ -19,6 +19,9 @@
 	closeCheckDue  bool            // the job changed since its assignments were last checked
 	closeAt        time.Time       // when finished assignments are closed even if others in this shard are not finished; zero: not planned
 	failedMachines map[string]bool // machines on which tasks of the job failed
+	// closesFinishedTasks: the job's finished tasks are closed one by one, because their
+	// statuses take much of the room in a machine's heartbeats.
+	closesFinishedTasks bool
 
 	gang          *gang     // nil: the job is not a gang
 	gangArrivedAt time.Time // when the gang was assigned to the shard
--- a/shard/pendingcommands.go
+++ b/shard/pendingcommands.go
@@ -3,54 +3,99 @@
 import (
 	"time"
 
+	"ravenport/constants"
 	"ravenport/wire"
 )
 
+// commandList is a list of commands that fits into one message to a machine.
+type commandList struct {
+	commands []wire.Command
+	bytes    int
+}
+
+// hasRoomFor reports whether a command for an attempt fits into the message.
+func (l *commandList) hasRoomFor(a *attempt) bool {
+	return l.bytes+taskEntryBytes(len(a.key.task)) <= constants.MaxTaskEntriesBytes
+}
+
+// add adds a command for an attempt.
+func (l *commandList) add(a *attempt, op wire.CommandOp, graceS *float64) {
+	l.bytes += taskEntryBytes(len(a.key.task))
+	l.commands = append(l.commands, wire.Command{Op: op, Task: a.key.task, Attempt: a.key.number, GraceS: graceS})
+}
+
 // pendingCommands returns the commands for a machine, first the stops, then the commands to
 // forget attempts, then the starts, so that resources are free when a start needs them. Only
-// the reply to a heartbeat contains commands to forget attempts.
+// the reply to a heartbeat contains commands to forget attempts. Commands that do not fit into
+// one message remain pending.
 func (v *fleetView) pendingCommands(now time.Time, m *machine, via exchangeKind) []wire.Command {
-	out := []wire.Command{}
-	var starts []wire.Command
+	list := commandList{commands: []wire.Command{}}
+	m.commandWanted = false
 	for _, a := range m.attempts {
+		if !list.hasRoomFor(a) {
+			m.commandWanted = true
+			return list.commands
+		}
 		switch {
 		case a.hasExited():
 			if via == viaHeartbeat && v.canForget(a) {
-				out = append(out, wire.Command{Op: wire.OpForget, Task: a.key.task, Attempt: a.key.number})
+				list.add(a, wire.OpForget, nil)
 			}
 		case !v.isWanted(a):
-			if graceS, send := v.nextStop(now, a); send {
-				out = append(out, stopCommand(a, graceS))
-			}
-		case a.state == stateSent && m.hasSeenTerm(v.term):
-			if via == viaHeartbeat {
-				a.startSentSeq = m.seq
-			} else {
-				a.sentDirectly = true
-				a.maxDirectToken = max(a.maxDirectToken, v.fencingToken(m))
-			}
-			a.startSentAt = now
-			starts = append(starts, wire.Command{Op: wire.OpStart, Task: a.key.task, Attempt: a.key.number})
+			v.addStop(&list, now, a)
 		}
 	}
-	m.commandWanted = false
-	return append(out, starts...)
+	if m.hasSeenTerm(v.term) {
+		v.addStarts(&list, now, m, via)
+	}
+	return list.commands
 }
 
-// cancellationStops returns the stops of attempts whose job is cancelled. They are the only
-// commands that an owner without authority may give (docs/safety.md, point 13). Every probe
-// carries them too, because a delayed probe may be the only message that reaches the machine.
+// addStarts adds the starts of a machine's wanted attempts that no heartbeat or reply has
+// listed yet.
+func (v *fleetView) addStarts(list *commandList, now time.Time, m *machine, via exchangeKind) {
+	for _, a := range m.attempts {
+		if a.state != stateSent || !v.isWanted(a) {
+			continue
+		}
+		if !list.hasRoomFor(a) {
+			m.commandWanted = true
+			return
+		}
+		if via == viaHeartbeat {
+			a.startSentSeq = m.seq
+		} else {
+			a.sentDirectly = true
+			a.maxDirectToken = max(a.maxDirectToken, v.fencingToken(m))
+		}
+		a.startSentAt = now
+		list.add(a, wire.OpStart, nil)
+	}
+}
+
+// addStop adds the next stop of an unwanted attempt, if one is due.
+func (v *fleetView) addStop(list *commandList, now time.Time, a *attempt) {
+	if graceS, send := v.nextStop(now, a); send {
+		list.add(a, wire.OpStop, &graceS)
+	}
+}
+
+// cancellationStops returns the stops of attempts whose job is cancelled, as many as fit into
+// one message. They are the only commands that an owner without authority may give
+// (docs/safety.md, point 13). Every probe carries them too, because a delayed probe may be the
+// only message that reaches the machine.
 func (v *fleetView) cancellationStops(now time.Time, m *machine) []wire.Command {
-	out := []wire.Command{}
+	list := commandList{commands: []wire.Command{}}
 	for _, a := range m.attempts {
 		if a.hasExited() || !v.isCancelled(a) {
 			continue
 		}
-		if graceS, send := v.nextStop(now, a); send {
-			out = append(out, stopCommand(a, graceS))
+		if !list.hasRoomFor(a) {
+			break
 		}
+		v.addStop(&list, now, a)
 	}
-	return out
+	return list.commands
 }
 
 // isCancelled reports whether the job of an attempt is known to be cancelled.
@@ -80,10 +125,6 @@
 	return 0, true
 }
 
-func stopCommand(a *attempt, graceS float64) wire.Command {
-	return wire.Command{Op: wire.OpStop, Task: a.key.task, Attempt: a.key.number, GraceS: &graceS}
-}
-
 // stopGrace returns the time that a stopped attempt gets to save its checkpoint: none if the
 // attempt cannot save one, or if the checkpoint would not be used.
 func (k *knownState) stopGrace(a *attempt) time.Duration {
--- a/shard/reconcile.go
+++ b/shard/reconcile.go
@@ -195,6 +195,7 @@
 		jobID:          jobID,
 		taskIndex:      index,
 		machine:        m,
+		resources:      resources{messageBytes: float64(taskEntryBytes(len(status.Task)))},
 		adopted:        status.State == wire.TaskRunning,
 		sentDirectly:   true,
 		stopsInstantly: true,
--- a/shard/usage.go
+++ b/shard/usage.go
@@ -9,7 +9,7 @@
 
 // machineUsage sums up the resources and properties of a machine's attempts.
 type machineUsage struct {
-	used            resources // excludes attempts that are stopping instantly: the worker carries out a stop and a start in one list of commands in order
+	used            resources // excludes attempts that are stopping instantly: the worker carries out a stop and a start in one list of commands in order; but heartbeats list every attempt until the machine has forgotten the attempt
 	active          int       // attempts that have not exited
 	services        int
 	preemptibleCPUs float64 // CPUs that production work may preempt without waiting for a checkpoint
@@ -33,6 +33,7 @@
 	m.usage = machineUsage{lowestPriority: math.MaxInt, teamsBeyondGuarantee: m.usage.teamsBeyondGuarantee[:0]}
 	for _, a := range m.attempts {
 		if a.hasExited() {
+			m.usage.used.messageBytes += a.resources.messageBytes
 			if a.sentDirectly {
 				m.usage.exitedDirect++
 			}
@@ -42,7 +43,9 @@
 		if a.state == stateSent {
 			m.usage.pendingStarts++
 		}
-		if !(a.stopRequested && a.stopsInstantly) {
+		if a.stopRequested && a.stopsInstantly {
+			m.usage.used.messageBytes += a.resources.messageBytes
+		} else {
 			m.usage.used = m.usage.used.plus(a.resources)
 		}
 		t := k.taskOf(a)
