A refusal of one machine type no longer stops requests for the others

What callers would see: where the cloud has no more machines of the cheapest type, a job that also allows a dearer one is never run.

Cause: a refusal was kept by spot or on-demand alone.

Change: a refusal holds for a type, spot or on-demand. Tasks, gangs, the reserve and the figures for the leader ask by type.

Before the fix TestRefusedTypeLeavesOtherTypes failed in all six cases ("requests by type map[cheap:10], want cheap and dear"), and TestScaleOutIsOfferedByType ("after box was refused: can scale out false, want true"). They and the tests of shard and controller pass now. Nothing changes for deployments with one type.

--- a/shard/core.go
+++ b/shard/core.go
@@ -92,7 +92,7 @@
 		placement:      newPlacement(cfg.RoundBudget),
 		closeQueue:     closeQueue{closeCandidates: map[string]*job{}},
 		inventoryPages: newInventoryPages(cfg.SizeLimits),
-		scaleOutState:  scaleOutState{pendingScaleOuts: map[string]*pendingScaleOut{}, refusedUntil: map[bool]time.Time{}},
+		scaleOutState:  scaleOutState{pendingScaleOuts: map[string]*pendingScaleOut{}, refusedUntil: map[machineKind]time.Time{}},
 		gangReserves:   gangReserves{gangShapes: map[string]gangShape{}},
 		aggregates:     aggregates{otherShards: map[string]otherShard{}, aggregateChanged: true},
 	}
--- a/shard/machinetypes_test.go
+++ b/shard/machinetypes_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"ravenport/constants"
 	"ravenport/leader"
 	"ravenport/records"
 	"ravenport/wire"
@@ -129,3 +130,69 @@
 		}
 	}
 }
+
+// A job that allows several machine types never ran: the cloud had no more machines of the
+// cheapest type, and after each refusal the owner requested no machine of any type, until it
+// requested the cheapest type again.
+func TestRefusedTypeLeavesOtherTypes(t *testing.T) {
+	types := []wire.MachineType{
+		{Name: "cheap", CPUs: 8, MemoryGB: 32, Price: 1, SpotPrice: 0.4, BootS: 10, Zones: []string{"a"}},
+		{Name: "dear", CPUs: 8, MemoryGB: 32, Price: 2, SpotPrice: 0.8, BootS: 10, Zones: []string{"a"}},
+		{Name: "away", CPUs: 8, MemoryGB: 32, Price: 0.5, SpotPrice: 0.1, BootS: 10, Zones: []string{"b"}},
+	}
+	for name, change := range map[string]func(*wire.Submission){
+		"any type":       func(s *wire.Submission) {},
+		"on-demand only": func(s *wire.Submission) { s.Spot = false },
+		"both types":     func(s *wire.Submission) { s.Types = []string{"cheap", "dear"} },
+		"gang":           func(s *wire.Submission) { s.Kind = wire.KindGang },
+		"service":        func(s *wire.Submission) { s.Kind, s.Spot, s.EstimateS = wire.KindService, false, 0 },
+		"production's reserve": func(s *wire.Submission) {
+			s.Kind, s.Priority, s.Spot = wire.KindService, wire.PriorityProduction, false
+		},
+	} {
+		r := newTestOwner(nil)
+		r.SetTypes(types)
+		job := jobOfKind(wire.KindArray, change)
+		r.submit(job)
+		requested := map[string]int{}
+		for range 200 {
+			for _, a := range r.advance(250 * time.Millisecond) {
+				if request, ok := a.(ScaleOut); ok {
+					requested[request.Request.Type]++
+					r.ScaleOutResult(r.now, request.Request.RequestID, nil, true)
+				}
+			}
+		}
+		if requested["cheap"] == 0 || requested["dear"] == 0 || requested["away"] > 0 {
+			t.Errorf("%s: requests by type %v, want cheap and dear", name, requested)
+		}
+	}
+}
+
+// An owner offers the leader machines of a kind as long as the cloud refuses only some types.
+func TestScaleOutIsOfferedByType(t *testing.T) {
+	r := newTestOwner(nil)
+	r.SetTypes(append([]wire.MachineType{{Name: "dear", CPUs: 8, MemoryGB: 32, Price: 2, Zones: []string{"a"}}}, twoTypes...))
+	refuse := func(typeName string) {
+		r.requestScaleOut(r.now, machineKind{typeName, false}, 1)
+		for id := range r.pendingScaleOuts {
+			r.ScaleOutResult(r.now, id, nil, true)
+		}
+	}
+	for _, step := range []struct {
+		refused string
+		want    bool
+	}{{"box", true}, {"dear", false}} { // "tub" is offered in another zone
+		refuse(step.refused)
+		if got := r.Aggregate(r.now, 1).CanScaleOutOnDemand; got != step.want {
+			t.Errorf("after %s was refused: can scale out %v, want %v", step.refused, got, step.want)
+		}
+		if summary := r.Summary(r.now); !summary.RefusedOnDemand || summary.RefusedSpot {
+			t.Errorf("after %s was refused: summary %+v", step.refused, summary)
+		}
+	}
+	r.now = r.now.Add(constants.ScaleOutRefusedPause)
+	if r.Summary(r.now).RefusedOnDemand || !r.Aggregate(r.now, 1).CanScaleOutOnDemand {
+		t.Error("the refusals are still in effect")
+	}
+}
--- a/shard/reserve.go
+++ b/shard/reserve.go
@@ -19,14 +19,14 @@
 // scaleOutForReserve adds on-demand machines for the part of the reserves for production
 // work and for gangs that is neither free nor pending.
 func (c *Core) scaleOutForReserve(now time.Time, counts machineCounts) {
-	if c.productionArrivals.largest.cpus == 0 && c.gangReserveCPUs == 0 || !c.canScaleOut(&c.fleetView, now, false) {
+	if c.productionArrivals.largest.cpus == 0 && c.gangReserveCPUs == 0 {
 		return
 	}
 	missing := max(c.targetProductionReserve(&c.fleetView, now)-c.availableProductionCPUs(), c.missingGangReserve())
 	if missing <= 0 {
 		return
 	}
-	t := c.cheapestReserveType()
+	t := c.cheapestReserveType(now)
 	if t == nil {
 		return
 	}
@@ -52,13 +52,13 @@
 	return available
 }
 
-// cheapestReserveType returns the machine type with the lowest price among those that
-// are offered in the shard's zone and fit the largest production task, or nil if there
-// is none.
-func (c *Core) cheapestReserveType() *wire.MachineType {
+// cheapestReserveType returns the machine type with the lowest price among those of which the
+// shard may request on-demand machines and that fit the largest production task, or nil if
+// there is none.
+func (c *Core) cheapestReserveType(now time.Time) *wire.MachineType {
 	var best *wire.MachineType
 	for _, t := range c.types {
-		if !c.productionArrivals.largest.fits(machineResources(t)) || !t.IsOfferedIn(c.cfg.Shard) {
+		if !c.productionArrivals.largest.fits(machineResources(t)) || !c.canRequest(&c.fleetView, now, t, false) {
 			continue
 		}
 		if best == nil || t.Price < best.Price {
--- a/shard/scaleout.go
+++ b/shard/scaleout.go
@@ -16,7 +16,7 @@
 type scaleOutState struct {
 	pendingScaleOuts    map[string]*pendingScaleOut // by request id
 	scaleOutSeq         int                         // number of the last request of this term
-	refusedUntil        map[bool]time.Time          // by spot: the time until which no machines are requested, after a refusal
+	refusedUntil        map[machineKind]time.Time   // the time until which no machines of a kind are requested, after a refusal
 	scaleOutPace        pace                        // limits how often planScaleOut runs
 	scaleOutRequestedAt time.Time                   // when machines were last requested
 	overdueOffloadAt    time.Time                   // when tasks were last offloaded for exceeding constants.OverdueOffloadWait
@@ -192,8 +192,8 @@
 	}
 	delete(c.pendingScaleOuts, requestID)
 	if refused || len(names) < r.request.Count {
-		slog.Info("cloud has no more machines", logkey.Shard, c.cfg.Shard, "spot", r.request.Spot, "requested", r.request.Count, "granted", len(names))
-		c.refusedUntil[r.request.Spot] = now.Add(constants.ScaleOutRefusedPause)
+		slog.Info("cloud has no more machines", logkey.Shard, c.cfg.Shard, "type", r.request.Type, "spot", r.request.Spot, "requested", r.request.Count, "granted", len(names))
+		c.refusedUntil[machineKind{r.request.Type, r.request.Spot}] = now.Add(constants.ScaleOutRefusedPause)
 	}
 	for _, name := range names {
 		if c.isTerminated(name) {
--- a/shard/summary.go
+++ b/shard/summary.go
@@ -26,8 +26,8 @@
 	summary := Summary{
 		Rebuilt:          c.rebuilt,
 		WaitingCPUs:      c.unplacedDemand.cpus,
-		RefusedSpot:      now.Before(c.refusedUntil[true]),
-		RefusedOnDemand:  now.Before(c.refusedUntil[false]),
+		RefusedSpot:      c.hasRefusal(now, true),
+		RefusedOnDemand:  c.hasRefusal(now, false),
 		Partitioned:      c.partitioned,
 		ReservedForGangs: c.gangReserveCPUs,
 	}
