Tasks leave a zone in which the cloud has no machines

What callers would see: an accepted job that may run in any zone never runs, if the leader has assigned it to a zone in which the cloud has no machines, and no other zone has room at the moment, though the cloud would give machines there.

Cause: an owner that is refused machines returned waiting tasks only if another shard had room for them. A shard that could get machines, but had none, did not count, and had no reason to get any.

--- a/shard/offload.go
+++ b/shard/offload.go
@@ -83,6 +83,27 @@
 	return slots
 }
 
+// canScaleOutElsewhere reports whether another shard is known to be able to request machines
+// for a job's waiting tasks, under the job's zone rules.
+func (c *Core) canScaleOutElsewhere(now time.Time, j *job) bool {
+	s := &j.record.Spec
+	switch {
+	case s.Zone != "":
+		return false
+	case s.OneZone && len(j.waiting) < len(j.tasks):
+		return false // the job's other tasks keep the job in this zone
+	case s.Spread && s.Tasks > 1 && c.spreadSlotsInOtherShards(j.record) == 0:
+		return false
+	}
+	for name, o := range c.otherShards {
+		canScaleOut := o.aggregate.CanScaleOutOnDemand || s.Spot && o.aggregate.CanScaleOutSpot
+		if canScaleOut && now.Sub(o.receivedAt) < constants.AggregateStaleAfter && c.types.OffersFor(s, name) {
+			return true
+		}
+	}
+	return false
+}
+
 // spreadSlotsInOtherShards returns how many more tasks of a spread job may be assigned to
 // other shards: each shard may have at most half of the job's tasks, rounded up.
 func (f *aggregates) spreadSlotsInOtherShards(record *records.Job) int {
--- a/shard/scaleout.go
+++ b/shard/scaleout.go
@@ -47,6 +47,7 @@
 
 	mayOffloadOverdue bool // tasks that exceed constants.OverdueOffloadWait may be offloaded in this round
 	overdueOffloaded  int  // number of such tasks, over all jobs, that were offloaded in this round
+	relocatedJob      *job // the job whose tasks were offloaded in this round because only other shards can scale out for it
 }
 
 // planScaleOut requests machines for the demand that fits on no pending machine. The demand
@@ -83,6 +84,7 @@
 	demand     resources       // demand of one task
 	canRunHere bool            // the shard can run tasks of the job, now or with machines that the cloud offers
 	offer      machineOffer    // offer of the cheapest machine for a task
+	mayMove    bool            // this shard cannot request a machine for a task, and another shard can
 	lastAdded  *pendingMachine // the machine that was added last; nil: none
 	mayOffload bool            // limits the job to one batch of offloaded tasks per constants.OffloadWait
 	offloaded  int             // tasks of the job that were offloaded in this round, without overdue tasks
@@ -98,6 +100,7 @@
 		offer:      c.cheapestOffer(&c.fleetView, now, &j.record.Spec),
 		mayOffload: now.Sub(j.offloadedAt) > constants.OffloadWait,
 	}
+	p.mayMove = !p.offer.isAvailable() && c.canScaleOutElsewhere(now, j)
 	for _, t := range tasks {
 		c.excessCPUs += p.demand.cpus
 		if c.scaleOutForTask(now, t, &p, r) {
@@ -138,6 +141,13 @@
 		c.offloadTask(plan.job, t)
 		c.overdueOffloadAt = now
 		round.overdueOffloaded++
+	case round.mayOffloadOverdue && waited > constants.OverdueOffloadWait && plan.mayMove && (round.relocatedJob == nil || round.relocatedJob == plan.job):
+		// The cloud has no machine for the task in this zone, perhaps for ever, and may have
+		// one in another zone. One job moves at a time: while the cloud has no machines at
+		// all, shards may take turns in not having asked for a while.
+		c.offloadTask(plan.job, t)
+		c.overdueOffloadAt = now
+		round.relocatedJob = plan.job
 	case c.backlogClearsInTime(&c.fleetView, now, plan.job, t):
 		// The task will start sooner on an existing machine than on a new one.
 	case plan.offer.isAvailable():
--- a/shard/scaleoutgang.go
+++ b/shard/scaleoutgang.go
@@ -87,7 +87,8 @@
 	waited := now.Sub(j.gangArrivedAt)
 	mayLeave := !offer.isAvailable() || waited > constants.GangOffloadWait
 	spread := !offer.isAvailable() && !s.OneZone && s.Zone == "" && waited > constants.OffloadWait && leader.IsOverdue(now, j.record, false)
-	if !spread && !(mayLeave && c.otherShardFitsGang(now, s)) {
+	relocate := !offer.isAvailable() && waited > constants.OverdueOffloadWait && c.canScaleOutElsewhere(now, j)
+	if !spread && !relocate && !(mayLeave && c.otherShardFitsGang(now, s)) {
 		return false
 	}
 	slog.Info("offloading gang to the leader", logkey.JobID, s.ID, "spread", spread)
