--- a/shard/arrivals.go
+++ b/shard/arrivals.go
@@ -28,7 +28,7 @@
 func (a *arrivalRate) add(now time.Time, ago time.Duration, n resources) {
 	a.decay(now)
 	a.cpus += n.cpus * math.Exp(-max(0, ago.Seconds())/constants.ArrivalTimeConstant.Seconds())
-	a.largest = resources{max(a.largest.cpus, n.cpus), max(a.largest.gpus, n.gpus), max(a.largest.memory, n.memory), 0}
+	a.largest = resources{cpus: max(a.largest.cpus, n.cpus), gpus: max(a.largest.gpus, n.gpus), memory: max(a.largest.memory, n.memory)}
 }
 
 // expectedCPUs returns how many CPUs of work are expected to arrive within d.
