--- a/controller/random_faults_test.go
+++ b/controller/random_faults_test.go
@@ -42,35 +42,42 @@
 		zones := []string{"a", "b", "c"}[:2+seed%2]
 		synctest.Test(t, func(t *testing.T) {
 			w := runRandomWorkload(t, seed, zones, nil)
-			if len(w.violations) > 0 {
-				t.Fatalf("seed %d: %d broken rules, first: %s", seed, len(w.violations), strings.Join(w.violations[:min(4, len(w.violations))], "; "))
-			}
-			if w.gangStarts == 0 {
-				t.Errorf("seed %d: no gang began", seed)
-			}
-			t.Logf("seed %d: %d starts, %d gangs, %d machines, %d revisions", seed, w.starts, w.gangStarts, w.machineCount, w.revision)
-			if w.starts < 20 {
-				t.Errorf("seed %d: only %d tasks started", seed, w.starts)
-			}
-			for key, n := range w.oversizedWrites {
-				// If the size limits are lowered before it is known that all controllers
-				// read packed records, the leader and each owner learn the new limit from
-				// one refused write each.
-				if n > 6 {
-					t.Errorf("seed %d: %d writes of %s were larger than the limits", seed, n, key)
-				}
-			}
-			for id, j := range w.jobs {
-				if !j.accepted {
-					t.Errorf("seed %d: %s was never accepted", seed, id)
-				} else if j.reportedState == "" {
-					t.Errorf("seed %d: %s never ended: %d of %d tasks done (%+v)", seed, id, len(j.doneTasks), j.spec.Tasks, j.spec)
-				}
-			}
+			w.checkRandomWorkload(t, seed)
 		})
 	}
 }
 
+// checkRandomWorkload checks that a random run broke no rule and that all its jobs were accepted
+// and have ended.
+func (w *world) checkRandomWorkload(t *testing.T, seed uint64) {
+	t.Helper()
+	if len(w.violations) > 0 {
+		t.Fatalf("seed %d: %d broken rules, first: %s", seed, len(w.violations), strings.Join(w.violations[:min(4, len(w.violations))], "; "))
+	}
+	if w.gangStarts == 0 {
+		t.Errorf("seed %d: no gang began", seed)
+	}
+	t.Logf("seed %d: %d starts, %d gangs, %d machines, %d revisions", seed, w.starts, w.gangStarts, w.machineCount, w.revision)
+	if w.starts < 20 {
+		t.Errorf("seed %d: only %d tasks started", seed, w.starts)
+	}
+	for key, n := range w.oversizedWrites {
+		// If the size limits are lowered before it is known that all controllers
+		// read packed records, the leader and each owner learn the new limit from
+		// one refused write each.
+		if n > 6 {
+			t.Errorf("seed %d: %d writes of %s were larger than the limits", seed, n, key)
+		}
+	}
+	for id, j := range w.jobs {
+		if !j.accepted {
+			t.Errorf("seed %d: %s was never accepted", seed, id)
+		} else if j.reportedState == "" {
+			t.Errorf("seed %d: %s never ended: %d of %d tasks done (%+v)", seed, id, len(j.doneTasks), j.spec.Tasks, j.spec)
+		}
+	}
+}
+
 // With any one guard of the protocol disabled, the checker must report a broken rule. If it
 // did not, the tests in which no rule is broken would prove nothing about that guard.
 func TestCheckerNoticesMissingGuards(t *testing.T) {
--- a/controller/sim_faults_test.go
+++ b/controller/sim_faults_test.go
@@ -28,6 +28,9 @@
 	time.AfterFunc(w.randomDuration(0, 200*time.Second), func() { w.mu.Lock(); w.limitsLowered = true; w.mu.Unlock() })
 	for i := range 24 {
 		s := w.randomSubmission(i, zones)
+		if w.changeSubmission != nil {
+			w.changeSubmission(i, &s)
+		}
 		j := &simJob{spec: s, doneTasks: map[int]bool{}}
 		w.jobs[s.ID] = j
 		var cancel time.Duration
--- a/controller/sim_world_test.go
+++ b/controller/sim_world_test.go
@@ -47,16 +47,17 @@
 	capacity     map[string]int // by zone and kind
 
 	// How the deployment is configured and how it behaves.
-	times           workerTimes
-	workerInterval  time.Duration           // between two steps of a worker; 0: 100 ms
-	bootWithin      time.Duration           // the longest boot time of a machine; 0: boots take 4 s to 13 s
-	reliableCloud   bool                    // all machines boot, and the answers to scale-out requests are not lost
-	onScaleIn       func(by *simController) // called when a controller requests a scale-in, with the lock held
-	zoneTypes       map[string]string       // by zone: the machine type that the cloud offers there; a zone without an entry: "box"
-	spotReplicas    bool                    // services may run on spot machines
-	healthyMachines map[string]bool         // on all other machines every task fails; nil: all machines are healthy
-	limitsLowered   bool                    // the store enforces the lower limits that the settings announce
-	oversizedWrites map[string]int          // by key: writes that exceeded the limits
+	times            workerTimes
+	workerInterval   time.Duration                   // between two steps of a worker; 0: 100 ms
+	bootWithin       time.Duration                   // the longest boot time of a machine; 0: boots take 4 s to 13 s
+	reliableCloud    bool                            // all machines boot, and the answers to scale-out requests are not lost
+	onScaleIn        func(by *simController)         // called when a controller requests a scale-in, with the lock held
+	zoneTypes        map[string]string               // by zone: the machine type that the cloud offers there; a zone without an entry: "box"
+	changeSubmission func(i int, s *wire.Submission) // changes the i-th job of a random run; nil: no change
+	spotReplicas     bool                            // services may run on spot machines
+	healthyMachines  map[string]bool                 // on all other machines every task fails; nil: all machines are healthy
+	limitsLowered    bool                            // the store enforces the lower limits that the settings announce
+	oversizedWrites  map[string]int                  // by key: writes that exceeded the limits
 
 	// Faults.
 	storeOutage        bool
--- a/controller/zone_types_test.go
+++ b/controller/zone_types_test.go
@@ -1,14 +1,19 @@
 package controller
 
 import (
+	"flag"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"ravenport/records"
 	"ravenport/wire"
 )
 
+// typeRuns lets a developer simulate more random runs with several machine types than CI does.
+var typeRuns = flag.Uint64("types.days", 6, "number of random runs with several machine types, at most sim.days")
+
 // submitForType submits one job of each kind that allows only one machine type. Its tasks run for
 // runS seconds; services are cancelled after that.
 func (w *world) submitForType(first int, machineType string, runS float64) (arrays, others []*simJob) {
@@ -86,3 +91,26 @@
 	}
 	runScenarios(t, list)
 }
+
+// Under random faults no rule of the protocol is broken, no job waits beside a machine that fits
+// and every accepted job ends, where one zone offers another machine type than the others and
+// half of the jobs allow one type only.
+func TestRulesHoldWithSeveralTypes(t *testing.T) {
+	discardLogs(t)
+	for seed := *firstSeed; seed < *firstSeed+min(*randomRuns, *typeRuns); seed++ {
+		zones := []string{"a", "b", "c"}[:2+seed%2]
+		last := zones[len(zones)-1]
+		synctest.Test(t, func(t *testing.T) {
+			w := runRandomWorkload(t, seed, zones, func(w *world) {
+				w.zoneTypes = map[string]string{last: "tub"}
+				w.changeSubmission = func(i int, s *wire.Submission) {
+					if i%2 == 0 || s.Zone != "" {
+						return
+					}
+					s.Types, s.Spread = []string{w.typeIn(zones[i/2%len(zones)])}, false
+				}
+			})
+			w.checkRandomWorkload(t, seed)
+		})
+	}
+}
