Every confirmed termination is remembered, also of machines known from a list alone

Cause: ScaleInResult skipped machines that are not in the known state. A machine that stopped by itself before its first heartbeat in the term is returned on the word of the cloud's list alone; a late heartbeat of it made it known again, and its tasks counted as running until its lease had surely expired.

Change: the time of the termination is recorded first, for every name.

TestTerminationOfUnknownMachineIsRemembered failed before ("error <nil>, want shard: machine is terminated"; "m-2 is known again").

--- a/shard/scalein.go
+++ b/shard/scalein.go
@@ -247,15 +247,15 @@
 // all their attempts.
 func (c *Core) ScaleInResult(now time.Time, names []string) {
 	for _, name := range names {
+		c.terminated[name] = now
 		m := c.machines[name]
 		if m == nil {
-			continue
+			continue // known from the cloud's list alone, or removed already
 		}
 		c.releaseAttempts(now, m)
 		m.up, m.inherited = false, false
 		m.scalingIn = true
 		m.leaseExpiresAt = time.Time{}
-		c.terminated[name] = now
 		c.draining.machineDrained(m)
 		if m.addr != "" {
 			c.actions = append(c.actions, CloseConnection{m.addr})
--- a/shard/terminated_test.go
+++ b/shard/terminated_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"testing"
@@ -167,6 +168,27 @@
 	}
 }
 
+// A machine that stopped by itself, and that the owner knew only from the cloud's list, was
+// adopted when a late heartbeat of it came after its termination: its tasks counted as running
+// until its lease had surely expired.
+func TestTerminationOfUnknownMachineIsRemembered(t *testing.T) {
+	r := newTestOwner(nil)
+	r.bringUp("m-1")
+	r.submit(arrayJob("run-1", 1, "b")) // of another shard
+	r.ApplyMachineList(r.now, []wire.CloudMachine{{Name: "m-2", Zone: "a", Type: "box", State: wire.MachineFailed, AgeS: 60}})
+	if names := terminatedMachines(r.Step(r.now)); !slices.Equal(names, []string{"m-2"}) {
+		t.Fatalf("terminated %v, want m-2", names)
+	}
+	r.ScaleInResult(r.now, []string{"m-2"})
+	late := newHeartbeat("m-2", 1, 11, 0, wire.TaskStatus{Task: "run-1/0", Attempt: 7, State: wire.TaskRunning})
+	if _, err := r.Heartbeat(r.now, late); !errors.Is(err, ErrMachineTerminated) {
+		t.Errorf("error %v, want %v", err, ErrMachineTerminated)
+	}
+	if r.machines["m-2"] != nil {
+		t.Error("m-2 is known again")
+	}
+}
+
 // With any order of heartbeats, replies to direct commands, terminations and inventory writes,
 // some of them late, every attempt is on a known machine that is not terminated. An attempt on
 // any other machine would never end, and its task would never be started again.
