A task that cannot be offloaded yet does not count as offloaded

Cause: offloadTask does nothing while a newer record of the job is on its way, or an attempt of the task may be on a machine, but scaleOutForTask counted the task all the same. The job, or for overdue tasks the shard, then offloaded nothing for 5 s.

Change: offloadTask says whether it marked the task, and only that counts.

TestTaskThatStaysIsNotCountedAsOffloaded failed before ("not offloaded within a second of the newer record"). The tests of shard pass.

--- a/shard/offload.go
+++ b/shard/offload.go
@@ -12,14 +12,16 @@
 
 // offloadTask marks a waiting task to be offloaded, that is, returned to the leader,
 // which assigns the task again. The task is not placed in this shard any more, until a
-// newer job record assigns the task to a shard.
-func (c *Core) offloadTask(j *job, t *task) {
+// newer job record assigns the task to a shard. It reports false, and does nothing, while
+// a newer record of the job is on its way or an attempt of the task may be on a machine.
+func (c *Core) offloadTask(j *job, t *task) bool {
 	if j.recordPending() || c.hasLiveAttempt(j.record.ID, t.index) {
-		return
+		return false
 	}
 	t.offloading = true
 	c.markWaitingStale(j)
 	c.queueForClose(j)
+	return true
 }
 
 // canRunTasksOf reports whether this shard can run tasks of a job: the cloud offers a machine
--- a/shard/relocation_test.go
+++ b/shard/relocation_test.go
@@ -75,3 +75,19 @@
 		t.Errorf("%d tasks run, want 4", running)
 	}
 }
+
+// A task that cannot be offloaded yet, because a newer record of its job is on its way, does not
+// count as offloaded. It counted, and the job's next attempt to offload tasks came 5 s later.
+func TestTaskThatStaysIsNotCountedAsOffloaded(t *testing.T) {
+	r := newTestOwner(nil)
+	r.SetTypes(twoTypes)
+	r.submit(jobOfKind(wire.KindArray, func(s *wire.Submission) { s.Types = []string{"tub"} }))
+	r.jobs["run-1"].awaitsRecord = true
+	if after, ok := r.offloadedWithin(time.Second, leader.Aggregate{Shard: "b", Term: 1}); ok {
+		t.Fatalf("offloaded after %v without the newer record", after)
+	}
+	r.jobs["run-1"].awaitsRecord = false
+	if _, ok := r.offloadedWithin(time.Second, leader.Aggregate{Shard: "b", Term: 1}); !ok {
+		t.Error("not offloaded within a second of the newer record")
+	}
+}
--- a/shard/scaleout.go
+++ b/shard/scaleout.go
@@ -122,8 +122,7 @@
 	waited := now.Sub(t.waitingSince)
 	switch {
 	case !plan.canRunHere:
-		if plan.mayOffload {
-			c.offloadTask(plan.job, t)
+		if plan.mayOffload && c.offloadTask(plan.job, t) {
 			plan.offloaded++
 		}
 	case plan.lastAdded != nil && plan.demand.fits(plan.lastAdded.free):
@@ -132,30 +131,34 @@
 	case !t.keepWaiting && plan.mayOffload && c.otherShardsFitOneMore(now, plan.job.record, plan.offloaded):
 		// The task is offloaded only if another shard is known to have capacity for it.
 		// Otherwise it would be returned to this shard, which costs two more writes.
-		c.offloadTask(plan.job, t)
-		plan.offloaded++
+		if c.offloadTask(plan.job, t) {
+			plan.offloaded++
+		}
 	case round.mayOffloadOverdue && waited > constants.OverdueOffloadWait && c.taskSlotsInOtherShards(now, plan.job.record) > round.overdueOffloaded:
 		// The task has waited for so long that it is offloaded if other shards have any
 		// capacity for it, even if this shard may still get machines. Otherwise the task
 		// could wait in this shard forever while other shards have free capacity.
-		c.offloadTask(plan.job, t)
-		c.overdueOffloadAt = now
-		round.overdueOffloaded++
+		if c.offloadTask(plan.job, t) {
+			c.overdueOffloadAt = now
+			round.overdueOffloaded++
+		}
 	case round.mayOffloadOverdue && waited > constants.OverdueOffloadWait && plan.mayMove && (round.relocatedJob == nil || round.relocatedJob == plan.job):
 		// The cloud has no machine for the task in this zone, perhaps for ever, and may have
 		// one in another zone. One job moves at a time: while the cloud has no machines at
 		// all, shards may take turns in not having asked for a while.
-		c.offloadTask(plan.job, t)
-		c.overdueOffloadAt = now
-		round.relocatedJob = plan.job
+		if c.offloadTask(plan.job, t) {
+			c.overdueOffloadAt = now
+			round.relocatedJob = plan.job
+		}
 	case c.backlogClearsInTime(&c.fleetView, now, plan.job, t):
 		// The task will start sooner on an existing machine than on a new one.
 	case plan.offer.isAvailable():
 		plan.lastAdded = c.planMachine(plan.offer, plan.demand, round.counts)
 		return true
 	case waited > constants.OffloadWait && plan.mayOffload && c.otherShardsFitOneMore(now, plan.job.record, plan.offloaded):
-		c.offloadTask(plan.job, t)
-		plan.offloaded++
+		if c.offloadTask(plan.job, t) {
+			plan.offloaded++
+		}
 	}
 	return false
 }
