The tasks of a job of one zone are returned to the leader together or not at all

What callers would see: a job that must be in one zone never runs again once its machine is lost, the cloud has no more in that zone, and another zone has room.

Cause: owners returned waiting tasks one by one, as far as other shards seemed to have room. Of such a job the leader can only assign a part to the same shard again, because of its other tasks there, and each round began the wait anew.

Change: they are returned when all of the job's tasks in the shard wait and a single other shard has room for all, or can get machines; by the same waits as before.

The tests of shard pass.

--- a/shard/relocation_test.go
+++ b/shard/relocation_test.go
@@ -6,6 +6,7 @@
 
 	"ravenport/constants"
 	"ravenport/leader"
+	"ravenport/records"
 	"ravenport/wire"
 )
 
@@ -91,3 +92,44 @@
 		t.Error("not offloaded within a second of the newer record")
 	}
 }
+
+// The tasks of a job that must be in one zone were returned to the leader one by one. Each of them
+// was assigned to the same shard again because of the others, for ever. They are returned
+// together, or not at all.
+func TestTasksOfOneZoneAreOffloadedTogether(t *testing.T) {
+	const userBound = 90 * time.Second
+	for _, c := range []struct {
+		freeCPUs float64 // in another shard, for three tasks of 2 CPUs
+		want     bool
+	}{{2, false}, {4, false}, {6, true}, {8, true}, {20, true}} {
+		for _, keepWaiting := range []bool{false, true} {
+			r := newTestOwner(nil)
+			job := arrayJob("run-1", 3, "a")
+			job.AcceptedMS, job.Spec.OneZone, job.Assignments[0].KeepWaiting = r.now.UnixMilli(), true, keepWaiting
+			r.submit(job)
+			offloaded := false
+			for startedAt := r.now; r.now.Sub(startedAt) < userBound && !offloaded; {
+				r.ApplyOtherShards(r.now, []leader.Aggregate{aggregateOf("b", "box", c.freeCPUs), {Shard: "c", Term: 1}})
+				for _, a := range r.advance(250 * time.Millisecond) {
+					switch a := a.(type) {
+					case ScaleOut:
+						r.ScaleOutResult(r.now, a.Request.RequestID, nil, true)
+					case Commit:
+						record, err := records.Decode(a.Txn.Changes[0].Put, a.Txn.Changes[0].Value)
+						written, ok := record.(*records.Job)
+						if err != nil || !ok {
+							continue
+						}
+						offloaded = true
+						if n := records.TasksIn(written.Unassigned()); n != 3 {
+							t.Errorf("%g CPUs free, keepWaiting %v: %d of 3 tasks were offloaded", c.freeCPUs, keepWaiting, n)
+						}
+					}
+				}
+			}
+			if offloaded != c.want {
+				t.Errorf("%g CPUs free, keepWaiting %v: offloaded %v, want %v", c.freeCPUs, keepWaiting, offloaded, c.want)
+			}
+		}
+	}
+}
--- a/shard/scaleout.go
+++ b/shard/scaleout.go
@@ -86,8 +86,11 @@
 	offer      machineOffer    // offer of the cheapest machine for a task
 	mayMove    bool            // this shard cannot request a machine for a task, and another shard can
 	lastAdded  *pendingMachine // the machine that was added last; nil: none
-	mayOffload bool            // limits the job to one batch of offloaded tasks per constants.OffloadWait
-	offloaded  int             // tasks of the job that were offloaded in this round, without overdue tasks
+	// staysTogether: the job must be in one zone and has several tasks here, so no single
+	// task is offloaded.
+	staysTogether bool
+	mayOffload    bool // limits the job to one batch of offloaded tasks per constants.OffloadWait
+	offloaded     int  // tasks of the job that were offloaded in this round, without overdue tasks
 }
 
 // scaleOutForJob adds machines for tasks of a job that fit on no pending machine, or
@@ -101,6 +104,10 @@
 		mayOffload: now.Sub(j.offloadedAt) > constants.OffloadWait,
 	}
 	p.mayMove = !p.offer.isAvailable() && c.canScaleOutElsewhere(now, j)
+	p.staysTogether = j.record.Spec.OneZone && len(j.tasks) > 1
+	if p.staysTogether && c.offloadTogether(now, tasks, &p, r) {
+		tasks = nil
+	}
 	for _, t := range tasks {
 		c.excessCPUs += p.demand.cpus
 		if c.scaleOutForTask(now, t, &p, r) {
@@ -120,21 +127,23 @@
 // added in this round.
 func (c *Core) scaleOutForTask(now time.Time, t *task, plan *jobScaleOut, round *scaleOutRound) bool {
 	waited := now.Sub(t.waitingSince)
+	mayOffload := plan.mayOffload && !plan.staysTogether
+	mayOffloadOverdue := round.mayOffloadOverdue && !plan.staysTogether && waited > constants.OverdueOffloadWait
 	switch {
 	case !plan.canRunHere:
-		if plan.mayOffload && c.offloadTask(plan.job, t) {
+		if mayOffload && c.offloadTask(plan.job, t) {
 			plan.offloaded++
 		}
 	case plan.lastAdded != nil && plan.demand.fits(plan.lastAdded.free):
 		plan.lastAdded.free = plan.lastAdded.free.minus(plan.demand)
 		return true
-	case !t.keepWaiting && plan.mayOffload && c.otherShardsFitOneMore(now, plan.job.record, plan.offloaded):
+	case !t.keepWaiting && mayOffload && c.otherShardsFitOneMore(now, plan.job.record, plan.offloaded):
 		// The task is offloaded only if another shard is known to have capacity for it.
 		// Otherwise it would be returned to this shard, which costs two more writes.
 		if c.offloadTask(plan.job, t) {
 			plan.offloaded++
 		}
-	case round.mayOffloadOverdue && waited > constants.OverdueOffloadWait && c.taskSlotsInOtherShards(now, plan.job.record) > round.overdueOffloaded:
+	case mayOffloadOverdue && c.taskSlotsInOtherShards(now, plan.job.record) > round.overdueOffloaded:
 		// The task has waited for so long that it is offloaded if other shards have any
 		// capacity for it, even if this shard may still get machines. Otherwise the task
 		// could wait in this shard forever while other shards have free capacity.
@@ -142,7 +151,7 @@
 			c.overdueOffloadAt = now
 			round.overdueOffloaded++
 		}
-	case round.mayOffloadOverdue && waited > constants.OverdueOffloadWait && plan.mayMove && (round.relocatedJob == nil || round.relocatedJob == plan.job):
+	case mayOffloadOverdue && plan.mayMove && (round.relocatedJob == nil || round.relocatedJob == plan.job):
 		// The cloud has no machine for the task in this zone, perhaps for ever, and may have
 		// one in another zone. One job moves at a time: while the cloud has no machines at
 		// all, shards may take turns in not having asked for a while.
@@ -155,7 +164,7 @@
 	case plan.offer.isAvailable():
 		plan.lastAdded = c.planMachine(plan.offer, plan.demand, round.counts)
 		return true
-	case waited > constants.OffloadWait && plan.mayOffload && c.otherShardsFitOneMore(now, plan.job.record, plan.offloaded):
+	case waited > constants.OffloadWait && mayOffload && c.otherShardsFitOneMore(now, plan.job.record, plan.offloaded):
 		if c.offloadTask(plan.job, t) {
 			plan.offloaded++
 		}
