--- /dev/null
+++ b/review/play-2/cloud.go
@@ -0,0 +1,198 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// machineKind is a machine type of the cloud.
+type machineKind struct {
+	Name                 string
+	CPUs, MemoryGB       float64
+	Price, SpotPrice     float64
+	CacheGB, FetchGBPerS float64
+	BootS                float64
+}
+
+// cloud rents machines and runs their workers.
+type cloud struct {
+	t        *trial
+	kind     machineKind
+	zones    []string
+	capacity int // machines in each zone
+	boot     time.Duration
+	lag      time.Duration
+	requests bucket
+
+	mu       sync.Mutex
+	seq      int
+	answers  map[string][]string // by requisition
+	machines map[string]*machine
+}
+
+type machine struct {
+	name, addr, zone string
+	spot             bool
+	rentedAt         time.Time
+	worker           *worker
+	up               bool
+}
+
+func newCloud(t *trial, kind machineKind, zones []string, capacity int, boot time.Duration) *cloud {
+	return &cloud{
+		t: t, kind: kind, zones: zones, capacity: capacity, boot: boot,
+		lag: time.Duration(t.site.listLagS * float64(time.Second)), requests: bucket{rate: t.site.cloudRPS},
+		answers: map[string][]string{}, machines: map[string]*machine{},
+	}
+}
+
+func (c *cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(io.LimitReader(r.Body, bodyBytes))
+	c.mu.Lock()
+	allowed := c.requests.take(time.Now(), 1)
+	c.mu.Unlock()
+	time.Sleep(20 * time.Millisecond)
+	if !allowed {
+		reply(w, 429, map[string]any{"error": "too many requests"})
+		return
+	}
+	switch r.Method + " " + r.URL.Path {
+	case "GET /flavors":
+		k := c.kind
+		reply(w, 200, map[string]any{"builds": []map[string]any{{
+			"sku": k.Name, "cpus": k.CPUs, "cards": 0.0, "mem_gb": k.MemoryGB, "cache_gb": k.CacheGB,
+			"fetch_gb_per_s": k.FetchGBPerS, "hourly": k.Price, "spot_price": k.SpotPrice, "ready_s": k.BootS, "yards": c.zones,
+		}}})
+	case "POST /machines":
+		c.rent(w, body)
+	case "POST /machines/return":
+		var request struct{ Hosts []string }
+		if json.Unmarshal(body, &request) != nil || len(request.Hosts) > 100 {
+			reply(w, 400, map[string]any{"error": "malformed"})
+			return
+		}
+		for _, name := range request.Hosts {
+			c.end(name)
+		}
+		reply(w, 200, map[string]any{})
+	case "GET /machines":
+		c.list(w, r)
+	default:
+		reply(w, 400, map[string]any{"error": "malformed"})
+	}
+}
+
+func (c *cloud) rent(w http.ResponseWriter, body []byte) {
+	var request struct {
+		Requisition, Build, Yard string
+		Loaners                  bool
+		Number                   int
+	}
+	if json.Unmarshal(body, &request) != nil || request.Number < 1 || request.Number > 50 || request.Build != c.kind.Name {
+		reply(w, 400, map[string]any{"error": "malformed"})
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if names, ok := c.answers[request.Requisition]; ok {
+		reply(w, 200, map[string]any{"hosts": names})
+		return
+	}
+	used := 0
+	for _, m := range c.machines {
+		if m.zone == request.Yard {
+			used++
+		}
+	}
+	n := min(request.Number, c.capacity-used)
+	if n <= 0 {
+		reply(w, 503, map[string]any{"error": "no capacity"})
+		return
+	}
+	names := []string{}
+	for range n {
+		c.seq++
+		m := &machine{name: fmt.Sprintf("m-%06d", c.seq), zone: request.Yard, spot: request.Loaners, rentedAt: time.Now()}
+		c.machines[m.name] = m
+		names = append(names, m.name)
+		// The machines of one request are up one after the other.
+		time.AfterFunc(c.boot+time.Duration(c.seq%20)*c.boot/40, func() { c.start(m) })
+	}
+	c.answers[request.Requisition] = names
+	c.t.logf("cloud rents %d machines in %s", n, request.Yard)
+	reply(w, 200, map[string]any{"hosts": names})
+}
+
+func (c *cloud) start(m *machine) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.machines[m.name] == nil {
+		return
+	}
+	m.worker = newWorker(c.t, m, c.kind)
+	m.addr = m.worker.addr
+	m.up = true
+	go m.worker.run()
+}
+
+// end ends a machine and all that is on it.
+func (c *cloud) end(name string) {
+	c.mu.Lock()
+	m := c.machines[name]
+	delete(c.machines, name)
+	c.mu.Unlock()
+	if m != nil && m.worker != nil {
+		m.worker.stop()
+	}
+	if m != nil {
+		c.t.logf("machine %s is returned", name)
+	}
+}
+
+func (c *cloud) stop() {
+	c.mu.Lock()
+	names := []string{}
+	for name := range c.machines {
+		names = append(names, name)
+	}
+	c.mu.Unlock()
+	for _, name := range names {
+		c.end(name)
+	}
+}
+
+func (c *cloud) list(w http.ResponseWriter, r *http.Request) {
+	from := r.URL.Query().Get("from")
+	limit, err := strconv.Atoi(r.URL.Query().Get("limit"))
+	if err != nil || limit > 500 || limit < 1 {
+		limit = 500
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var names []string
+	for name, m := range c.machines {
+		if name > from && time.Since(m.rentedAt) > c.lag {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	more := len(names) > limit
+	names = names[:min(limit, len(names))]
+	hosts := []map[string]any{}
+	for _, name := range names {
+		m := c.machines[name]
+		status := "booting"
+		if m.up {
+			status = "running"
+		}
+		hosts = append(hosts, map[string]any{"uid": name, "addr": m.addr, "build": c.kind.Name, "yard": m.zone,
+			"loaners": m.spot, "status": status, "age_s": time.Since(m.rentedAt).Seconds()})
+	}
+	reply(w, 200, map[string]any{"hosts": hosts, "has_next": more})
+}
