--- a/review/play-2/cloud.go
+++ b/review/play-2/cloud.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sort"
 	"strconv"
@@ -27,8 +28,11 @@
 	zones    []string
 	capacity int // machines in each zone
 	boot     time.Duration
-	lag      time.Duration
-	requests bucket
+	// bootSpread: the least and the longest time to boot, in place of boot.
+	bootSpread [2]time.Duration
+	earlyEvery int // every so many machines one is up within two seconds; 0: none
+	lag        time.Duration
+	requests   bucket
 
 	mu       sync.Mutex
 	seq      int
@@ -122,7 +126,14 @@
 		c.machines[m.name] = m
 		names = append(names, m.name)
 		// The machines of one request are up one after the other.
-		time.AfterFunc(c.boot+time.Duration(c.seq%20)*c.boot/40, func() { c.start(m) })
+		boot := c.boot + time.Duration(c.seq%20)*c.boot/40
+		if least, most := c.bootSpread[0], c.bootSpread[1]; most > 0 {
+			boot = least + rand.N(most-least)
+			if c.earlyEvery > 0 && c.seq%c.earlyEvery == 0 {
+				boot = time.Second + rand.N(time.Second)
+			}
+		}
+		time.AfterFunc(boot, func() { c.start(m) })
 	}
 	c.answers[request.Requisition] = names
 	c.t.logf("cloud rents %d machines in %s", n, request.Yard)
--- a/review/play-2/store.go
+++ b/review/play-2/store.go
@@ -172,6 +172,28 @@
 	return value.data, true
 }
 
+// position returns the present revision.
+func (s *store) position() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+// changesSince describes the changes after a revision, by kind of key.
+func (s *store) changesSince(from uint64) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count, size := map[string]int{}, map[string]int{}
+	for _, event := range s.log {
+		if event.stamp > from {
+			kind := strings.Join(strings.SplitN(event.key, "/", 3)[:2], "/")
+			count[kind]++
+			size[kind] += len(event.data)
+		}
+	}
+	return fmt.Sprintf("number %v, bytes %v", count, size)
+}
+
 // keysWith lists the keys that contain a text.
 func (s *store) keysWith(text string) []string {
 	s.mu.Lock()
--- a/review/play-2/trial.go
+++ b/review/play-2/trial.go
@@ -31,6 +31,7 @@
 	zones                       []string
 	clockOffMS                  float64
 	team                        string
+	teams                       int // 0: one, without a number
 	teamCPUs, teamMax           float64
 	reportS, leaseS, cancelS    float64
 	gangWaitS, gangPeerS        float64
@@ -345,7 +346,13 @@
 	zones, _ := json.Marshal(s.zones)
 	fmt.Fprintf(&b, "\n[outside]\ncloud = %q\nstate = %q\n", cloudAddr, n.gate.addr)
 	fmt.Fprintf(&b, "\n[facts]\nsize = %d\nzones = %s\nclock_off_ms = %.1f\n", len(n.t.nodes), zones, s.clockOffMS)
-	fmt.Fprintf(&b, "\n[[facts.teams]]\nname = %q\ncpus = %.1f\ncpus_max = %.1f\ngpus = 0.0\ngpus_max = 0.0\n", s.team, s.teamCPUs, s.teamMax)
+	for i := range max(1, s.teams) {
+		name := s.team
+		if s.teams > 0 {
+			name = fmt.Sprintf("%s-%02d", s.team, i)
+		}
+		fmt.Fprintf(&b, "\n[[facts.teams]]\nname = %q\ncpus = %.1f\ncpus_max = %.1f\ngpus = 0.0\ngpus_max = 0.0\n", name, s.teamCPUs, s.teamMax)
+	}
 	fmt.Fprintf(&b, "\n[facts.workers]\nreport_s = %.1f\nlease_s = %.1f\ngang_wait_s = %.1f\ngang_peer_s = %.1f\ncancel_s = %.1f\n", s.reportS, s.leaseS, s.gangWaitS, s.gangPeerS, s.cancelS)
 	fmt.Fprintf(&b, "\n[facts.state]\nrps = %.1f\nwrite_rps = %.1f\nvalue_kb = %.1f\ntxn_ops = %d\n", s.store.RPS, s.store.WriteRPS, s.store.ValueKB, s.store.TxnOps)
 	fmt.Fprintf(&b, "\n[facts.cloud]\nrps = %.1f\nlist_lag_s = %.1f\n", s.cloudRPS, s.listLagS)
