--- a/review/play-2/cloud.go
+++ b/review/play-2/cloud.go
@@ -27,7 +27,9 @@
 	kind     machineKind
 	zones    []string
 	capacity int // machines in each zone
-	boot     time.Duration
+	// limits: in place of capacity, the ordinary and the cheap machines of each zone.
+	limits [2]int
+	boot   time.Duration
 	// bootSpread: the least and the longest time to boot, in place of boot.
 	bootSpread [2]time.Duration
 	earlyEvery int // every so many machines one is up within two seconds; 0: none
@@ -38,6 +40,7 @@
 	seq      int
 	answers  map[string][]string // by requisition
 	machines map[string]*machine
+	stale    []string // returns by a controller that was replaced, of machines in use
 }
 
 type machine struct {
@@ -56,7 +59,14 @@
 	}
 }
 
-func (c *cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (c *cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) { c.serve(w, r, "") }
+
+// handler serves one caller, whose returns of machines are checked.
+func (c *cloud) handler(caller string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { c.serve(w, r, caller) })
+}
+
+func (c *cloud) serve(w http.ResponseWriter, r *http.Request, caller string) {
 	body, _ := io.ReadAll(io.LimitReader(r.Body, bodyBytes))
 	c.mu.Lock()
 	allowed := c.requests.take(time.Now(), 1)
@@ -82,6 +92,9 @@
 			return
 		}
 		for _, name := range request.Hosts {
+			if caller != "" {
+				c.noteReturn(caller, name)
+			}
 			c.end(name)
 		}
 		reply(w, 200, map[string]any{})
@@ -92,6 +105,31 @@
 	}
 }
 
+// noteReturn notes a controller's request to return a machine, and what ran there.
+func (c *cloud) noteReturn(caller, name string) {
+	c.mu.Lock()
+	m := c.machines[name]
+	c.mu.Unlock()
+	if m == nil || m.worker == nil {
+		return
+	}
+	m.worker.mu.Lock()
+	owner := m.worker.owner
+	tasks := []string{}
+	for _, task := range m.worker.tasks {
+		if task.status != "exited" {
+			tasks = append(tasks, task.piece)
+		}
+	}
+	m.worker.mu.Unlock()
+	c.t.logf("%s returns machine %s, which %s commands; on it: %v", caller, name, owner, tasks)
+	if owner != caller && len(tasks) > 0 {
+		c.mu.Lock()
+		c.stale = append(c.stale, fmt.Sprintf("%s returned %s, on which %s has started %v", caller, name, owner, tasks))
+		c.mu.Unlock()
+	}
+}
+
 func (c *cloud) rent(w http.ResponseWriter, body []byte) {
 	var request struct {
 		Requisition, Build, Yard string
@@ -115,6 +153,18 @@
 		}
 	}
 	n := min(request.Number, c.capacity-used)
+	if c.limits != [2]int{} {
+		of := map[bool]int{}
+		for _, m := range c.machines {
+			if m.zone == request.Yard {
+				of[m.spot]++
+			}
+		}
+		n = min(request.Number, c.limits[0]-of[false])
+		if request.Loaners {
+			n = min(request.Number, c.limits[1]-of[true])
+		}
+	}
 	if n <= 0 {
 		reply(w, 503, map[string]any{"error": "no capacity"})
 		return
@@ -136,7 +186,7 @@
 		time.AfterFunc(boot, func() { c.start(m) })
 	}
 	c.answers[request.Requisition] = names
-	c.t.logf("cloud rents %d machines in %s", n, request.Yard)
+	c.t.logf("cloud rents %d machines in %s, cheap: %t", n, request.Yard, request.Loaners)
 	reply(w, 200, map[string]any{"hosts": names})
 }
 
--- a/review/play-2/trial.go
+++ b/review/play-2/trial.go
@@ -117,7 +117,9 @@
 	twice  int
 	starts map[string]int
 
-	firstKey string // of the record of the first job
+	links    bool                // every link of a controller passes a gate
+	gangs    map[string][]func() // by job and attempt: what starts the tasks that wait
+	firstKey string              // of the record of the first job
 }
 
 func newTrial(name, folder string, s site) *trial {
@@ -241,6 +243,24 @@
 	}
 }
 
+// joinGang notes a task that waits for its gang, and starts all tasks with the last one.
+func (t *trial) joinGang(piece string, try uint64, pieces int, start func()) {
+	uid, _, _ := strings.Cut(piece, "/")
+	key := fmt.Sprint(uid, " ", try)
+	t.mu.Lock()
+	if t.gangs == nil {
+		t.gangs = map[string][]func(){}
+	}
+	t.gangs[key] = append(t.gangs[key], start)
+	starts := t.gangs[key]
+	t.mu.Unlock()
+	if len(starts) == pieces {
+		for _, start := range starts {
+			go start()
+		}
+	}
+}
+
 // running counts the tasks of a job that run.
 func (t *trial) running(uid string) int {
 	t.mu.Lock()
@@ -284,7 +304,9 @@
 	name, zone string
 	bind, back string
 	config     string
-	gate       *gate // between the controller and the state service
+	front      string  // where workers, users and the load balancer reach the controller
+	gate       *gate   // between the controller and the state service
+	links      []*gate // all links of the controller, in a trial with links
 
 	mu        sync.Mutex
 	process   *exec.Cmd
@@ -309,10 +331,21 @@
 	}
 	for _, n := range t.nodes {
 		n.gate = newGate(t, t.listen(t.store.handler(n.name)))
+		n.front = n.bind
+		if t.links {
+			front := newGate(t, n.bind)
+			n.front, n.links = front.addr, append(n.links, front, n.gate)
+		}
 		n.config = filepath.Join(t.dir, n.name, "settings.toml")
 		if err := os.MkdirAll(filepath.Dir(n.config), 0o755); err != nil {
 			t.fail("%v", err)
 		}
+		cloudAddr := cloudAddr
+		if t.links {
+			link := newGate(t, t.listen(t.cloud.handler(n.name)))
+			n.links = append(n.links, link)
+			cloudAddr = link.addr
+		}
 		if err := os.WriteFile(n.config, []byte(n.settings(cloudAddr)), 0o644); err != nil {
 			t.fail("%v", err)
 		}
@@ -340,7 +373,13 @@
 	fmt.Fprintf(&b, "node = %q\ndomain = %q\nbind = %q\nback = %q\n", n.name, n.zone, n.bind, n.back)
 	for _, other := range n.t.nodes {
 		if other != n {
-			fmt.Fprintf(&b, "\n[[siblings]]\nnode = %q\ndomain = %q\npeer_addr = %q\n", other.name, other.zone, other.back)
+			addr := other.back
+			if n.t.links {
+				link := newGate(n.t, other.back)
+				n.links, other.links = append(n.links, link), append(other.links, link)
+				addr = link.addr
+			}
+			fmt.Fprintf(&b, "\n[[siblings]]\nnode = %q\ndomain = %q\npeer_addr = %q\n", other.name, other.zone, addr)
 		}
 	}
 	zones, _ := json.Marshal(s.zones)
--- a/review/play-2/users.go
+++ b/review/play-2/users.go
@@ -25,7 +25,7 @@
 	go func() {
 		client := &http.Client{}
 		for range time.Tick(time.Second) {
-			status, _ := ask(client, time.Second, "GET", "http://"+n.bind+"/healthz", nil)
+			status, _ := ask(client, time.Second, "GET", "http://"+n.front+"/healthz", nil)
 			h.note(status == 200)
 		}
 	}()
@@ -102,7 +102,7 @@
 	nodes := t.healthyNodes()
 	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
 	for _, n := range nodes[:min(3, len(nodes))] {
-		status, data := ask(userClient, timeout, method, "http://"+n.bind+path, body)
+		status, data := ask(userClient, timeout, method, "http://"+n.front+path, body)
 		if status != 0 {
 			return status, data, n.name
 		}
--- a/review/play-2/worker.go
+++ b/review/play-2/worker.go
@@ -35,6 +35,7 @@
 	done     chan struct{}
 	ended    bool
 	node     int
+	owner    string // the controller that answered the last report
 }
 
 type workerTask struct {
@@ -171,7 +172,7 @@
 	w.lastSent = sentAt
 	node := w.t.nodes[w.node%len(w.t.nodes)]
 	w.mu.Unlock()
-	response, err := w.http.Post("http://"+node.bind+"/agent/beat", "application/json", bytes.NewReader(body))
+	response, err := w.http.Post("http://"+node.front+"/agent/beat", "application/json", bytes.NewReader(body))
 	if err != nil {
 		w.node++
 		return time.Second
@@ -210,6 +211,10 @@
 	if answer.Baton > w.baton {
 		w.touch()
 	}
+	if w.owner != node.name {
+		w.owner = node.name
+		w.t.logf("machine %s is answered by %s, token %d", w.m.name, node.name, answer.Baton)
+	}
 	w.baton = answer.Baton
 	w.answered = sentAt
 	w.carryOut(answer.Orders)
@@ -318,6 +323,10 @@
 		return
 	}
 	w.images[task.job.Kit] = true
+	if task.job.Shape == "ensemble" {
+		w.join(task)
+		return
+	}
 	task.status = "running"
 	w.t.taskOn(task.piece, w.m.name, w.m.zone)
 	w.touch()
@@ -338,12 +347,47 @@
 	})
 }
 
+// join lets a task wait for its gang; the caller holds the lock. The gang starts when its last task
+// waits, and its tasks complete together.
+func (w *worker) join(task *workerTask) {
+	task.status = "waiting"
+	w.touch()
+	w.t.taskOn(task.piece, w.m.name, w.m.zone)
+	limit := time.Duration(w.t.site.gangWaitS * float64(time.Second))
+	task.timer = time.AfterFunc(limit, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if !w.ended && task.status == "waiting" {
+			w.exit(task, "alone")
+		}
+	})
+	run := time.Duration(task.job.runS * float64(time.Second))
+	w.t.joinGang(task.piece, task.try, task.job.Pieces, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.ended || task.status != "waiting" {
+			return
+		}
+		task.timer.Stop()
+		task.status = "running"
+		w.touch()
+		task.timer = time.AfterFunc(run, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if !w.ended && task.status == "running" {
+				w.t.setDone(task.piece)
+				w.exit(task, "done")
+			}
+		})
+	})
+}
+
 // exit ends a task; the caller holds the lock.
 func (w *worker) exit(task *workerTask, cause string) {
 	if task.timer != nil {
 		task.timer.Stop()
 	}
-	if task.status == "running" {
+	if task.status == "running" || task.status == "waiting" {
 		w.t.taskOff(task.piece, w.m.name, cause)
 	}
 	task.status, task.cause = "exited", cause
