--- a/review/play-2/cloud.go
+++ b/review/play-2/cloud.go
@@ -40,7 +40,8 @@
 	seq      int
 	answers  map[string][]string // by requisition
 	machines map[string]*machine
-	stale    []string // returns by a controller that was replaced, of machines in use
+	listed   map[string]time.Time // by caller: when it last asked for the list of machines
+	stale    []string             // returns by a controller that was replaced, of machines in use
 }
 
 type machine struct {
@@ -55,7 +56,7 @@
 	return &cloud{
 		t: t, kind: kind, zones: zones, capacity: capacity, boot: boot,
 		lag: time.Duration(t.site.listLagS * float64(time.Second)), requests: bucket{rate: t.site.cloudRPS},
-		answers: map[string][]string{}, machines: map[string]*machine{},
+		answers: map[string][]string{}, listed: map[string]time.Time{}, machines: map[string]*machine{},
 	}
 }
 
@@ -99,6 +100,9 @@
 		}
 		reply(w, 200, map[string]any{})
 	case "GET /machines":
+		c.mu.Lock()
+		c.listed[caller] = time.Now()
+		c.mu.Unlock()
 		c.list(w, r)
 	default:
 		reply(w, 400, map[string]any{"error": "malformed"})
@@ -216,6 +220,13 @@
 	}
 }
 
+// sinceList returns how long ago a controller asked for the list of machines.
+func (c *cloud) sinceList(caller string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.listed[caller])
+}
+
 func (c *cloud) stop() {
 	c.mu.Lock()
 	names := []string{}
--- a/review/play-2/stale.go
+++ b/review/play-2/stale.go
@@ -21,6 +21,13 @@
 	victim := t.nodes[1]
 	sweep := t.formulaSweep("run-000001")
 	sweep.Pieces, sweep.Yard, sweep.runS = 2, &yard, 2
+	// The owner asks for the list of machines every 10 s. The machine is to be returned between two
+	// such requests: a request that hangs on the connection to the cloud would make the next one
+	// need a new connection, which an interrupted network does not make.
+	sweep.mayEnd = func() bool {
+		since := t.cloud.sinceList(victim.name)
+		return since > 3*time.Second && since < 6*time.Second
+	}
 	if !t.submit(sweep) || !waitFor(25*time.Second, func() bool { return t.doneTasks(sweep.UID) == sweep.Pieces }) {
 		t.fail("the first job is not done")
 	}
@@ -29,7 +36,7 @@
 		t.fail("%s commands the machine of %s, not %s", owner, yard, victim.name)
 	}
 	// The machine is returned when it has been idle for 30 s. The network is interrupted shortly before.
-	time.Sleep(time.Until(idleAt.Add(29500 * time.Millisecond)))
+	time.Sleep(time.Until(idleAt.Add(29700 * time.Millisecond)))
 	if t.trouble {
 		t.logf("%s loses the network", victim.name)
 		for _, link := range victim.links {
--- a/review/play-2/trial.go
+++ b/review/play-2/trial.go
@@ -93,7 +93,8 @@
 	StowS     float64  `json:"stow_s"`
 	DueS      *float64 `json:"due_s"`
 
-	runS float64 // how long a task really runs
+	runS   float64     // how long a task really runs
+	mayEnd func() bool // nil or a condition for which a task that has run for runS waits
 }
 
 // trial is one run of a case.
--- a/review/play-2/worker.go
+++ b/review/play-2/worker.go
@@ -338,6 +338,9 @@
 		run = 0
 	}
 	task.timer = time.AfterFunc(run, func() {
+		for task.job.mayEnd != nil && !task.job.mayEnd() {
+			time.Sleep(50 * time.Millisecond)
+		}
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if !w.ended && task.status == "running" {
