--- a/review/play-2/trial.go
+++ b/review/play-2/trial.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -120,13 +121,14 @@
 
 	links    bool                // every link of a controller passes a gate
 	gangs    map[string][]func() // by job and attempt: what starts the tasks that wait
-	firstKey string              // of the record of the first job
+	ports    map[string]bool
+	firstKey string // of the record of the first job
 }
 
 func newTrial(name, folder string, s site) *trial {
 	t := &trial{
 		name: name, site: s, began: time.Now(), trouble: os.Getenv("TROUBLE") != "0",
-		jobs: map[string]*jobSpec{}, done: map[string]bool{}, on: map[string]string{}, starts: map[string]int{},
+		jobs: map[string]*jobSpec{}, done: map[string]bool{}, on: map[string]string{}, starts: map[string]int{}, ports: map[string]bool{},
 	}
 	var err error
 	if t.record, err = os.Create(filepath.Join(folder, "record.txt")); err != nil {
@@ -359,13 +361,22 @@
 	}
 }
 
+// freePort returns a free address outside the range from which the system takes the ports of
+// connections, so that nothing takes it while a controller is down.
 func freePort(t *trial) string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.fail("%v", err)
+	for range 100 {
+		addr := fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000))
+		if t.ports[addr] {
+			continue
+		}
+		if listener, err := net.Listen("tcp4", addr); err == nil {
+			listener.Close()
+			t.ports[addr] = true
+			return addr
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	t.fail("no free port")
+	return ""
 }
 
 func (n *node) settings(cloudAddr string) string {
