--- a/review/play-2/cut.go
+++ b/review/play-2/cut.go
@@ -74,11 +74,18 @@
 // startFleet submits the jobs that are there at the start, and then those that come.
 func (t *trial) startFleet() {
 	var jobs []*jobSpec
-	for i := range fleetArrays + fleetService + 150 {
+	const atStart = fleetArrays + fleetService
+	for i := range atStart + 150 {
 		job := t.counterMixer(fmt.Sprintf("run-%06d", i))
 		job.Lane, job.MemGB, job.Pieces = "menu-portal", 3.2, []int{2, 2, 2, 2, 8, 8, 8, 16, 16}[rand.IntN(9)]
 		job.Kit = fmt.Sprintf("img-%02d", rand.IntN(12))
-		if i%5 == 0 && i/5 < fleetArrays || i >= fleetArrays+fleetService && i%20 > 2 {
+		// At the start, arrays are spread evenly among the services; afterwards one job in eight is
+		// a service: 17.5 services and 122.5 arrays a minute.
+		isArray := (i+1)*fleetArrays/atStart > i*fleetArrays/atStart
+		if i >= atStart {
+			isArray = i%8 != 0
+		}
+		if isArray {
 			job = t.formulaSweep(job.UID)
 			job.Lane, job.MemGB, job.Pieces, job.GuessS, job.runS = "diet-plan-batch", 4.6, 10+rand.IntN(40), 60, 60
 			job.Kit = fmt.Sprintf("img-%02d", 12+rand.IntN(16))
@@ -90,8 +97,8 @@
 	var wait sync.WaitGroup
 	slots := make(chan bool, 40)
 	for i, job := range jobs {
-		if i >= fleetArrays+fleetService {
-			time.Sleep(time.Minute / 143)
+		if i >= atStart {
+			time.Sleep(time.Minute / 140)
 		}
 		slots <- true
 		wait.Add(1)
